--- /dev/null
+++ b/transport/conn.go
@@ -0,0 +1,255 @@
+// Package transport carries wire messages between the system's processes over
+// QUIC. A connection uses one bidirectional stream; calls and one-way messages
+// share it, and small messages that are sent together leave in one write.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+
+	"oriolerelay/wire"
+)
+
+// ErrClosed is returned for messages on a closed connection.
+var ErrClosed = errors.New("connection closed")
+
+// writeQueueFrames bounds the frames that wait for the writer of a connection.
+// A sender that finds the queue full blocks until its context ends.
+const writeQueueFrames = 1024
+
+// Handler receives the messages of a connection. Handle is called in the order
+// of arrival on the connection's reader goroutine, so it must not block; work
+// that waits goes to a goroutine of its own, which replies with Conn.Reply.
+type Handler interface {
+	Handle(c *Conn, f wire.Frame)
+	// Closed is called once, after the last Handle.
+	Closed(c *Conn, err error)
+}
+
+// Conn is a connection to a peer. It is safe for concurrent use.
+type Conn struct {
+	session *quic.Conn
+	stream  *quic.Stream
+	stats   *Stats
+	out     chan []byte
+	done    chan struct{}
+	nextID  atomic.Uint64
+
+	// PeerHello is set by the handshake before the handler runs.
+	PeerHello wire.Hello
+
+	mu    sync.Mutex
+	calls map[uint64]chan wire.Message
+	err   error
+}
+
+func newConn(session *quic.Conn, stream *quic.Stream, stats *Stats) *Conn {
+	return &Conn{
+		session: session,
+		stream:  stream,
+		stats:   stats,
+		out:     make(chan []byte, writeQueueFrames),
+		done:    make(chan struct{}),
+		calls:   make(map[uint64]chan wire.Message),
+	}
+}
+
+// RemoteAddr returns the peer's address.
+func (c *Conn) RemoteAddr() net.Addr { return c.session.RemoteAddr() }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Err returns why the connection ended, or nil while it is open.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Send queues a one-way message. A nil error does not mean that it arrived.
+func (c *Conn) Send(ctx context.Context, m wire.Message) error {
+	return c.enqueue(ctx, wire.Frame{Body: m})
+}
+
+// Reply answers the call with the given id.
+func (c *Conn) Reply(ctx context.Context, callID uint64, m wire.Message) error {
+	return c.enqueue(ctx, wire.Frame{CallID: callID, Reply: true, Body: m})
+}
+
+// Call sends m and waits for the reply, the end of ctx or of the connection.
+func (c *Conn) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
+	id := c.nextID.Add(1)
+	ch := make(chan wire.Message, 1)
+	if err := c.register(id, ch); err != nil {
+		return nil, err
+	}
+	defer c.unregister(id)
+	if err := c.enqueue(ctx, wire.Frame{CallID: id, Body: m}); err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-ch:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.done:
+		return nil, c.closedError()
+	}
+}
+
+// Close ends the connection. Messages that are still queued may be lost.
+func (c *Conn) Close() error {
+	c.fail(ErrClosed)
+	return nil
+}
+
+func (c *Conn) register(id uint64, ch chan wire.Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return c.err
+	}
+	c.calls[id] = ch
+	return nil
+}
+
+func (c *Conn) unregister(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.calls, id)
+}
+
+func (c *Conn) closedError() error {
+	if err := c.Err(); err != nil {
+		return err
+	}
+	return ErrClosed
+}
+
+func (c *Conn) enqueue(ctx context.Context, f wire.Frame) error {
+	b, err := wire.Encode(f)
+	if err != nil {
+		return err
+	}
+	select {
+	case c.out <- b:
+		c.stats.sent(f.Body.MessageType(), len(b))
+		return nil
+	case <-c.done:
+		return c.closedError()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Conn) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return
+	}
+	c.err = err
+	close(c.done)
+	_ = c.session.CloseWithError(0, "")
+}
+
+// run serves the connection until it ends.
+func (c *Conn) run(h Handler) {
+	go c.writeLoop()
+	err := c.readLoop(h)
+	c.fail(err)
+	h.Closed(c, c.Err())
+}
+
+func (c *Conn) writeLoop() {
+	w := bufio.NewWriterSize(c.stream, 16<<10)
+	for {
+		select {
+		case b := <-c.out:
+			if err := c.writeBatch(w, b); err != nil {
+				c.fail(fmt.Errorf("write: %w", err))
+				return
+			}
+		case <-c.done:
+			return
+		}
+	}
+}
+
+// writeBatch writes b and every frame that is already queued, then flushes.
+func (c *Conn) writeBatch(w *bufio.Writer, b []byte) error {
+	for {
+		if err := writeFrame(w, b); err != nil {
+			return err
+		}
+		select {
+		case b = <-c.out:
+		default:
+			return w.Flush()
+		}
+	}
+}
+
+func (c *Conn) readLoop(h Handler) error {
+	r := bufio.NewReaderSize(c.stream, 16<<10)
+	for {
+		f, n, err := readFrame(r)
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		c.stats.received(f.Body.MessageType(), n)
+		if f.Reply {
+			c.deliver(f)
+			continue
+		}
+		h.Handle(c, f)
+	}
+}
+
+// deliver hands a reply to its caller. A reply whose caller has gone is dropped.
+func (c *Conn) deliver(f wire.Frame) {
+	c.mu.Lock()
+	ch := c.calls[f.CallID]
+	delete(c.calls, f.CallID)
+	c.mu.Unlock()
+	if ch != nil {
+		ch <- f.Body
+	}
+}
+
+func writeFrame(w io.Writer, b []byte) error {
+	var head [4]byte
+	binary.BigEndian.PutUint32(head[:], uint32(len(b)))
+	if _, err := w.Write(head[:]); err != nil {
+		return err
+	}
+	_, err := w.Write(b)
+	return err
+}
+
+func readFrame(r io.Reader) (wire.Frame, int, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return wire.Frame{}, 0, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > wire.MaxFrameBytes {
+		return wire.Frame{}, 0, wire.ErrFrameTooLarge
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return wire.Frame{}, 0, err
+	}
+	f, err := wire.Decode(b)
+	return f, int(n), err
+}
--- /dev/null
+++ b/transport/keys.go
@@ -0,0 +1,111 @@
+package transport
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"time"
+)
+
+// Authority is a certificate authority that issues node certificates. Nodes
+// accept only peers whose certificate it has signed.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+// serverName is the name in every node certificate. Peers are found by IP
+// number, so the certificate proves membership of the system, not an address.
+const serverName = "oriole-node"
+
+// NewAuthority returns an authority whose certificate is valid for the given time.
+func NewAuthority(valid time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("generate authority key: %w", err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber:          serialNumber(),
+		Subject:               pkix.Name{CommonName: "oriolerelay"},
+		NotBefore:             time.Now().Add(-time.Minute),
+		NotAfter:              time.Now().Add(valid),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("create authority certificate: %w", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("parse authority certificate: %w", err)
+	}
+	return &Authority{cert: cert, key: key, pem: pemBlock("CERTIFICATE", der)}, nil
+}
+
+// CertificatePEM returns the authority's certificate.
+func (a *Authority) CertificatePEM() []byte { return a.pem }
+
+// Issue returns a PEM certificate and key for the named node.
+func (a *Authority) Issue(node string, valid time.Duration) (certPEM, keyPEM []byte, err error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, fmt.Errorf("generate key of %s: %w", node, err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: serialNumber(),
+		Subject:      pkix.Name{CommonName: node},
+		DNSNames:     []string{serverName},
+		NotBefore:    time.Now().Add(-time.Minute),
+		NotAfter:     time.Now().Add(valid),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, nil, fmt.Errorf("create certificate of %s: %w", node, err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return nil, nil, fmt.Errorf("encode key of %s: %w", node, err)
+	}
+	return pemBlock("CERTIFICATE", der), pemBlock("EC PRIVATE KEY", keyDER), nil
+}
+
+// NodeTLS returns the TLS configuration of a node for both directions of a
+// connection. Each side must present a certificate of the authority.
+func NodeTLS(authorityPEM, certPEM, keyPEM []byte) (*tls.Config, error) {
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authorityPEM) {
+		return nil, fmt.Errorf("authority file holds no certificate")
+	}
+	pair, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return nil, fmt.Errorf("node certificate and key: %w", err)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   serverName,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+func serialNumber() *big.Int {
+	n, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120)) // fails only if the system has no randomness
+	return n
+}
+
+func pemBlock(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,167 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"oriolerelay/wire"
+)
+
+// Timeouts of a connection. A silent peer is noticed after idleTimeout; the
+// keep-alive period leaves room for two lost packets within it.
+const (
+	idleTimeout      = 2 * time.Second
+	keepAlivePeriod  = 600 * time.Millisecond
+	handshakeTimeout = 2 * time.Second
+)
+
+// protocolName is the TLS ALPN name of the internal protocol.
+const protocolName = "oriole/1"
+
+// Flow-control windows of a connection in bytes. They bound the memory that a
+// peer can make this process hold.
+const (
+	initialWindow = 64 << 10
+	maxWindow     = 2 << 20
+)
+
+// Options configures a Listener or a Dialer.
+type Options struct {
+	TLS   *tls.Config
+	Hello func() wire.Hello // sent to the peer on each connection
+	Stats *Stats            // may be nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:                 idleTimeout,
+		KeepAlivePeriod:                keepAlivePeriod,
+		HandshakeIdleTimeout:           handshakeTimeout,
+		InitialStreamReceiveWindow:     initialWindow,
+		InitialConnectionReceiveWindow: initialWindow,
+		MaxStreamReceiveWindow:         maxWindow,
+		MaxConnectionReceiveWindow:     maxWindow,
+		MaxIncomingStreams:             1,
+		MaxIncomingUniStreams:          -1,
+	}
+}
+
+func tlsConfig(c *tls.Config) *tls.Config {
+	c = c.Clone()
+	c.NextProtos = []string{protocolName}
+	c.MinVersion = tls.VersionTLS13
+	return c
+}
+
+// Listener accepts connections.
+type Listener struct {
+	inner *quic.Listener
+	opts  Options
+}
+
+// Listen listens on a UDP address (ip:port).
+func Listen(address string, opts Options) (*Listener, error) {
+	inner, err := quic.ListenAddr(address, tlsConfig(opts.TLS), quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return &Listener{inner: inner, opts: opts}, nil
+}
+
+// Address returns the local address as ip:port.
+func (l *Listener) Address() string { return l.inner.Addr().String() }
+
+// Close stops the listener and closes its connections.
+func (l *Listener) Close() error { return l.inner.Close() }
+
+// Serve accepts connections until ctx ends or the listener is closed.
+// newHandler is called for each connection after the Hello exchange.
+func (l *Listener) Serve(ctx context.Context, newHandler func(*Conn) Handler) error {
+	for {
+		session, err := l.inner.Accept(ctx)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) {
+				return nil
+			}
+			return fmt.Errorf("accept: %w", err)
+		}
+		go l.serveSession(ctx, session, newHandler)
+	}
+}
+
+func (l *Listener) serveSession(ctx context.Context, session *quic.Conn, newHandler func(*Conn) Handler) {
+	hctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	stream, err := session.AcceptStream(hctx)
+	if err != nil {
+		_ = session.CloseWithError(1, "no stream")
+		return
+	}
+	c := newConn(session, stream, l.opts.Stats)
+	if err := c.exchangeHello(l.opts.Hello()); err != nil {
+		_ = session.CloseWithError(1, "hello failed")
+		return
+	}
+	c.run(newHandler(c))
+}
+
+// Dial connects to address (ip:port) and exchanges Hello messages. The handler
+// made by newHandler then runs on its own goroutine until the connection ends.
+func Dial(ctx context.Context, address string, opts Options, newHandler func(*Conn) Handler) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	session, err := quic.DialAddr(ctx, address, tlsConfig(opts.TLS), quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	stream, err := session.OpenStreamSync(ctx)
+	if err != nil {
+		_ = session.CloseWithError(1, "no stream")
+		return nil, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	c := newConn(session, stream, opts.Stats)
+	if err := c.exchangeHello(opts.Hello()); err != nil {
+		_ = session.CloseWithError(1, "hello failed")
+		return nil, fmt.Errorf("hello to %s: %w", address, err)
+	}
+	h := newHandler(c)
+	go c.run(h)
+	return c, nil
+}
+
+// exchangeHello sends own and reads the peer's Hello within handshakeTimeout.
+func (c *Conn) exchangeHello(own wire.Hello) error {
+	deadline := time.Now().Add(handshakeTimeout)
+	_ = c.stream.SetDeadline(deadline)
+	defer func() { _ = c.stream.SetDeadline(time.Time{}) }()
+	b, err := wire.Encode(wire.Frame{Body: &own})
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(c.stream)
+	if err := writeFrame(w, b); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	c.stats.sent(wire.TypeHello, len(b))
+	// The stream is read unbuffered here, so that no later frame is lost.
+	f, n, err := readFrame(c.stream)
+	if err != nil {
+		return err
+	}
+	hello, ok := f.Body.(*wire.Hello)
+	if !ok {
+		return fmt.Errorf("first message is %s, not hello", f.Body.MessageType())
+	}
+	c.stats.received(wire.TypeHello, n)
+	c.PeerHello = *hello
+	return nil
+}
