--- /dev/null
+++ b/submission/table.go
@@ -0,0 +1,229 @@
+// Package submission records the submissions of one home, so that a
+// resubmission joins the first attempt instead of starting its tasks again.
+package submission
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+
+	"oriolerelay/errkind"
+)
+
+// Default bounds of a Table.
+const (
+	DefaultMaxEntries = 200_000
+	DefaultMaxBytes   = 256 << 20
+	// reservedAnswerBytes is accounted for a submission whose answer is not yet
+	// known, so that a burst of new submissions can't outgrow the byte bound.
+	reservedAnswerBytes = 4 << 10
+	// entryBytes is the accounted size of an entry without its key and answer.
+	entryBytes = 256
+)
+
+// recordFullRetry bounds the Retry-After of a full table in both directions.
+const (
+	minFullRetry = time.Second
+	maxFullRetry = 60 * time.Second
+)
+
+// Key names a submission. The ids of different teams are independent.
+type Key struct {
+	Team string
+	ID   string
+}
+
+// Answer is the final answer of a submission as its caller receives it.
+// RetryAfter is in seconds. It converts to wire.Forwarded.
+type Answer struct {
+	Status     int
+	Body       []byte
+	RetryAfter int64
+}
+
+// Config bounds a Table. Zero fields take the defaults.
+type Config struct {
+	MaxEntries int
+	MaxBytes   int64
+	Now        func() time.Time
+}
+
+// Table is the record of one home. An entry stays until its expiry and until
+// it is finished, whichever is later; nothing is evicted earlier. The answers
+// of running submissions may exceed the byte bound, because an answer is never
+// dropped; new submissions are refused until the record is below its bound.
+// A Table is safe for concurrent use.
+type Table struct {
+	maxEntries int
+	maxBytes   int64
+	now        func() time.Time
+
+	mu       sync.Mutex
+	entries  map[Key]*Entry
+	byExpiry expiryHeap
+	bytes    int64
+}
+
+// Entry is one submission. It is safe for concurrent use.
+type Entry struct {
+	table    *Table
+	key      Key
+	bodyHash uint64
+	expires  time.Time
+	bytes    int64 // guarded by table.mu
+	done     chan struct{}
+	answer   Answer // written once before done is closed
+}
+
+// NewTable returns an empty table.
+func NewTable(c Config) *Table {
+	if c.MaxEntries <= 0 {
+		c.MaxEntries = DefaultMaxEntries
+	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = DefaultMaxBytes
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return &Table{maxEntries: c.MaxEntries, maxBytes: c.MaxBytes, now: c.Now, entries: make(map[Key]*Entry)}
+}
+
+// Begin returns the entry of key and whether this call created it. The creator
+// must run the submission and call Finish. expires is submitted_at + window +
+// tolerance. Errors are of kind IDConflict, when key is recorded with another
+// body, and RecordFull.
+func (t *Table) Begin(key Key, bodyHash uint64, expires time.Time) (*Entry, bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	if e := t.entries[key]; e != nil {
+		if e.bodyHash != bodyHash {
+			return nil, false, errkind.New(errkind.IDConflict, "submission %q was made with another body", key.ID)
+		}
+		return e, false, nil
+	}
+	size := int64(entryBytes + len(key.Team) + len(key.ID) + reservedAnswerBytes)
+	if len(t.entries) >= t.maxEntries || t.bytes+size > t.maxBytes {
+		return nil, false, t.full()
+	}
+	e := &Entry{table: t, key: key, bodyHash: bodyHash, expires: expires, bytes: size, done: make(chan struct{})}
+	t.entries[key] = e
+	t.bytes += size
+	heap.Push(&t.byExpiry, e)
+	return e, true, nil
+}
+
+// full returns the refusal of a full table. It advises to wait until the first
+// entry expires.
+func (t *Table) full() error {
+	err := errkind.New(errkind.RecordFull, "the record holds %d submissions and %d bytes", len(t.entries), t.bytes)
+	if len(t.byExpiry) > 0 {
+		err.RetryAfter = min(max(t.byExpiry[0].expires.Sub(t.now()), minFullRetry), maxFullRetry)
+	}
+	return err
+}
+
+// expire removes finished entries past their expiry. A running entry past its
+// expiry leaves the heap and is removed by Finish.
+func (t *Table) expire() {
+	now := t.now()
+	for len(t.byExpiry) > 0 && !t.byExpiry[0].expires.After(now) {
+		e := heap.Pop(&t.byExpiry).(*Entry)
+		if e.finished() {
+			t.remove(e)
+		}
+	}
+}
+
+func (t *Table) remove(e *Entry) {
+	delete(t.entries, e.key)
+	t.bytes -= e.bytes
+}
+
+// Lookup returns the entry of key, or nil.
+func (t *Table) Lookup(key Key) *Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	return t.entries[key]
+}
+
+// Size returns the number of entries and the accounted bytes.
+func (t *Table) Size() (entries int, bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	return len(t.entries), t.bytes
+}
+
+// Finish stores the answer and wakes all waiters. Only the first call counts.
+func (e *Entry) Finish(a Answer) {
+	t := e.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e.finished() {
+		return
+	}
+	e.answer = a
+	delta := int64(len(a.Body)) - reservedAnswerBytes
+	e.bytes += delta
+	t.bytes += delta
+	close(e.done)
+	if !e.expires.After(t.now()) {
+		t.expire() // e may still be in the heap
+		if t.entries[e.key] == e {
+			t.remove(e)
+		}
+	}
+}
+
+// Wait returns the answer when it is known, or the error of ctx.
+func (e *Entry) Wait(ctx context.Context) (Answer, error) {
+	select {
+	case <-e.done:
+		return e.answer, nil
+	default:
+	}
+	select {
+	case <-e.done:
+		return e.answer, nil
+	case <-ctx.Done():
+		return Answer{}, ctx.Err()
+	}
+}
+
+// Answer returns the answer and whether it is known yet.
+func (e *Entry) Answer() (Answer, bool) {
+	if !e.finished() {
+		return Answer{}, false
+	}
+	return e.answer, true
+}
+
+// Done is closed when the answer is known.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+func (e *Entry) finished() bool {
+	select {
+	case <-e.done:
+		return true
+	default:
+		return false
+	}
+}
+
+type expiryHeap []*Entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(*Entry)) }
+func (h *expiryHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
