--- /dev/null
+++ b/balance/times.go
@@ -0,0 +1,95 @@
+package balance
+
+import "time"
+
+// Learning of run times.
+const (
+	// learnWeight is the weight of a new sample in the moving average.
+	learnWeight = 0.2
+	// minSamples is the number of samples after which the average of an
+	// endpoint replaces the estimate from other endpoints or the declaration.
+	minSamples = 3
+	// slowDecay lets the slowest run time of a kind shrink per sample.
+	slowDecay = 0.995
+	// staleAfter is the age of the last sample from which the estimate of a slow
+	// endpoint returns towards the kind's mean, so that it is tried again.
+	staleAfter = 10 * time.Second
+	// unknownRun is assumed when nothing was declared or learned.
+	unknownRun = 100 * time.Millisecond
+)
+
+// KindTimes learns the run times of one kind over all endpoints.
+type KindTimes struct {
+	mean average
+	slow float64 // decayed slowest run time in ns
+}
+
+// EndpointTimes learns the run times of one kind at one endpoint.
+type EndpointTimes struct {
+	mean average
+	last time.Time
+}
+
+// average is an exponential moving average, whose first samples weigh equally.
+type average struct {
+	value float64 // ns
+	n     int
+}
+
+func (a *average) add(x float64) {
+	a.n++
+	a.value += (x - a.value) * max(learnWeight, 1/float64(a.n))
+}
+
+// Learn records the run time of a completed task.
+func (k *KindTimes) Learn(e *EndpointTimes, run time.Duration, now time.Time) {
+	x := float64(max(run, time.Microsecond))
+	k.mean.add(x)
+	k.slow = max(x, k.slow*slowDecay)
+	e.mean.add(x)
+	e.last = now
+}
+
+// LearnFailure records a failed task. It counts as the slowest run time of the
+// kind, so that an endpoint that fails everything fast doesn't attract work.
+func (k *KindTimes) LearnFailure(e *EndpointTimes, declared time.Duration, now time.Time) {
+	x := max(k.slow, float64(k.Typical(declared)))
+	e.mean.add(x)
+	e.last = now
+}
+
+// Learned reports whether enough samples replace the declared run time.
+func (k *KindTimes) Learned() bool { return k.mean.n >= minSamples }
+
+// Typical returns the expected run time over all endpoints. The declared time
+// is used only until enough samples are known.
+func (k *KindTimes) Typical(declared time.Duration) time.Duration {
+	switch {
+	case k.Learned():
+		return time.Duration(k.mean.value)
+	case declared > 0:
+		return declared
+	default:
+		return unknownRun
+	}
+}
+
+// Expect returns the expected run time at one endpoint. waiting is the age of
+// the oldest task that is still running there: a straggler shows by it before
+// its first late result.
+func (k *KindTimes) Expect(e *EndpointTimes, declared, waiting time.Duration, now time.Time) time.Duration {
+	typical := k.Typical(declared)
+	run := typical
+	if e.mean.n >= minSamples {
+		run = time.Duration(e.mean.value)
+	}
+	if run > typical {
+		if age := now.Sub(e.last); age > staleAfter {
+			run = typical + time.Duration(float64(run-typical)*float64(staleAfter)/float64(age))
+		}
+	}
+	if waiting > 2*run && waiting > time.Duration(k.slow) {
+		run = waiting
+	}
+	return max(run, time.Microsecond)
+}
--- /dev/null
+++ b/dispatch/metrics.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oriolerelay/errkind"
+)
+
+// metrics are the counters of a dispatcher.
+type metrics struct {
+	tasks         *prometheus.CounterVec
+	jobs          *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	agentRefusals prometheus.Counter
+	settles       prometheus.Counter
+	unsettled     prometheus.Counter
+	retries       prometheus.Counter
+	ejections     prometheus.Counter
+	queueWait     prometheus.Histogram
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func newMetrics(reg prometheus.Registerer, d *Dispatcher) *metrics {
+	m := &metrics{
+		tasks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_tasks_total", Help: "Tasks of answered jobs by service and outcome.",
+		}, []string{"service", "outcome"}),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_jobs_total", Help: "Answered jobs by service and error kind; empty when complete.",
+		}, []string{"service", "kind"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_refusals_total", Help: "Jobs refused on submission by error kind.",
+		}, []string{"kind"}),
+		agentRefusals: counter("oriole_agent_refusals_total", "Tasks that an agent refused."),
+		settles:       counter("oriole_settles_total", "Tasks whose state was asked for after a lost reply."),
+		unsettled:     counter("oriole_unsettled_total", "Tasks whose agent was lost before they were settled."),
+		retries:       counter("oriole_retries_total", "Requests started again after an attempt that may have run."),
+		ejections:     counter("oriole_ejections_total", "Ejections of endpoints."),
+		queueWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "oriole_queue_wait_seconds", Help: "Time from the submission of a task to its Start.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 4, 9),
+		}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.tasks, m.jobs, m.refusals, m.agentRefusals, m.settles, m.unsettled, m.retries,
+			m.ejections, m.queueWait,
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "oriole_queued_tasks", Help: "Tasks that wait at this home.",
+			}, d.queuedTasks),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+				Name: "oriole_running_jobs", Help: "Jobs without an answer yet.",
+			}, d.runningJobs))
+	}
+	return m
+}
+
+func (m *metrics) refused(k errkind.Kind) { m.refusals.WithLabelValues(string(k)).Inc() }
+
+func (m *metrics) finished(j *job) {
+	kind := ""
+	if j.answer.Err != nil {
+		kind = string(j.answer.Err.Kind)
+	}
+	m.jobs.WithLabelValues(j.Service, kind).Inc()
+	counts := map[errkind.Outcome]int{}
+	for i := range j.answer.Tasks {
+		counts[j.answer.Tasks[i].Outcome]++
+	}
+	for outcome, n := range counts {
+		m.tasks.WithLabelValues(j.Service, string(outcome)).Add(float64(n))
+	}
+}
+
+func (d *Dispatcher) queuedTasks() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, s := range d.services {
+		n += s.queued
+	}
+	return float64(n)
+}
+
+func (d *Dispatcher) runningJobs() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return float64(len(d.jobs))
+}
--- /dev/null
+++ b/limit/admission.go
@@ -0,0 +1,61 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Place is an endpoint in the estimate of the wait for a start.
+type Place struct {
+	Slots int
+	Busy  int
+	Run   time.Duration // expected run time of a task, above zero
+}
+
+// Fastest returns the shortest run time of the places with a free slot, or of
+// all places when none is free.
+func Fastest(places []Place) time.Duration {
+	free, any := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
+	for _, p := range places {
+		any = min(any, p.Run)
+		if p.Busy < p.Slots {
+			free = min(free, p.Run)
+		}
+	}
+	if free < math.MaxInt64 {
+		return free
+	}
+	return any
+}
+
+// Expect estimates, for n tasks with ahead tasks before them, when the first
+// starts and when the last ends. Without places both are the longest duration.
+func Expect(places []Place, ahead float64, n int) (start, finish time.Duration) {
+	var rate, free, fastest, work float64
+	fastest = math.MaxFloat64
+	for _, p := range places {
+		run := float64(max(p.Run, 1))
+		rate += float64(p.Slots) / run
+		fastest = min(fastest, run)
+		free += float64(max(p.Slots-p.Busy, 0))
+		work += float64(max(p.Busy-p.Slots, 0))
+	}
+	if rate == 0 {
+		return math.MaxInt64, math.MaxInt64
+	}
+	// The tasks that find a free slot don't wait; each later one waits for one
+	// more slot to become free.
+	first := max(ahead+work-free+1, 0) / rate
+	if ahead+work < free {
+		first = 0
+	}
+	last := max(ahead+work+float64(n)-free, 0) / rate
+	return clampDuration(first), clampDuration(last + fastest)
+}
+
+func clampDuration(ns float64) time.Duration {
+	if ns >= math.MaxInt64 {
+		return math.MaxInt64
+	}
+	return time.Duration(ns)
+}
--- /dev/null
+++ b/limit/fair.go
@@ -0,0 +1,188 @@
+package limit
+
+import (
+	"container/heap"
+	"time"
+)
+
+// FairQueue orders items by deadline within a team and shares service between
+// teams by weight (start-time fair queueing): the team with the least charged
+// cost per weight is served first. All operations take logarithmic time.
+type FairQueue[T any] struct {
+	teams  map[string]*fairTeam[T]
+	active teamHeap[T]
+	// clock is the virtual time of the last served team. A team that becomes
+	// active starts there, so that it can't claim service for idle time.
+	clock float64
+	items int
+	seq   uint64
+}
+
+type fairTeam[T any] struct {
+	name    string
+	weight  float64
+	virtual float64
+	items   itemHeap[T]
+	index   int // in the heap of active teams; -1 when idle
+}
+
+// FairItem is an item in a FairQueue.
+type FairItem[T any] struct {
+	Value    T
+	team     *fairTeam[T]
+	deadline time.Time
+	seq      uint64
+	index    int // -1 when not queued
+}
+
+// NewFairQueue returns an empty queue.
+func NewFairQueue[T any]() *FairQueue[T] {
+	return &FairQueue[T]{teams: make(map[string]*fairTeam[T])}
+}
+
+// NewItem returns an unqueued item of a team. A weight of zero or less means 1.
+func (q *FairQueue[T]) NewItem(team string, weight float64, deadline time.Time, value T) *FairItem[T] {
+	t := q.teams[team]
+	if t == nil {
+		t = &fairTeam[T]{name: team, index: -1}
+		q.teams[team] = t
+	}
+	t.weight = weight
+	if weight <= 0 {
+		t.weight = 1
+	}
+	q.seq++
+	return &FairItem[T]{Value: value, team: t, deadline: deadline, seq: q.seq, index: -1}
+}
+
+// Len returns the number of queued items.
+func (q *FairQueue[T]) Len() int { return q.items }
+
+// Queued reports whether the item is queued.
+func (i *FairItem[T]) Queued() bool { return i.index >= 0 }
+
+// Push queues an item. Pushing a queued item does nothing.
+func (q *FairQueue[T]) Push(i *FairItem[T]) {
+	if i.index >= 0 {
+		return
+	}
+	heap.Push(&i.team.items, i)
+	q.items++
+	if i.team.index < 0 {
+		i.team.virtual = max(i.team.virtual, q.clock)
+		heap.Push(&q.active, i.team)
+	}
+}
+
+// Remove takes an item out. Removing an item that is not queued does nothing.
+func (q *FairQueue[T]) Remove(i *FairItem[T]) {
+	if i.index < 0 {
+		return
+	}
+	heap.Remove(&i.team.items, i.index)
+	q.items--
+	if len(i.team.items) == 0 {
+		heap.Remove(&q.active, i.team.index)
+	}
+}
+
+// Head returns the item to serve next, or nil.
+func (q *FairQueue[T]) Head() *FairItem[T] {
+	if len(q.active) == 0 {
+		return nil
+	}
+	return q.active[0].items[0]
+}
+
+// Charge accounts service of the given cost to the item's team. Any unit of
+// cost works as long as all calls use the same.
+func (q *FairQueue[T]) Charge(i *FairItem[T], cost float64) {
+	t := i.team
+	q.clock = max(q.clock, t.virtual)
+	t.virtual += cost / t.weight
+	if t.index >= 0 {
+		heap.Fix(&q.active, t.index)
+	}
+}
+
+// ActiveWeight returns the sum of the weights of the teams with queued items
+// and the weight of the item's own team, which is included in the sum.
+func (q *FairQueue[T]) ActiveWeight(i *FairItem[T]) (total, own float64) {
+	for _, t := range q.active {
+		total += t.weight
+	}
+	if i.team.index < 0 {
+		total += i.team.weight
+	}
+	return total, i.team.weight
+}
+
+// EachBefore calls f for each queued item of the same team that is served
+// before i, in no order. Its time is linear in the team's items.
+func (q *FairQueue[T]) EachBefore(i *FairItem[T], f func(T)) {
+	for _, o := range i.team.items {
+		if o != i && o.before(i) {
+			f(o.Value)
+		}
+	}
+}
+
+// Each calls f for each queued item, in no order. f must not change the queue.
+func (q *FairQueue[T]) Each(f func(T)) {
+	for _, t := range q.active {
+		for _, i := range t.items {
+			f(i.Value)
+		}
+	}
+}
+
+func (i *FairItem[T]) before(o *FairItem[T]) bool {
+	if !i.deadline.Equal(o.deadline) {
+		return i.deadline.Before(o.deadline)
+	}
+	return i.seq < o.seq
+}
+
+type itemHeap[T any] []*FairItem[T]
+
+func (h itemHeap[T]) Len() int           { return len(h) }
+func (h itemHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h itemHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *itemHeap[T]) Push(x any) {
+	i := x.(*FairItem[T])
+	i.index = len(*h)
+	*h = append(*h, i)
+}
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	i := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	i.index = -1
+	return i
+}
+
+type teamHeap[T any] []*fairTeam[T]
+
+func (h teamHeap[T]) Len() int           { return len(h) }
+func (h teamHeap[T]) Less(i, j int) bool { return h[i].virtual < h[j].virtual }
+func (h teamHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *teamHeap[T]) Push(x any) {
+	t := x.(*fairTeam[T])
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+func (h *teamHeap[T]) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.index = -1
+	return t
+}
