Tests of refusals, quotas, ejection, fairness and learned run times

Change: Retry-After of deadline_unmet is the time by which the answer would be late. Without the retry budget TestRetryBudget does not end (it loops until the budget refuses).

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -176,6 +176,6 @@
 	}
 	err := errkind.New(errkind.DeadlineUnmet, "the answer is expected in %v, the deadline is in %v",
 		p.finish.Round(time.Millisecond), left.Round(time.Millisecond))
-	err.RetryAfter = p.wait
+	err.RetryAfter = max(p.finish-left, 0) // by then the tasks before it have run
 	return err
 }
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,241 @@
+package limit
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"oriolerelay/errkind"
+	"oriolerelay/ticket"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// TestQuotaShare guards against entries that together admit more than a quota.
+func TestQuotaShare(t *testing.T) {
+	c := qt.New(t)
+	q := NewQuotas()
+	rules := ticket.Team{MaxInFlight: 10}
+	c.Assert(q.Admit("veil", rules, 3, 4, epoch) == nil, qt.IsTrue)
+	err := q.Admit("veil", rules, 3, 1, epoch)
+	c.Assert(err.Kind, qt.Equals, errkind.QuotaExceeded)
+	c.Assert(q.Admit("lace", rules, 3, 4, epoch) == nil, qt.IsTrue)
+	q.Release("veil", 4)
+	c.Assert(q.Admit("veil", rules, 3, 1, epoch) == nil, qt.IsTrue)
+	c.Assert(q.InFlight("veil"), qt.Equals, 1)
+}
+
+// TestStartRate guards against a team that exceeds its starts per second, and
+// against a refusal whose Retry-After is too short.
+func TestStartRate(t *testing.T) {
+	c := qt.New(t)
+	q := NewQuotas()
+	rules := ticket.Team{StartsPerSecond: 200}
+	now, admitted := epoch, 0
+	for now.Sub(epoch) < 10*time.Second {
+		if err := q.Admit("veil", rules, 2, 10, now); err != nil {
+			c.Assert(err.RetryAfter > 0, qt.IsTrue)
+			now = now.Add(err.RetryAfter)
+			c.Assert(q.Admit("veil", rules, 2, 10, now) == nil, qt.IsTrue)
+		}
+		admitted += 10
+	}
+	c.Assert(admitted >= 1000 && admitted <= 1000+minBurst+10, qt.IsTrue, qt.Commentf("admitted %d", admitted))
+	c.Assert(q.Admit("veil", ticket.Team{}, 2, 10_000, now) == nil, qt.IsTrue)
+}
+
+// TestRetryBudget guards against retries that multiply the load of a failing
+// service.
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	var b RetryBudget
+	retries := 0
+	for range 1000 {
+		b.Admitted()
+		for b.Take() {
+			retries++
+		}
+	}
+	c.Assert(retries <= 100+retryBurst, qt.IsTrue, qt.Commentf("%d retries", retries))
+	c.Assert(retries >= 100, qt.IsTrue, qt.Commentf("%d retries", retries))
+}
+
+// TestEjectionBound guards against the ejection of more than half of a service
+// over random results, and against an endpoint that never returns.
+func TestEjectionBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "endpoints")
+		g := NewHealthGroup()
+		all := make([]*Health, n)
+		for i := range all {
+			all[i] = &Health{}
+			g.Join(all[i])
+		}
+		now := epoch
+		for range rapid.IntRange(0, 200).Draw(t, "events") {
+			h := all[rapid.IntRange(0, n-1).Draw(t, "endpoint")]
+			if rapid.IntRange(0, 3).Draw(t, "ok") == 0 {
+				g.Success(h, now)
+			} else {
+				g.Failure(h, ticket.EndpointRules{}, now)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if e := g.ejected(now); 2*e > n {
+				t.Fatalf("%d of %d ejected", e, n)
+			}
+		}
+		now = now.Add(defaultEjectTime << maxEjectDoublings)
+		for _, h := range all {
+			for range trialSuccesses {
+				g.Success(h, now)
+			}
+			if h.State(now) != Healthy {
+				t.Fatal("endpoint did not return")
+			}
+		}
+	})
+}
+
+// TestEjectionGrows guards against an endpoint that keeps failing and keeps
+// getting work.
+func TestEjectionGrows(t *testing.T) {
+	c := qt.New(t)
+	g := NewHealthGroup()
+	h := &Health{}
+	g.Join(h)
+	g.Join(&Health{})
+	rules := ticket.EndpointRules{EjectAfterFailures: 3, EjectMS: 100}
+	now := epoch
+	c.Assert(g.Failure(h, rules, now), qt.IsFalse)
+	c.Assert(g.Failure(h, rules, now), qt.IsFalse)
+	c.Assert(g.Failure(h, rules, now), qt.IsTrue)
+	for _, ms := range []int{100, 200, 400} {
+		c.Assert(h.State(now), qt.Equals, Ejected)
+		now = now.Add(time.Duration(ms)*time.Millisecond - 1)
+		c.Assert(h.State(now), qt.Equals, Ejected)
+		now = now.Add(1)
+		c.Assert(h.State(now), qt.Equals, Trial)
+		c.Assert(g.Failure(h, rules, now), qt.IsTrue)
+	}
+}
+
+// TestFairQueueOrder compares the order within a team with a sort, under random
+// removal. It guards against lost items and a wrong order.
+func TestFairQueueOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewFairQueue[int]()
+		var queued []*FairItem[int]
+		for i := range rapid.IntRange(1, 60).Draw(t, "items") {
+			item := q.NewItem("veil", 1, epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "deadline"))), i)
+			q.Push(item)
+			queued = append(queued, item)
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "removals") {
+			if len(queued) == 0 {
+				break
+			}
+			k := rapid.IntRange(0, len(queued)-1).Draw(t, "removed")
+			q.Remove(queued[k])
+			q.Remove(queued[k]) // a second removal changes nothing
+			queued = append(queued[:k], queued[k+1:]...)
+		}
+		sort.Slice(queued, func(a, b int) bool { return queued[a].before(queued[b]) })
+		for _, want := range queued {
+			if got := q.Head(); got != want {
+				t.Fatalf("head %d, want %d", got.Value, want.Value)
+			}
+			q.Remove(want)
+		}
+		if q.Len() != 0 || q.Head() != nil {
+			t.Fatal("queue is not empty")
+		}
+	})
+}
+
+// TestFairShares guards against a team that gets more than its weighted share
+// while others wait, and against a starved team.
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewFairQueue[int]()
+		weights := rapid.SliceOfN(rapid.IntRange(1, 8), 2, 6).Draw(t, "weights")
+		total := 0
+		for i, w := range weights {
+			total += w
+			for range 2000 {
+				q.Push(q.NewItem(fmt.Sprint(i), float64(w), epoch, i))
+			}
+		}
+		served := make([]float64, len(weights))
+		const rounds = 1500
+		var sum, largest float64
+		for range rounds {
+			item := q.Head()
+			cost := float64(rapid.IntRange(1, 10).Draw(t, "cost"))
+			q.Charge(item, cost)
+			q.Remove(item)
+			served[item.Value] += cost
+			sum += cost
+			largest = max(largest, cost)
+		}
+		for i, w := range weights {
+			want := sum * float64(w) / float64(total)
+			// Start-time fair queueing differs from the exact share by at most
+			// about one item per team.
+			if d := served[i] - want; d > largest*float64(len(weights)+1) || d < -largest*float64(len(weights)+1) {
+				t.Fatalf("team %d with weight %d of %d got %v of %v", i, w, total, served[i], sum)
+			}
+		}
+	})
+}
+
+// TestFairIdle guards against a team that saves up service while it is idle.
+func TestFairIdle(t *testing.T) {
+	c := qt.New(t)
+	q := NewFairQueue[string]()
+	for range 100 {
+		q.Push(q.NewItem("veil", 1, epoch, "veil"))
+	}
+	serve := func() string {
+		item := q.Head()
+		q.Charge(item, 1)
+		q.Remove(item)
+		return item.Value
+	}
+	for range 50 {
+		serve()
+	}
+	for range 50 {
+		q.Push(q.NewItem("lace", 1, epoch, "lace"))
+	}
+	lace := 0
+	for range 20 {
+		if serve() == "lace" {
+			lace++
+		}
+	}
+	c.Assert(lace >= 9 && lace <= 11, qt.IsTrue, qt.Commentf("lace got %d of 20", lace))
+}
+
+// TestExpect checks the estimate against a list scheduler that starts each task
+// on the first free slot of equal endpoints.
+func TestExpect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		n := rapid.IntRange(1, 200).Draw(t, "n")
+		ahead := rapid.IntRange(0, 200).Draw(t, "ahead")
+		run := time.Duration(rapid.IntRange(1, 500).Draw(t, "run ms")) * time.Millisecond
+		start, finish := Expect([]Place{{Slots: slots, Run: run}}, float64(ahead), n)
+		rounds := (ahead + n + slots - 1) / slots
+		exactStart, exactFinish := time.Duration(ahead/slots)*run, time.Duration(rounds)*run
+		if start > exactStart+run || start < exactStart-run {
+			t.Fatalf("start %v, exact %v", start, exactStart)
+		}
+		if finish > exactFinish+run || finish < exactFinish-run {
+			t.Fatalf("finish %v, exact %v", finish, exactFinish)
+		}
+	})
+}
