Learn the time that a task keeps a slot, round trip included

Change: the home learns the time from Start to Result without the agent's queue; a settled result counts with its run time.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -141,7 +141,7 @@
 	t.ref = d.lastRef
 	t.state = taskAssigned
 	t.agent = a
-	t.sentAt = time.Time{}
+	t.sentAt, t.lostAt = time.Time{}, time.Time{}
 	d.refs[t.ref] = t
 	a.link(t)
 	a.session.outbox = append(a.session.outbox, t)
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -53,7 +53,7 @@
 	switch r.Outcome {
 	case errkind.Done:
 		a.refusals = 0
-		t.job.kind.times.Learn(a.timesOf(t.job.kind), time.Duration(r.RunMicros)*time.Microsecond, now)
+		t.job.kind.times.Learn(a.timesOf(t.job.kind), t.occupied(r, now), now)
 		if a.service != nil {
 			a.service.health.Success(&a.health, now)
 		}
@@ -71,6 +71,16 @@
 	}
 }
 
+// occupied returns how long the task kept a slot from the home's point of view:
+// its run time and the round trip, which delays the next start.
+func (t *task) occupied(r *wire.TaskResult, now time.Time) time.Duration {
+	run := time.Duration(r.RunMicros) * time.Microsecond
+	if !t.lostAt.IsZero() || t.sentAt.IsZero() {
+		return run // the time until a settled result says nothing about the endpoint
+	}
+	return max(run, now.Sub(t.sentAt)-time.Duration(r.QueueMicros)*time.Microsecond)
+}
+
 func (d *Dispatcher) taskDone(t *task, body []byte) {
 	t.state = taskFinal
 	t.result = TaskAnswer{Outcome: errkind.Done, Body: body}
