Expected finish of a large job: its last tasks run for the mean time

Cause: the estimate let the last tasks run on the fastest endpoint, so at 2x overload jobs were accepted that missed their deadline.

--- a/limit/admission.go
+++ b/limit/admission.go
@@ -31,11 +31,12 @@
 // Expect estimates, for n tasks with ahead tasks before them, when the first
 // starts and when the last ends. Without places both are the longest duration.
 func Expect(places []Place, ahead float64, n int) (start, finish time.Duration) {
-	var rate, free, fastest, work float64
+	var rate, slots, free, fastest, work float64
 	fastest = math.MaxFloat64
 	for _, p := range places {
 		run := float64(max(p.Run, 1))
 		rate += float64(p.Slots) / run
+		slots += float64(p.Slots)
 		fastest = min(fastest, run)
 		free += float64(max(p.Slots-p.Busy, 0))
 		work += float64(max(p.Busy-p.Slots, 0))
@@ -50,7 +51,14 @@
 		first = 0
 	}
 	last := max(ahead+work+float64(n)-free, 0) / rate
-	return clampDuration(first), clampDuration(last + fastest)
+	// The last tasks of a large job start wherever a slot becomes free, so they
+	// run for the mean time; a job that fits into the free slots runs on the
+	// fastest.
+	tail := fastest
+	if last > 0 {
+		tail = slots / rate
+	}
+	return clampDuration(first), clampDuration(last + tail)
 }
 
 func clampDuration(ns float64) time.Duration {
