Entry: first version that runs submissions without an id

Cause: callers need an HTTP API before the other parts are joined. Change: strict decoding of jobs and requests, answers with their error rows, credentials, the internal listener that hands agents to the dispatcher, and cmd/oriole-entry. Names of JSON fields are checked by a token walk, because encoding/json ignores case and lets a repeated name win; a struct decode with DisallowUnknownFields was tried first and let both pass. Measured: go test -race ./entry passes; the decoder test failed for seven bodies before the token walk and the bounds on numbers.

--- /dev/null
+++ b/entry/decode.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"oriolerelay/errkind"
+	"oriolerelay/ids"
+	"oriolerelay/wire"
+)
+
+// Bounds of numbers. They keep times in milliseconds far from overflow.
+const (
+	maxDurationMS    = 24 * 60 * 60 * 1000
+	maxSubmittedAtMS = 1 << 53 // largest range in which JSON numbers are exact
+)
+
+// submission is the decoded body of a job or request.
+type submission struct {
+	ID            string          `json:"id,omitempty"`
+	SubmittedAt   int64           `json:"submitted_at,omitempty"` // Unix milliseconds
+	Service       string          `json:"service"`
+	Kind          string          `json:"kind"`
+	DeadlineMS    *int64          `json:"deadline_ms,omitempty"`
+	Tasks         []submittedTask `json:"tasks,omitempty"`
+	submittedTask                 // the single task of a request
+}
+
+// submittedTask is one task of a job.
+type submittedTask struct {
+	Payload    json.RawMessage `json:"payload,omitempty"`
+	Demand     *wire.Resources `json:"demand,omitempty"`
+	ExpectedMS int64           `json:"expected_ms,omitempty"`
+}
+
+// tasks returns the tasks of a job or the single task of a request.
+func (s *submission) tasks(request bool) []submittedTask {
+	if request {
+		return []submittedTask{s.submittedTask}
+	}
+	return s.Tasks
+}
+
+// decodeSubmission parses and checks the body of a job or request. The result
+// depends on the body alone, so a body that is refused here was never run at
+// any entry. Errors are of type *errkind.Error.
+func decodeSubmission(body []byte, request bool) (*submission, error) {
+	s := new(submission)
+	if err := s.decode(body); err != nil {
+		return nil, err
+	}
+	if err := s.checkFields(request); err != nil {
+		return nil, err
+	}
+	if err := s.checkTasks(request); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *submission) decode(body []byte) error {
+	fields, err := objectFields(body, "", submissionFields)
+	if err != nil {
+		return err
+	}
+	for _, f := range fields {
+		var err error
+		switch f.name {
+		case "id":
+			err = decodeValue(f, "", &s.ID)
+		case "submitted_at":
+			err = decodeValue(f, "", &s.SubmittedAt)
+		case "service":
+			err = decodeValue(f, "", &s.Service)
+		case "kind":
+			err = decodeValue(f, "", &s.Kind)
+		case "deadline_ms":
+			err = decodeValue(f, "", &s.DeadlineMS)
+		case "tasks":
+			err = s.decodeTasks(f)
+		default:
+			err = s.submittedTask.decodeField(f, "")
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *submission) decodeTasks(f field) error {
+	var raws []json.RawMessage
+	if err := decodeValue(f, "", &raws); err != nil {
+		return err
+	}
+	if len(raws) > MaxTasks {
+		return errkind.New(errkind.TooManyTasks, "%d tasks, at most %d are allowed", len(raws), MaxTasks)
+	}
+	s.Tasks = make([]submittedTask, len(raws))
+	for i, raw := range raws {
+		path := fmt.Sprintf("task %d: ", i)
+		fields, err := objectFields(raw, path, taskFields)
+		if err != nil {
+			return err
+		}
+		for _, f := range fields {
+			if err := s.Tasks[i].decodeField(f, path); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *submittedTask) decodeField(f field, path string) error {
+	switch f.name {
+	case "payload":
+		t.Payload = f.value
+		return nil
+	case "expected_ms":
+		return decodeValue(f, path, &t.ExpectedMS)
+	}
+	if isNull(f.value) {
+		return nil
+	}
+	if _, err := objectFields(f.value, path+"demand: ", demandFields); err != nil {
+		return err
+	}
+	return decodeValue(f, path, &t.Demand)
+}
+
+func (s *submission) checkFields(request bool) error {
+	switch {
+	case s.Service == "":
+		return invalid("service is missing")
+	case s.Kind == "":
+		return invalid("kind is missing")
+	case !ids.ValidName(s.Service):
+		return errkind.New(errkind.UnknownService, "%q cannot name a service", s.Service)
+	case !ids.ValidName(s.Kind):
+		return errkind.New(errkind.UnknownKind, "%q cannot name a kind", s.Kind)
+	case s.DeadlineMS != nil && (*s.DeadlineMS < 1 || *s.DeadlineMS > maxDurationMS):
+		return invalid("deadline_ms is %d, it must be 1 to %d", *s.DeadlineMS, maxDurationMS)
+	case request && s.Tasks != nil:
+		return errkind.New(errkind.UnknownField, "tasks: a request has a payload, a job has tasks")
+	case !request && (s.Payload != nil || s.Demand != nil || s.ExpectedMS != 0):
+		return errkind.New(errkind.UnknownField, "payload, demand and expected_ms of a job stand in its tasks")
+	}
+	return s.checkID()
+}
+
+// checkID checks the id and that submitted_at is given exactly with a
+// caller-chosen id.
+func (s *submission) checkID() error {
+	if s.ID == "" {
+		if s.SubmittedAt != 0 {
+			return invalid("submitted_at is given without an id")
+		}
+		return nil
+	}
+	id, err := ids.ParseSubmission(s.ID)
+	switch {
+	case err != nil:
+		return invalid("id: %w", err)
+	case id.Issued() && s.SubmittedAt != 0:
+		return invalid("submitted_at is given with an issued id")
+	case !id.Issued() && (s.SubmittedAt <= 0 || s.SubmittedAt > maxSubmittedAtMS):
+		return invalid("a caller-chosen id needs submitted_at in Unix milliseconds, the same in each resubmission")
+	}
+	return nil
+}
+
+func (s *submission) checkTasks(request bool) error {
+	tasks := s.tasks(request)
+	if len(tasks) == 0 {
+		return invalid("a job needs 1 to %d tasks", MaxTasks)
+	}
+	total := 0
+	for i, t := range tasks {
+		if len(t.Payload) > MaxPayloadBytes {
+			return errkind.New(errkind.BodyTooLarge, "payload of task %d has %d bytes, at most %d are allowed", i, len(t.Payload), MaxPayloadBytes)
+		}
+		if t.ExpectedMS < 0 || t.ExpectedMS > maxDurationMS {
+			return invalid("expected_ms of task %d is %d, it must be 0 to %d", i, t.ExpectedMS, maxDurationMS)
+		}
+		total += len(t.Payload)
+	}
+	if total > MaxJobPayloadBytes {
+		return errkind.New(errkind.BodyTooLarge, "payloads have %d bytes together, at most %d are allowed", total, MaxJobPayloadBytes)
+	}
+	return nil
+}
+
+// canonical returns the compact form of s. Two bodies that differ only in
+// white space or in the order of known fields have the same canonical form.
+func (s *submission) canonical() ([]byte, error) {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false) // escaping could grow a payload sixfold
+	if err := enc.Encode(s); err != nil {
+		return nil, fmt.Errorf("encode submission: %w", err)
+	}
+	return bytes.TrimRight(b.Bytes(), "\n"), nil
+}
+
+func invalid(format string, args ...any) error {
+	return errkind.New(errkind.InvalidRequest, format, args...)
+}
--- /dev/null
+++ b/entry/fake_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/dispatch"
+	"oriolerelay/errkind"
+	"oriolerelay/ids"
+	"oriolerelay/ticket"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
+)
+
+// fakeDispatcher runs every task at once on a counting endpoint, or holds jobs
+// until release is closed.
+type fakeDispatcher struct {
+	starts  *starts
+	release chan struct{} // nil runs jobs at once
+	running chan struct{} // receives one value for each job that began, may be nil
+	fail    *errkind.Error
+}
+
+// starts counts the tasks that each team and submission started.
+type starts struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (s *starts) add(job dispatch.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.n == nil {
+		s.n = map[string]int{}
+	}
+	s.n[job.Team+" "+job.Submission.Raw] += len(job.Tasks)
+}
+
+func (s *starts) of(team, id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n[team+" "+id]
+}
+
+func (d *fakeDispatcher) Do(ctx context.Context, job dispatch.Job) dispatch.Answer {
+	if d.fail != nil {
+		return failedAnswer(job, d.fail, errkind.NotRun)
+	}
+	d.starts.add(job)
+	if d.running != nil {
+		d.running <- struct{}{}
+	}
+	if d.release != nil {
+		select {
+		case <-d.release:
+		case <-ctx.Done():
+			return failedAnswer(job, errkind.New(errkind.CancelledRunning, "withdrawn"), errkind.MayHaveRun)
+		}
+	}
+	a := dispatch.Answer{Started: len(job.Tasks)}
+	for _, t := range job.Tasks {
+		a.Tasks = append(a.Tasks, dispatch.TaskAnswer{Outcome: errkind.Done, Body: t.Payload})
+	}
+	return a
+}
+
+func failedAnswer(job dispatch.Job, err *errkind.Error, o errkind.Outcome) dispatch.Answer {
+	a := dispatch.Answer{Err: err}
+	for range job.Tasks {
+		a.Tasks = append(a.Tasks, dispatch.TaskAnswer{Outcome: o, Kind: err.Kind})
+	}
+	return a
+}
+
+func (d *fakeDispatcher) AgentHandler(*transport.Conn) transport.Handler { return ignore{} }
+func (d *fakeDispatcher) Endpoints() []dispatch.EndpointStatus {
+	return []dispatch.EndpointStatus{{Service: "veil-desk"}}
+}
+
+type ignore struct{}
+
+func (ignore) Handle(*transport.Conn, wire.Frame) {}
+func (ignore) Closed(*transport.Conn, error)      {}
+
+func testState() *ticket.State {
+	return &ticket.State{
+		Number: 1,
+		Services: map[string]ticket.Service{"veil-desk": {Kinds: map[string]ticket.Kind{
+			"preview": {DeadlineMS: 2000, ExpectedMS: 50, MaxAttempts: 1},
+		}}},
+		Teams: map[string]ticket.Team{"veil": {}, "lace": {}},
+	}
+}
+
+var testTokens = []CallerToken{{"veil-secret", "veil"}, {"lace-secret", "lace"}}
+
+func testServer(disp Dispatcher) *Server {
+	return New(Options{
+		Self:       ids.Incarnation{Name: "entry-1", Number: 0x5f},
+		Dispatcher: disp,
+		State:      testState,
+		Callers:    testTokens,
+		Operators:  []OperatorToken{{"operator-secret", "rhian"}},
+	})
+}
+
+// call sends one request to h and returns the status, headers and body.
+func call(h http.Handler, method, path, token, body string) (int, http.Header, string) {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	b, _ := io.ReadAll(w.Result().Body)
+	return w.Code, w.Result().Header, string(b)
+}
+
+func decodeAnswer(t testing.TB, body string) answerBody {
+	t.Helper()
+	var a answerBody
+	qt.Assert(t, json.Unmarshal([]byte(body), &a), qt.IsNil, qt.Commentf("%s", body))
+	return a
+}
+
+// errorKind returns the error kind of an answer, or "" without an error.
+func errorKind(t testing.TB, body string) errkind.Kind {
+	t.Helper()
+	if e := decodeAnswer(t, body).Error; e != nil {
+		return e.Kind
+	}
+	return ""
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"oriolerelay/ids"
+	"oriolerelay/settings"
+)
+
+// Defaults of optional settings.
+const (
+	defaultWindow     = 120 * time.Second
+	defaultTolerance  = 500 * time.Millisecond
+	defaultDrainGrace = 3 * time.Second
+	defaultDrainLimit = 60 * time.Second
+)
+
+// Settings are the settings of an entry: addresses, place, keys and local
+// limits. Everything else comes from tickets.
+type Settings struct {
+	Node       string `json:"node"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+	Rack       string `json:"rack"`
+
+	HTTPAddress     string   `json:"http_address"`     // ip:port of the HTTP APIs
+	InternalAddress string   `json:"internal_address"` // ip:port (UDP) for agents and peers
+	PlatformURL     string   `json:"platform_url"`     // base URL of the platform's log
+	Seeds           []string `json:"seeds"`            // internal addresses of other entries
+
+	TLS       TLSFiles        `json:"tls"`
+	Callers   []CallerToken   `json:"callers"`
+	Operators []OperatorToken `json:"operators"`
+
+	WindowMS     int64 `json:"window_ms"`      // age up to which a caller-chosen id is accepted
+	ToleranceMS  int64 `json:"tolerance_ms"`   // accepted lead of submitted_at over this clock
+	DrainGraceMS int64 `json:"drain_grace_ms"` // time between the failing readyz and the closed listener
+	DrainLimitMS int64 `json:"drain_limit_ms"` // longest wait for requests in flight
+}
+
+// TLSFiles names the PEM files of the node's certificate.
+type TLSFiles struct {
+	AuthorityFile string `json:"authority_file"`
+	CertFile      string `json:"cert_file"`
+	KeyFile       string `json:"key_file"`
+}
+
+// CallerToken gives a caller's bearer token and its team.
+type CallerToken struct {
+	Token string `json:"token"`
+	Team  string `json:"team"`
+}
+
+// OperatorToken gives an operator's bearer token and name.
+type OperatorToken struct {
+	Token string `json:"token"`
+	Name  string `json:"name"`
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(p *settings.Problems) {
+	s.checkPlace(p)
+	checkAddress(p, "http_address", s.HTTPAddress)
+	checkAddress(p, "internal_address", s.InternalAddress)
+	for _, a := range s.Seeds {
+		checkAddress(p, "seeds", a)
+	}
+	for path, file := range map[string]string{
+		"tls.authority_file": s.TLS.AuthorityFile, "tls.cert_file": s.TLS.CertFile, "tls.key_file": s.TLS.KeyFile,
+	} {
+		if file == "" {
+			p.Add(path, "is missing")
+		}
+	}
+	s.checkTokens(p)
+	checkDuration(p, "window_ms", &s.WindowMS, defaultWindow)
+	checkDuration(p, "tolerance_ms", &s.ToleranceMS, defaultTolerance)
+	checkDuration(p, "drain_grace_ms", &s.DrainGraceMS, defaultDrainGrace)
+	checkDuration(p, "drain_limit_ms", &s.DrainLimitMS, defaultDrainLimit)
+}
+
+func (s *Settings) checkPlace(p *settings.Problems) {
+	for _, f := range []struct{ path, value string }{
+		{"node", s.Node}, {"region", s.Region}, {"data_centre", s.DataCentre},
+	} {
+		if !ids.ValidName(f.value) {
+			p.Add(f.path, "%q is not 1 to 40 lower-case letters, digits and hyphens", f.value)
+		}
+	}
+	if s.Rack != "" && !ids.ValidName(s.Rack) {
+		p.Add("rack", "%q is not 1 to 40 lower-case letters, digits and hyphens", s.Rack)
+	}
+}
+
+func (s *Settings) checkTokens(p *settings.Problems) {
+	seen := map[string]bool{}
+	check := func(path, token string) {
+		if token == "" {
+			p.Add(path, "token is missing")
+		} else if seen[token] {
+			p.Add(path, "token is used twice")
+		}
+		seen[token] = true
+	}
+	for _, c := range s.Callers {
+		check("callers", c.Token)
+		if !ids.ValidName(c.Team) {
+			p.Add("callers.team", "%q is not 1 to 40 lower-case letters, digits and hyphens", c.Team)
+		}
+	}
+	for _, o := range s.Operators {
+		check("operators", o.Token)
+		if o.Name == "" {
+			p.Add("operators.name", "is missing")
+		}
+	}
+}
+
+func checkAddress(p *settings.Problems, path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		p.Add(path, "%q is not ip:port", value)
+	}
+}
+
+// checkDuration fills in a default for zero and refuses negative values.
+func checkDuration(p *settings.Problems, path string, ms *int64, fallback time.Duration) {
+	if *ms == 0 {
+		*ms = fallback.Milliseconds()
+	}
+	if *ms < 0 {
+		p.Add(path, "is %d, it must be positive", *ms)
+	}
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/event/entry.go
@@ -0,0 +1,20 @@
+package event
+
+// Events of the entry, codes 400 to 499.
+var (
+	EntryListening       = define(400, Info, "entry is listening")
+	EntryListenerFailed  = define(401, Error, "listener failed")
+	EntryPanic           = define(402, Error, "request handler panicked")
+	EntryAgentConnected  = define(403, Info, "agent connected")
+	EntryAgentClosed     = define(404, Warn, "agent connection closed")
+	EntryPeerConnected   = define(405, Info, "connected to peer entry")
+	EntryPeerClosed      = define(406, Warn, "connection to peer entry closed")
+	EntryForwardFailed   = define(407, Warn, "forward to the home got no reply")
+	EntryUnexpected      = define(408, Warn, "unexpected message from a peer")
+	EntryDrainGrace      = define(409, Info, "readiness withdrawn, waiting for the load balancer")
+	EntryDrainIncomplete = define(410, Error, "requests still in flight at the end of the drain time")
+	EntryStateFromPeer   = define(411, Info, "configuration received from a peer")
+	EntryStateInvalid    = define(412, Warn, "configuration from a peer was refused")
+	EntryMemberSilent    = define(413, Warn, "member entry is silent")
+	EntryLeaveFailed     = define(414, Warn, "leave record was not appended")
+)
