Agent and endpoint: first version that carries tasks

Cause: entries and agents are written in parallel and need each other's process to run against.

Change: package agent takes announcements, dials seeds and learned entries, records task keys before admission, queues by deadline, calls the endpoint and reports Result or Refused with its load.

Ruled out: closing a connection at the end of a drain without Finish, since a QUIC close discards data that the peer has not read.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,118 @@
+// Package agent is the process beside an endpoint. It takes the endpoint's
+// announcements, connects to entries, admits, queues and runs tasks, and keeps
+// the record of started tasks by which a lost reply is settled.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"oriolerelay/event"
+	"oriolerelay/ids"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
+)
+
+// Config holds what an agent needs. Zero limits take the defaults of Settings.
+type Config struct {
+	Node       ids.Incarnation
+	Region     string
+	DataCentre string
+	Rack       string
+	Worker     string
+	Listen     string   // HTTP address for announcements, ip:port
+	Seeds      []string // internal addresses of entries
+
+	TLS   *tls.Config
+	Log   *event.Logger    // may be nil
+	Stats *transport.Stats // may be nil
+
+	Buffer         int
+	MaxRecords     int
+	MaxResultBytes int64
+	RecordAge      time.Duration
+}
+
+func (c *Config) setDefaults() {
+	if c.MaxRecords == 0 {
+		c.MaxRecords = defaultMaxRecords
+	}
+	if c.MaxResultBytes == 0 {
+		c.MaxResultBytes = defaultResultBytes
+	}
+	if c.RecordAge == 0 {
+		c.RecordAge = defaultRecordAge
+	}
+}
+
+// Agent runs tasks on one endpoint. Run may be called once.
+type Agent struct {
+	cfg      Config
+	core     *core
+	listener net.Listener
+	entries  *entries
+}
+
+// New opens the HTTP address for announcements. The agent does nothing else
+// before Run; a caller that does not call Run must call Close.
+func New(cfg Config) (*Agent, error) {
+	cfg.setDefaults()
+	if cfg.Node.IsZero() {
+		return nil, errors.New("agent: node is not set")
+	}
+	if cfg.TLS == nil {
+		return nil, errors.New("agent: TLS configuration is not set")
+	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for announcements: %w", err)
+	}
+	a := &Agent{cfg: cfg, listener: l, core: newCore(cfg)}
+	a.entries = newEntries(cfg, a.core)
+	return a, nil
+}
+
+// Close releases the listening address of an agent that was not run.
+func (a *Agent) Close() error { return a.listener.Close() }
+
+// Address returns the HTTP address for announcements, ip:port.
+func (a *Agent) Address() string { return a.listener.Addr().String() }
+
+// Node returns the agent's incarnation.
+func (a *Agent) Node() ids.Incarnation { return a.cfg.Node }
+
+// Load returns the current load.
+func (a *Agent) Load() wire.Load { return a.core.load() }
+
+// Run serves until ctx ends, then drains: new tasks are refused at once, those
+// admitted before are finished and reported, and Run returns.
+func (a *Agent) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 5 * time.Second}
+	var wg sync.WaitGroup
+	wg.Go(func() { a.entries.run(work) })
+	wg.Go(func() { a.core.watchEndpoint(work) })
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(a.listener) }()
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+		err = fmt.Errorf("announcement server: %w", err)
+	}
+	a.cfg.Log.Log(event.ProcessDraining)
+	a.core.drain()
+	a.entries.close()
+	a.cfg.Log.Log(event.AgentDrained)
+	stop()
+	_ = srv.Close()
+	wg.Wait()
+	return err
+}
--- /dev/null
+++ b/agent/harness_test.go
@@ -0,0 +1,194 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/endpoint"
+	"oriolerelay/ids"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
+)
+
+// waitLimit ends a test that waits for something that does not happen.
+const waitLimit = 10 * time.Second
+
+func testAuthority(t testing.TB) *transport.Authority {
+	a, err := transport.NewAuthority(time.Hour)
+	qt.Assert(t, err, qt.IsNil)
+	return a
+}
+
+func nodeTLS(t testing.TB, a *transport.Authority, node string) *tls.Config {
+	cert, key, err := a.Issue(node, time.Hour)
+	qt.Assert(t, err, qt.IsNil)
+	c, err := transport.NodeTLS(a.CertificatePEM(), cert, key)
+	qt.Assert(t, err, qt.IsNil)
+	return c
+}
+
+// received is a message that a fake entry got, with its connection.
+type received struct {
+	conn *transport.Conn
+	body wire.Message
+}
+
+// fakeEntry accepts agents and hands their messages to the test.
+type fakeEntry struct {
+	node     ids.Incarnation
+	listener *transport.Listener
+	conns    chan *transport.Conn
+	messages chan received
+	closed   chan *transport.Conn
+}
+
+func startEntry(t testing.TB, a *transport.Authority, name string) *fakeEntry {
+	e := &fakeEntry{
+		node:     ids.NewIncarnation(name),
+		conns:    make(chan *transport.Conn, 64),
+		messages: make(chan received, 4096),
+		closed:   make(chan *transport.Conn, 64),
+	}
+	l, err := transport.Listen("127.0.0.1:0", transport.Options{
+		TLS:   nodeTLS(t, a, name),
+		Hello: func() wire.Hello { return wire.Hello{Node: e.node, Role: wire.RoleEntry} },
+	})
+	qt.Assert(t, err, qt.IsNil)
+	e.listener = l
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = l.Serve(ctx, func(c *transport.Conn) transport.Handler {
+			e.conns <- c
+			return e
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		<-done
+	})
+	return e
+}
+
+// Handle implements transport.Handler.
+func (e *fakeEntry) Handle(c *transport.Conn, f wire.Frame) { e.messages <- received{c, f.Body} }
+
+// Closed implements transport.Handler.
+func (e *fakeEntry) Closed(c *transport.Conn, _ error) { e.closed <- c }
+
+// next waits for the next value of ch.
+func next[T any](t testing.TB, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(waitLimit):
+		t.Fatal("nothing arrived in time")
+	}
+	panic("unreachable")
+}
+
+// nextMessage waits for the next message of type M and drops others.
+func nextMessage[M wire.Message](t testing.TB, e *fakeEntry) M {
+	t.Helper()
+	for {
+		if m, ok := next(t, e.messages).body.(M); ok {
+			return m
+		}
+	}
+}
+
+// announcedSlots waits for an announcement with the given number of slots.
+func (e *fakeEntry) announcedSlots(t testing.TB, slots int) {
+	t.Helper()
+	for nextMessage[*wire.Announce](t, e).Slots != uint32(slots) {
+	}
+}
+
+// runAgent starts an agent and returns it with a function that stops it.
+func runAgent(t testing.TB, a *transport.Authority, change func(*Config), seeds ...*fakeEntry) (*Agent, func() error) {
+	cfg := Config{
+		Node: ids.NewIncarnation("agent-1"), Worker: "worker-1", Listen: "127.0.0.1:0",
+		TLS: nodeTLS(t, a, "agent-1"), Buffer: 2,
+	}
+	for _, s := range seeds {
+		cfg.Seeds = append(cfg.Seeds, s.listener.Address())
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	ag, err := New(cfg)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- ag.Run(ctx) }()
+	stopped := false
+	stop := func() error {
+		stopped = true
+		cancel()
+		return next(t, ended)
+	}
+	t.Cleanup(func() {
+		if !stopped {
+			_ = stop()
+		}
+	})
+	return ag, stop
+}
+
+// runEndpoint starts a sample endpoint that announces itself to ag.
+func runEndpoint(t testing.TB, ag *Agent, slots int) (*endpoint.Sample, *endpoint.Endpoint, func() error) {
+	s := &endpoint.Sample{}
+	e, err := endpoint.New(endpoint.Config{
+		Agent: ag.Address(), Listen: "127.0.0.1:0", Service: "veil-desk", Slots: slots, Connections: 64,
+	}, s)
+	qt.Assert(t, err, qt.IsNil)
+	s.Register(e)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	stopped := false
+	stop := func() error {
+		stopped = true
+		cancel()
+		return next(t, ended)
+	}
+	t.Cleanup(func() {
+		if !stopped {
+			_ = stop()
+		}
+	})
+	return s, e, stop
+}
+
+// announce posts an announcement and returns the status.
+func announce(t testing.TB, ag *Agent, m Announcement) int {
+	t.Helper()
+	b, err := json.Marshal(m)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.Post("http://"+ag.Address()+"/v1/endpoint", "application/json", bytes.NewReader(b))
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func startTask(ref uint64, budget time.Duration, payload string) wire.StartTask {
+	return wire.StartTask{
+		Ref: ref, Submission: "order-17", Index: uint32(ref), Team: "boutiques", Service: "veil-desk",
+		Kind: "preview", BudgetMicros: budget.Microseconds(), Payload: []byte(payload),
+	}
+}
+
+func send(t testing.TB, c *transport.Conn, m wire.Message) {
+	t.Helper()
+	qt.Assert(t, c.Send(context.Background(), m), qt.IsNil)
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"oriolerelay/ids"
+	"oriolerelay/settings"
+	"oriolerelay/transport"
+)
+
+// Defaults and bounds of the settings.
+const (
+	defaultBuffer      = 2
+	maxBuffer          = 1024
+	defaultMaxRecords  = 1 << 18 // some 30 s of 8,000 starts/s
+	defaultRecordAge   = 40 * time.Second
+	defaultResultBytes = 64 << 20
+	minRecordAge       = settleTime
+)
+
+// settleTime is how long after a task's deadline its home may still ask for its
+// state: detection of a silent connection, redial and the reply take some 5 s.
+const settleTime = 10 * time.Second
+
+// Settings is the settings file of oriole-agent.
+type Settings struct {
+	Node       string             `json:"node"`
+	Region     string             `json:"region"`
+	DataCentre string             `json:"data_centre"`
+	Rack       string             `json:"rack"`
+	Worker     string             `json:"worker"`
+	Listen     string             `json:"listen"` // HTTP, ip:port on the worker's loopback
+	Seeds      []string           `json:"seeds"`  // internal addresses of entries, ip:port
+	TLS        transport.TLSFiles `json:"tls"`
+	// Buffer is the number of tasks that may wait beyond the endpoint's slots
+	// while no ticket sets it.
+	Buffer *int `json:"buffer"`
+	// MaxRecords bounds the started-task record in entries.
+	MaxRecords int `json:"max_records"`
+	// MaxResultBytes bounds the answers kept for resending.
+	MaxResultBytes int64 `json:"max_result_bytes"`
+	// RecordAgeMS is the longest deadline plus the settle time, in milliseconds.
+	RecordAgeMS int64 `json:"record_age_ms"`
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(p *settings.Problems) {
+	for _, v := range []struct{ path, value string }{
+		{"node", s.Node}, {"region", s.Region}, {"data_centre", s.DataCentre}, {"rack", s.Rack}, {"worker", s.Worker},
+	} {
+		if !ids.ValidName(v.value) {
+			p.Add(v.path, "must be 1 to 40 lower-case letters, digits and hyphens, got %q", v.value)
+		}
+	}
+	checkAddress(p, "listen", s.Listen)
+	if len(s.Seeds) == 0 {
+		p.Add("seeds", "must name at least one entry")
+	}
+	for _, a := range s.Seeds {
+		checkAddress(p, "seeds", a)
+	}
+	s.TLS.Check(p, "tls")
+	s.checkLimits(p)
+}
+
+func (s *Settings) checkLimits(p *settings.Problems) {
+	if s.Buffer == nil {
+		s.Buffer = new(int)
+		*s.Buffer = defaultBuffer
+	}
+	if *s.Buffer < 0 || *s.Buffer > maxBuffer {
+		p.Add("buffer", "must be 0 to %d, got %d", maxBuffer, *s.Buffer)
+	}
+	if s.MaxRecords == 0 {
+		s.MaxRecords = defaultMaxRecords
+	}
+	if s.MaxRecords < 0 {
+		p.Add("max_records", "must be positive, got %d", s.MaxRecords)
+	}
+	if s.MaxResultBytes == 0 {
+		s.MaxResultBytes = defaultResultBytes
+	}
+	if s.MaxResultBytes < maxAnswerBytes {
+		p.Add("max_result_bytes", "must be at least %d, got %d", maxAnswerBytes, s.MaxResultBytes)
+	}
+	if s.RecordAgeMS == 0 {
+		s.RecordAgeMS = defaultRecordAge.Milliseconds()
+	}
+	if age := time.Duration(s.RecordAgeMS) * time.Millisecond; age < minRecordAge || age > maxBudget+settleTime {
+		p.Add("record_age_ms", "must be %d to %d, got %d", minRecordAge.Milliseconds(), (maxBudget + settleTime).Milliseconds(), s.RecordAgeMS)
+	}
+}
+
+func checkAddress(p *settings.Problems, path, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		p.Add(path, "must be ip:port, got %q", address)
+	}
+}
+
+// Config returns the agent configuration without TLS, logger and registry.
+func (s *Settings) Config() Config {
+	return Config{
+		Node:   ids.NewIncarnation(s.Node),
+		Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack, Worker: s.Worker,
+		Listen: s.Listen, Seeds: s.Seeds,
+		Buffer: *s.Buffer, MaxRecords: s.MaxRecords, MaxResultBytes: s.MaxResultBytes,
+		RecordAge: time.Duration(s.RecordAgeMS) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/endpoint/endpoint.go
@@ -0,0 +1,226 @@
+// Package endpoint lets a process serve tasks: it announces itself to the agent
+// on its host and serves /run.
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"oriolerelay/wire"
+)
+
+// announcePeriod is the time between announcements; the agent withdraws an
+// endpoint after three missed ones.
+const announcePeriod = time.Second
+
+// maxPayloadBytes bounds the payload of one task.
+const maxPayloadBytes = 64 << 10
+
+// Task is one task that the agent asks the endpoint to run.
+type Task struct {
+	Submission  string
+	Index       int
+	Team        string
+	Kind        string
+	TraceParent string
+	Payload     []byte
+}
+
+// ErrNotRun is wrapped by a Runner's error to state that nothing was done.
+var ErrNotRun = errors.New("not run")
+
+// Runner runs a task and returns its answer. The context ends at the task's
+// deadline or when the agent gives up. An error that wraps ErrNotRun reports
+// the task as not run; any other error reports that it failed and may have run.
+type Runner interface {
+	RunTask(ctx context.Context, t Task) ([]byte, error)
+}
+
+// Config describes an endpoint.
+type Config struct {
+	Agent       string // the agent's HTTP address, ip:port
+	Listen      string // ip:port of /run; port 0 takes a free one
+	Service     string
+	Slots       int
+	Connections int
+	Capacity    wire.Resources
+}
+
+// Endpoint serves tasks. Run may be called once.
+type Endpoint struct {
+	cfg      Config
+	runner   Runner
+	listener net.Listener
+	mux      *http.ServeMux
+	client   *http.Client
+	slots    chan struct{}
+
+	mu      sync.Mutex
+	leaving bool
+	wg      sync.WaitGroup // tasks in progress
+}
+
+// New opens the endpoint's HTTP address. It serves nothing before Run.
+func New(cfg Config, r Runner) (*Endpoint, error) {
+	if cfg.Slots < 1 {
+		return nil, fmt.Errorf("endpoint: slots must be positive, got %d", cfg.Slots)
+	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for tasks: %w", err)
+	}
+	e := &Endpoint{
+		cfg: cfg, runner: r, listener: l, mux: http.NewServeMux(),
+		client: &http.Client{Timeout: announcePeriod},
+		slots:  make(chan struct{}, cfg.Slots),
+	}
+	e.mux.HandleFunc("POST /run", e.serveRun)
+	return e, nil
+}
+
+// Address returns the endpoint's HTTP address as ip:port.
+func (e *Endpoint) Address() string { return e.listener.Addr().String() }
+
+// Handle adds an HTTP handler beside /run. It must be called before Run.
+func (e *Endpoint) Handle(pattern string, h http.Handler) { e.mux.Handle(pattern, h) }
+
+// Run serves and announces until ctx ends. It then announces that it is
+// leaving, finishes the tasks in progress and returns.
+func (e *Endpoint) Run(ctx context.Context) error {
+	srv := &http.Server{Handler: e.mux, ReadHeaderTimeout: 2 * time.Second}
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(e.listener) }()
+	tick := time.NewTicker(announcePeriod)
+	defer tick.Stop()
+	for {
+		_ = e.announce(ctx, false) // repeated at the next tick
+		select {
+		case <-tick.C:
+		case err := <-served:
+			return fmt.Errorf("serve tasks: %w", err)
+		case <-ctx.Done():
+			return e.stop(srv)
+		}
+	}
+}
+
+// stop announces the end before it refuses tasks, so that few are refused.
+func (e *Endpoint) stop(srv *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), announcePeriod)
+	defer cancel()
+	err := e.announce(ctx, true)
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.wg.Wait()
+	_ = srv.Shutdown(context.Background())
+	if err != nil {
+		return fmt.Errorf("announce leaving: %w", err)
+	}
+	return nil
+}
+
+func (e *Endpoint) announce(ctx context.Context, leaving bool) error {
+	body, err := json.Marshal(map[string]any{
+		"service": e.cfg.Service, "address": e.Address(), "slots": e.cfg.Slots,
+		"connections": e.cfg.Connections, "capacity": e.cfg.Capacity, "leaving": leaving,
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.cfg.Agent+"/v1/endpoint", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 512)) // only for the message
+		return fmt.Errorf("agent answered %s: %s", resp.Status, b)
+	}
+	return nil
+}
+
+func (e *Endpoint) serveRun(w http.ResponseWriter, r *http.Request) {
+	if !e.begin() {
+		refuse(w, "endpoint is leaving or full")
+		return
+	}
+	defer e.end()
+	t, ctx, cancel, err := parseTask(w, r)
+	if err != nil {
+		refuse(w, err.Error())
+		return
+	}
+	defer cancel()
+	body, err := e.runner.RunTask(ctx, t)
+	switch {
+	case errors.Is(err, ErrNotRun):
+		refuse(w, err.Error())
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	default:
+		_, _ = w.Write(body) // a lost connection shows at the agent
+	}
+}
+
+// begin takes a slot. It reports false when the endpoint is leaving or full.
+func (e *Endpoint) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return false
+	}
+	select {
+	case e.slots <- struct{}{}:
+		e.wg.Add(1)
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Endpoint) end() {
+	<-e.slots
+	e.wg.Done()
+}
+
+func refuse(w http.ResponseWriter, detail string) {
+	w.Header().Set("Oriole-Not-Run", "true")
+	http.Error(w, detail, http.StatusServiceUnavailable)
+}
+
+func parseTask(w http.ResponseWriter, r *http.Request) (Task, context.Context, context.CancelFunc, error) {
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayloadBytes))
+	if err != nil {
+		return Task{}, nil, nil, fmt.Errorf("read payload: %w", err)
+	}
+	index, err := strconv.Atoi(r.Header.Get("Oriole-Index"))
+	if err != nil {
+		return Task{}, nil, nil, fmt.Errorf("header Oriole-Index: %w", err)
+	}
+	left, err := strconv.ParseInt(r.Header.Get("Oriole-Deadline-Ms"), 10, 64)
+	if err != nil {
+		return Task{}, nil, nil, fmt.Errorf("header Oriole-Deadline-Ms: %w", err)
+	}
+	t := Task{
+		Submission: r.Header.Get("Oriole-Submission"), Index: index,
+		Team: r.Header.Get("Oriole-Team"), Kind: r.Header.Get("Oriole-Kind"),
+		TraceParent: r.Header.Get("traceparent"), Payload: payload,
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
+	return t, ctx, cancel, nil
+}
--- /dev/null
+++ b/endpoint/sample.go
@@ -0,0 +1,151 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxCountedTasks bounds the counter of starts of a sample endpoint.
+const maxCountedTasks = 1 << 20
+
+// errFailMode is the answer of a sample endpoint that fails everything.
+var errFailMode = errors.New("endpoint is set to fail every task")
+
+// Sample is a Runner for tests and the quick start. A task takes the time in
+// its payload, {"ms": 80}, or Default, divided by the speed. It answers with
+// the submission, index and payload.
+type Sample struct {
+	// Speed divides run times; 1 when zero.
+	Speed float64
+	// Default is the run time of a payload without one.
+	Default time.Duration
+
+	fail      atomic.Bool
+	straggler atomic.Int64 // factor on run times; 0 and 1 mean none
+
+	mu     sync.Mutex
+	starts map[startKey]int
+	total  int
+}
+
+type startKey struct {
+	submission string
+	index      int
+}
+
+// SetFail makes every task fail immediately, or ends that.
+func (s *Sample) SetFail(on bool) { s.fail.Store(on) }
+
+// SetStraggler multiplies run times by factor; 1 ends that.
+func (s *Sample) SetStraggler(factor int) { s.straggler.Store(int64(factor)) }
+
+// Starts returns how often the task of the submission was started.
+func (s *Sample) Starts(submission string, index int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[startKey{submission, index}]
+}
+
+// TotalStarts returns the number of starts of all tasks.
+func (s *Sample) TotalStarts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+type sampleAnswer struct {
+	Submission string          `json:"submission"`
+	Index      int             `json:"index"`
+	Payload    json.RawMessage `json:"payload"`
+}
+
+// RunTask implements Runner.
+func (s *Sample) RunTask(ctx context.Context, t Task) ([]byte, error) {
+	s.count(t)
+	if s.fail.Load() {
+		return nil, errFailMode
+	}
+	if d := s.runTime(t.Payload); d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	payload := t.Payload
+	if !json.Valid(payload) {
+		payload = nil
+	}
+	return json.Marshal(sampleAnswer{Submission: t.Submission, Index: t.Index, Payload: payload})
+}
+
+func (s *Sample) count(t Task) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total++
+	if s.starts == nil || len(s.starts) >= maxCountedTasks {
+		s.starts = make(map[startKey]int)
+	}
+	s.starts[startKey{t.Submission, t.Index}]++
+}
+
+func (s *Sample) runTime(payload []byte) time.Duration {
+	d := s.Default
+	var p struct {
+		MS *float64 `json:"ms"`
+	}
+	if json.Unmarshal(payload, &p) == nil && p.MS != nil {
+		d = time.Duration(*p.MS * float64(time.Millisecond))
+	}
+	if s.Speed > 0 {
+		d = time.Duration(float64(d) / s.Speed)
+	}
+	if f := s.straggler.Load(); f > 1 {
+		d *= time.Duration(f)
+	}
+	return d
+}
+
+// Register adds the test interface of s to e:
+//
+//	GET /starts?submission=S&index=I  {"starts": n, "total": n}
+//	PUT /mode {"fail": bool, "straggler": factor}
+func (s *Sample) Register(e *Endpoint) {
+	e.Handle("GET /starts", http.HandlerFunc(s.serveStarts))
+	e.Handle("PUT /mode", http.HandlerFunc(s.serveMode))
+}
+
+func (s *Sample) serveStarts(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.Atoi(r.URL.Query().Get("index"))
+	if err != nil && r.URL.Query().Has("index") {
+		http.Error(w, "index is not a number", http.StatusBadRequest)
+		return
+	}
+	starts := s.Starts(r.URL.Query().Get("submission"), index)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]int{"starts": starts, "total": s.TotalStarts()}) // a lost connection shows at the client
+}
+
+func (s *Sample) serveMode(w http.ResponseWriter, r *http.Request) {
+	var m struct {
+		Fail      bool `json:"fail"`
+		Straggler int  `json:"straggler"`
+	}
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<10))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFail(m.Fail)
+	s.SetStraggler(m.Straggler)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -44,6 +44,9 @@
 	done    chan struct{}
 	nextID  atomic.Uint64
 
+	finish     chan struct{} // closed by Finish
+	finishOnce sync.Once
+
 	// PeerHello is set by the handshake before the handler runs.
 	PeerHello wire.Hello
 
@@ -59,6 +62,7 @@
 		stats:   stats,
 		out:     make(chan []byte, writeQueueFrames),
 		done:    make(chan struct{}),
+		finish:  make(chan struct{}),
 		calls:   make(map[uint64]chan wire.Message),
 	}
 }
@@ -113,6 +117,21 @@
 	return nil
 }
 
+// Finish ends the connection gracefully: frames that were queued before are
+// written, the sending side is closed, and Finish waits until the peer has
+// handled them and closed the connection, or until ctx ends. Frames that are
+// sent after Finish fail with ErrClosed or are lost.
+func (c *Conn) Finish(ctx context.Context) error {
+	c.finishOnce.Do(func() { close(c.finish) })
+	defer c.fail(ErrClosed)
+	select {
+	case <-c.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (c *Conn) register(id uint64, ch chan wire.Message) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -180,12 +199,32 @@
 				c.fail(fmt.Errorf("write: %w", err))
 				return
 			}
+		case <-c.finish:
+			c.writeLast(w)
+			return
 		case <-c.done:
 			return
 		}
 	}
 }
 
+// writeLast writes the frames that are queued and closes the sending side. The
+// peer reads the end of the stream after it has handled them.
+func (c *Conn) writeLast(w *bufio.Writer) {
+	for {
+		select {
+		case b := <-c.out:
+			if err := c.writeBatch(w, b); err != nil {
+				c.fail(fmt.Errorf("write: %w", err))
+				return
+			}
+		default:
+			_ = c.stream.Close()
+			return
+		}
+	}
+}
+
 // writeBatch writes b and every frame that is already queued, then flushes.
 func (c *Conn) writeBatch(w *bufio.Writer, b []byte) error {
 	for {
