Entry: homes, forwarding, record, fetch and cancel

Cause: a submission must run at one home only, whichever entry receives it. Change: issued ids with their lifetime, caller-chosen ids placed by the membership, one connection from each entry to every other, forwards that are repeated once on a new connection, answers larger than a frame in parts. Only the home checks age, configuration and drain, after it found no record: a refusal as 'not run' by another entry could be false for a resubmission. The age is checked again once the record exists, since a process may be paused between the two. Ids given to submissions without an id are never accepted again, because those submissions have no record. wire: Forward and Fetch gain Offset, Fetch gains Hops, Forwarded gains Total.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -9,15 +9,12 @@
 
 	"oriolerelay/dispatch"
 	"oriolerelay/errkind"
+	"oriolerelay/submission"
 )
 
 // reply is a complete HTTP answer. It is encoded once, at the home, so that
 // every caller of a submission receives the same bytes.
-type reply struct {
-	status     int
-	body       []byte
-	retryAfter int64 // seconds, zero for none
-}
+type reply submission.Answer
 
 type errorBody struct {
 	Kind         errkind.Kind    `json:"kind"`
@@ -58,7 +55,7 @@
 	}
 	r := errorReply(a.Err)
 	e := errorOf(a.Err)
-	r.body = encodeJSON(answerBody{ID: id, Status: statusFailed, Error: &e, Started: &a.Started, Tasks: taskBodies(a)})
+	r.Body = encodeJSON(answerBody{ID: id, Status: statusFailed, Error: &e, Started: &a.Started, Tasks: taskBodies(a)})
 	return r
 }
 
@@ -83,9 +80,9 @@
 	e := errorOf(err)
 	row := errkind.From(err).Answer()
 	return reply{
-		status:     row.Status,
-		body:       encodeJSON(answerBody{Error: &e}),
-		retryAfter: retryAfterSeconds(row.RetryAfter),
+		Status:     row.Status,
+		Body:       encodeJSON(answerBody{Error: &e}),
+		RetryAfter: retryAfterSeconds(row.RetryAfter),
 	}
 }
 
@@ -107,7 +104,7 @@
 	return int64((d + time.Second - 1) / time.Second)
 }
 
-func jsonReply(status int, v any) reply { return reply{status: status, body: encodeJSON(v)} }
+func jsonReply(status int, v any) reply { return reply{Status: status, Body: encodeJSON(v)} }
 
 // encodeJSON encodes the package's own types, which cannot fail.
 func encodeJSON(v any) []byte {
@@ -121,10 +118,10 @@
 func (r reply) write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set("Content-Length", strconv.Itoa(len(r.body)))
-	if r.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatInt(r.retryAfter, 10))
+	h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatInt(r.RetryAfter, 10))
 	}
-	w.WriteHeader(r.status)
-	_, _ = w.Write(r.body) // the caller may have gone
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body) // the caller may have gone
 }
--- /dev/null
+++ b/entry/cluster_test.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/ids"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
+)
+
+// node is one entry of a test cluster.
+type node struct {
+	server   *Server
+	handler  http.Handler
+	disp     *fakeDispatcher
+	tickets  *fakeTickets
+	members  *fakeMembers
+	listener *transport.Listener
+	stop     func()
+}
+
+// cluster is a set of entries in one process that talk over loopback QUIC. All
+// dispatchers share one counter of starts.
+type cluster struct {
+	t      testing.TB
+	keys   *transport.Authority
+	starts *starts
+	nodes  []*node
+}
+
+func newCluster(t testing.TB, n int) *cluster {
+	t.Helper()
+	keys, err := transport.NewAuthority(time.Hour)
+	qt.Assert(t, err, qt.IsNil)
+	c := &cluster{t: t, keys: keys, starts: &starts{}}
+	for i := range n {
+		c.nodes = append(c.nodes, c.start(ids.Incarnation{Name: fmt.Sprintf("entry-%d", i), Number: 1}))
+	}
+	c.publishView()
+	for _, n := range c.nodes {
+		c.await(n, len(c.nodes)-1)
+	}
+	return c
+}
+
+func (c *cluster) tls(name string) *tls.Config {
+	cert, key, err := c.keys.Issue(name, time.Hour)
+	qt.Assert(c.t, err, qt.IsNil)
+	conf, err := transport.NodeTLS(c.keys.CertificatePEM(), cert, key)
+	qt.Assert(c.t, err, qt.IsNil)
+	return conf
+}
+
+func (c *cluster) start(self ids.Incarnation) *node {
+	c.t.Helper()
+	n := &node{disp: &fakeDispatcher{starts: c.starts}, tickets: newFakeTickets(testState()), members: &fakeMembers{}}
+	opts := testOptions(n.disp)
+	opts.Self, opts.Tickets, opts.Members = self, n.tickets, n.members
+	opts.Transport = transport.Options{
+		TLS:   c.tls(self.Name),
+		Hello: func() wire.Hello { return wire.Hello{Node: self, Role: wire.RoleEntry, Entries: n.members.Entries()} },
+	}
+	n.server = New(opts)
+	n.handler = n.server.Handler()
+	var err error
+	n.listener, err = transport.Listen("127.0.0.1:0", opts.Transport)
+	qt.Assert(c.t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.server.ServeInternal(ctx, n.listener) })
+	wg.Go(func() { _ = n.server.Run(ctx) })
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = n.listener.Close()
+		wg.Wait()
+	})
+	c.t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) address() wire.EntryAddress {
+	return wire.EntryAddress{Node: n.server.self, Address: n.listener.Address()}
+}
+
+// publishView makes all nodes known to each other.
+func (c *cluster) publishView() {
+	var view []wire.EntryAddress
+	for _, n := range c.nodes {
+		view = append(view, n.address())
+	}
+	for _, n := range c.nodes {
+		n.members.mu.Lock()
+		n.members.entries = view
+		n.members.mu.Unlock()
+	}
+}
+
+// await waits until n is connected to count peers.
+func (c *cluster) await(n *node, count int) {
+	c.t.Helper()
+	timeout := time.After(10 * time.Second)
+	for {
+		n.server.peers.mu.Lock()
+		changed := n.server.peers.changed
+		n.server.peers.mu.Unlock()
+		if len(n.server.peers.connectedTo()) >= count {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			c.t.Fatalf("%s has %d peers, want %d", n.server.self, len(n.server.peers.connectedTo()), count)
+		}
+	}
+}
+
+// placeAt makes every view place caller-chosen ids at the given node.
+func (c *cluster) placeAt(home *node) {
+	for _, n := range c.nodes {
+		n.place(home.server.self)
+	}
+}
+
+func (n *node) place(home ids.Incarnation) {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	n.members.home = homeAt(home)
+}
+
+// hold makes the node's dispatcher keep jobs until the returned function is called.
+func (n *node) hold() (release func()) {
+	n.disp.mu.Lock()
+	defer n.disp.mu.Unlock()
+	n.disp.release = make(chan struct{})
+	n.disp.running = make(chan struct{}, 1000)
+	return sync.OnceFunc(func() { close(n.disp.release) })
+}
+
+// chosen returns the body of a request with a caller-chosen id.
+func chosen(id string, at time.Time, payload string) string {
+	return fmt.Sprintf(`{"id":%q,"submitted_at":%d,"service":"veil-desk","kind":"preview","payload":%s}`, id, at.UnixMilli(), payload)
+}
+
+// posted is the answer to a request.
+type posted struct {
+	Status int
+	Header http.Header
+	Body   string
+}
+
+func (n *node) post(token, body string) posted {
+	status, header, answer := call(n.handler, "POST", "/v1/requests", token, body)
+	return posted{status, header, answer}
+}
+
+// postLater posts on another goroutine.
+func (n *node) postLater(token, body string) <-chan posted {
+	ch := make(chan posted, 1)
+	go func() { ch <- n.post(token, body) }()
+	return ch
+}
+
+// issue returns one id of which n is the home.
+func (n *node) issue(t testing.TB) string {
+	t.Helper()
+	status, _, body := call(n.handler, "POST", "/v1/submission-ids", "veil-secret", `{"count":1}`)
+	qt.Assert(t, status, qt.Equals, 200, qt.Commentf("%s", body))
+	var m struct{ IDs []string }
+	qt.Assert(t, json.Unmarshal([]byte(body), &m), qt.IsNil)
+	return m.IDs[0]
+}
--- a/entry/decode.go
+++ b/entry/decode.go
@@ -16,8 +16,8 @@
 	maxSubmittedAtMS = 1 << 53 // largest range in which JSON numbers are exact
 )
 
-// submission is the decoded body of a job or request.
-type submission struct {
+// body is the decoded body of a job or request.
+type body struct {
 	ID            string          `json:"id,omitempty"`
 	SubmittedAt   int64           `json:"submitted_at,omitempty"` // Unix milliseconds
 	Service       string          `json:"service"`
@@ -35,7 +35,7 @@
 }
 
 // tasks returns the tasks of a job or the single task of a request.
-func (s *submission) tasks(request bool) []submittedTask {
+func (s *body) tasks(request bool) []submittedTask {
 	if request {
 		return []submittedTask{s.submittedTask}
 	}
@@ -45,9 +45,9 @@
 // decodeSubmission parses and checks the body of a job or request. The result
 // depends on the body alone, so a body that is refused here was never run at
 // any entry. Errors are of type *errkind.Error.
-func decodeSubmission(body []byte, request bool) (*submission, error) {
-	s := new(submission)
-	if err := s.decode(body); err != nil {
+func decodeSubmission(raw []byte, request bool) (*body, error) {
+	s := new(body)
+	if err := s.decode(raw); err != nil {
 		return nil, err
 	}
 	if err := s.checkFields(request); err != nil {
@@ -59,8 +59,8 @@
 	return s, nil
 }
 
-func (s *submission) decode(body []byte) error {
-	fields, err := objectFields(body, "", submissionFields)
+func (s *body) decode(raw []byte) error {
+	fields, err := objectFields(raw, "", submissionFields)
 	if err != nil {
 		return err
 	}
@@ -89,7 +89,7 @@
 	return nil
 }
 
-func (s *submission) decodeTasks(f field) error {
+func (s *body) decodeTasks(f field) error {
 	var raws []json.RawMessage
 	if err := decodeValue(f, "", &raws); err != nil {
 		return err
@@ -130,7 +130,7 @@
 	return decodeValue(f, path, &t.Demand)
 }
 
-func (s *submission) checkFields(request bool) error {
+func (s *body) checkFields(request bool) error {
 	switch {
 	case s.Service == "":
 		return invalid("service is missing")
@@ -152,7 +152,7 @@
 
 // checkID checks the id and that submitted_at is given exactly with a
 // caller-chosen id.
-func (s *submission) checkID() error {
+func (s *body) checkID() error {
 	if s.ID == "" {
 		if s.SubmittedAt != 0 {
 			return invalid("submitted_at is given without an id")
@@ -171,7 +171,7 @@
 	return nil
 }
 
-func (s *submission) checkTasks(request bool) error {
+func (s *body) checkTasks(request bool) error {
 	tasks := s.tasks(request)
 	if len(tasks) == 0 {
 		return invalid("a job needs 1 to %d tasks", MaxTasks)
@@ -194,7 +194,7 @@
 
 // canonical returns the compact form of s. Two bodies that differ only in
 // white space or in the order of known fields have the same canonical form.
-func (s *submission) canonical() ([]byte, error) {
+func (s *body) canonical() ([]byte, error) {
 	var b bytes.Buffer
 	enc := json.NewEncoder(&b)
 	enc.SetEscapeHTML(false) // escaping could grow a payload sixfold
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,7 +9,9 @@
 
 	"oriolerelay/dispatch"
 	"oriolerelay/ids"
+	"oriolerelay/ticket"
 	"oriolerelay/transport"
+	"oriolerelay/wire"
 )
 
 // Bounds of the callers' API. A submission of the largest size still fits one
@@ -28,13 +30,33 @@
 	Do(ctx context.Context, job dispatch.Job) dispatch.Answer
 	// AgentHandler returns the handler of a connection whose peer is an agent.
 	AgentHandler(c *transport.Conn) transport.Handler
+	// PushState sends a configuration to all agents and to each later one.
+	PushState(s wire.State)
 	// Endpoints lists the endpoints that this entry knows.
 	Endpoints() []dispatch.EndpointStatus
 }
 
-// Homes places caller-chosen ids.
-type Homes interface {
+// Tickets keeps the configuration in force.
+type Tickets interface {
+	// Load returns the newest state; its number is 0 while none is known.
+	Load() *ticket.State
+	// Changed returns a channel that is closed when a newer state is in force.
+	Changed() <-chan struct{}
+	// Encoded returns the state as JSON with its number.
+	Encoded() (number uint64, state []byte, err error)
+	// Offer takes the state of a peer if it is newer.
+	Offer(state []byte) error
+}
+
+// Members knows the entries.
+type Members interface {
 	// Home returns the home of a caller-chosen id, or home_unknown when the
 	// membership at submittedAt is not completely known.
-	Home(sub ids.Submission, team string, submittedAt time.Time) (ids.Incarnation, error)
+	Home(id ids.Submission, team string, submittedAt time.Time) (ids.Incarnation, error)
+	// Own reports whether this process joined under node.
+	Own(node ids.Incarnation) bool
+	// Gone reports whether node has left or was replaced.
+	Gone(node ids.Incarnation) bool
+	// Entries lists the entries of the newest view with their addresses.
+	Entries() []wire.EntryAddress
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -23,10 +24,15 @@
 // fakeDispatcher runs every task at once on a counting endpoint, or holds jobs
 // until release is closed.
 type fakeDispatcher struct {
-	starts  *starts
+	starts *starts
+
+	mu      sync.Mutex
 	release chan struct{} // nil runs jobs at once
 	running chan struct{} // receives one value for each job that began, may be nil
 	fail    *errkind.Error
+	// withdrawn receives the id of each job whose context ended, may be nil.
+	withdrawn chan string
+	pushed    chan wire.State // receives each pushed configuration, may be nil
 }
 
 // starts counts the tasks that each team and submission started.
@@ -55,13 +61,19 @@
 		return failedAnswer(job, d.fail, errkind.NotRun)
 	}
 	d.starts.add(job)
-	if d.running != nil {
-		d.running <- struct{}{}
+	d.mu.Lock()
+	running, release := d.running, d.release
+	d.mu.Unlock()
+	if running != nil {
+		running <- struct{}{}
 	}
-	if d.release != nil {
+	if release != nil {
 		select {
-		case <-d.release:
+		case <-release:
 		case <-ctx.Done():
+			if d.withdrawn != nil {
+				d.withdrawn <- job.Submission.Raw
+			}
 			return failedAnswer(job, errkind.New(errkind.CancelledRunning, "withdrawn"), errkind.MayHaveRun)
 		}
 	}
@@ -81,6 +93,12 @@
 }
 
 func (d *fakeDispatcher) AgentHandler(*transport.Conn) transport.Handler { return ignore{} }
+func (d *fakeDispatcher) PushState(m wire.State) {
+	if d.pushed != nil {
+		d.pushed <- m
+	}
+}
+
 func (d *fakeDispatcher) Endpoints() []dispatch.EndpointStatus {
 	return []dispatch.EndpointStatus{{Service: "veil-desk"}}
 }
@@ -102,16 +120,99 @@
 
 var testTokens = []CallerToken{{"veil-secret", "veil"}, {"lace-secret", "lace"}}
 
-func testServer(disp Dispatcher) *Server {
-	return New(Options{
-		Self:       ids.Incarnation{Name: "entry-1", Number: 0x5f},
+// fakeTickets holds a configuration that Offer replaces.
+type fakeTickets struct {
+	mu      sync.Mutex
+	state   *ticket.State
+	changed chan struct{}
+}
+
+func newFakeTickets(s *ticket.State) *fakeTickets {
+	return &fakeTickets{state: s, changed: make(chan struct{})}
+}
+
+func (f *fakeTickets) Load() *ticket.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+func (f *fakeTickets) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakeTickets) Encoded() (uint64, []byte, error) {
+	s := f.Load()
+	b, err := json.Marshal(s)
+	return s.Number, b, err
+}
+
+func (f *fakeTickets) Offer(b []byte) error {
+	s := new(ticket.State)
+	if err := json.Unmarshal(b, s); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Number > f.state.Number {
+		f.state = s
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	return nil
+}
+
+// fakeMembers is a view that a test sets.
+type fakeMembers struct {
+	mu      sync.Mutex
+	home    func(id ids.Submission, team string) (ids.Incarnation, error)
+	gone    map[ids.Incarnation]bool
+	entries []wire.EntryAddress
+}
+
+func (f *fakeMembers) Home(id ids.Submission, team string, _ time.Time) (ids.Incarnation, error) {
+	f.mu.Lock()
+	home := f.home
+	f.mu.Unlock()
+	return home(id, team)
+}
+
+func (f *fakeMembers) Own(ids.Incarnation) bool { return false }
+
+func (f *fakeMembers) Gone(n ids.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone[n]
+}
+
+func (f *fakeMembers) Entries() []wire.EntryAddress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries
+}
+
+// homeAt places every id at node.
+func homeAt(node ids.Incarnation) func(ids.Submission, string) (ids.Incarnation, error) {
+	return func(ids.Submission, string) (ids.Incarnation, error) { return node, nil }
+}
+
+var testSelf = ids.Incarnation{Name: "entry-1", Number: 0x5f}
+
+func testOptions(disp Dispatcher) Options {
+	return Options{
+		Self:       testSelf,
 		Dispatcher: disp,
-		State:      testState,
+		Tickets:    newFakeTickets(testState()),
+		Members:    &fakeMembers{home: homeAt(testSelf)},
 		Callers:    testTokens,
 		Operators:  []OperatorToken{{"operator-secret", "rhian"}},
-	})
+	}
 }
 
+func testServer(disp Dispatcher) *Server { return New(testOptions(disp)) }
+
 // call sends one request to h and returns the status, headers and body.
 func call(h http.Handler, method, path, token, body string) (int, http.Header, string) {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
--- /dev/null
+++ b/entry/home_test.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/errkind"
+)
+
+// TestResubmittedWhileRunning guards against a second start when a running
+// submission is sent again to its home and to another entry, and against
+// answers that differ.
+func TestResubmittedWhileRunning(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 3)
+	home := cl.nodes[2]
+	cl.placeAt(home)
+	release := home.hold()
+	body := chosen("order-17", time.Now(), `{"motif":"rose"}`)
+	var answers []<-chan posted
+	for _, n := range cl.nodes {
+		answers = append(answers, n.postLater("veil-secret", body), n.postLater("veil-secret", body))
+	}
+	<-home.disp.running
+	answers = append(answers, cl.nodes[0].postLater("veil-secret", body))
+	release()
+	first := <-answers[0]
+	c.Assert(first.Status, qt.Equals, 200)
+	for _, a := range answers[1:] {
+		c.Assert(<-a, qt.DeepEquals, first)
+	}
+	c.Assert(cl.nodes[1].post("veil-secret", body), qt.DeepEquals, first)
+	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
+}
+
+// TestResubmittedWithIssuedID guards the same for an id that names its home.
+func TestResubmittedWithIssuedID(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 2)
+	id := cl.nodes[1].issue(t)
+	body := fmt.Sprintf(`{"id":%q,"service":"veil-desk","kind":"preview","payload":7}`, id)
+	first := cl.nodes[0].post("veil-secret", body)
+	c.Assert(first.Status, qt.Equals, 200)
+	c.Assert(cl.nodes[1].post("veil-secret", body), qt.DeepEquals, first)
+	c.Assert(cl.starts.of("veil", id), qt.Equals, 1)
+}
+
+// TestOtherBodyConflicts guards against a resubmission with another body that
+// receives, or disturbs, the first attempt's answer.
+func TestOtherBodyConflicts(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 2)
+	home := cl.nodes[1]
+	cl.placeAt(home)
+	release := home.hold()
+	now := time.Now()
+	first := cl.nodes[0].postLater("veil-secret", chosen("order-17", now, `1`))
+	<-home.disp.running
+	other := cl.nodes[0].post("veil-secret", chosen("order-17", now, `2`))
+	c.Assert(other.Status, qt.Equals, 409)
+	c.Assert(errorKind(t, other.Body), qt.Equals, errkind.IDConflict)
+	release()
+	c.Assert((<-first).Status, qt.Equals, 200)
+	spaced := strings.Replace(chosen("order-17", now, `1`), ",", " ,\n", 1)
+	c.Assert(cl.nodes[0].post("veil-secret", spaced).Status, qt.Equals, 200)
+	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
+}
+
+// TestTeamsAreSeparate guards against a caller that reads, cancels or joins the
+// submission of another team with the same id.
+func TestTeamsAreSeparate(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 2)
+	home := cl.nodes[1]
+	cl.placeAt(home)
+	release := home.hold()
+	now := time.Now()
+	veil := cl.nodes[0].postLater("veil-secret", chosen("order-17", now, `"veil"`))
+	<-home.disp.running
+	path := fmt.Sprintf("/v1/requests/order-17?submitted_at=%d", now.UnixMilli())
+	for _, method := range []string{"GET", "DELETE"} {
+		status, _, body := call(cl.nodes[0].handler, method, path, "lace-secret", "")
+		c.Assert(status, qt.Equals, 404)
+		c.Assert(errorKind(t, body), qt.Equals, errkind.NotFound)
+	}
+	lace := cl.nodes[0].postLater("lace-secret", chosen("order-17", now, `"lace"`))
+	<-home.disp.running
+	release()
+	c.Assert(string(decodeAnswer(t, (<-veil).Body).Tasks[0].Body), qt.Equals, `"veil"`)
+	c.Assert(string(decodeAnswer(t, (<-lace).Body).Tasks[0].Body), qt.Equals, `"lace"`)
+	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
+	c.Assert(cl.starts.of("lace", "order-17"), qt.Equals, 1)
+}
+
+// TestFetchAndCancel guards against an answer or a cancel that only the home
+// itself can serve.
+func TestFetchAndCancel(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 2)
+	home, other := cl.nodes[1], cl.nodes[0]
+	cl.placeAt(home)
+	home.hold()
+	now := time.Now()
+	path := fmt.Sprintf("/v1/requests/order-17?submitted_at=%d", now.UnixMilli())
+	running := other.postLater("veil-secret", chosen("order-17", now, `1`))
+	<-home.disp.running
+	status, _, body := call(other.handler, "GET", path, "veil-secret", "")
+	c.Assert(status, qt.Equals, http.StatusAccepted)
+	c.Assert(decodeAnswer(t, body).Status, qt.Equals, statusRunning)
+	status, _, cancelled := call(other.handler, "DELETE", path, "veil-secret", "")
+	c.Assert(status, qt.Equals, 409)
+	c.Assert(errorKind(t, cancelled), qt.Equals, errkind.CancelledRunning)
+	c.Assert((<-running).Body, qt.Equals, cancelled)
+	_, _, body = call(other.handler, "GET", path, "veil-secret", "")
+	c.Assert(body, qt.Equals, cancelled)
+}
+
+// TestCallerDisconnects guards against a cancelled job whose caller may still
+// resubmit, and against a job that runs on although nobody can ask for it.
+func TestCallerDisconnects(t *testing.T) {
+	c := qt.New(t)
+	disp := &fakeDispatcher{starts: &starts{}, release: make(chan struct{}), running: make(chan struct{}, 1), withdrawn: make(chan string, 1)}
+	h := testServer(disp).Handler()
+	leave := func(body string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := httptest.NewRequestWithContext(ctx, "POST", "/v1/requests", strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer veil-secret")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			h.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+		<-disp.running
+		cancel()
+		<-done
+	}
+	leave(previewBody)
+	c.Assert(<-disp.withdrawn, qt.Matches, "@entry-1.*")
+
+	body := chosen("order-17", time.Now(), `1`)
+	leave(body)
+	close(disp.release)
+	status, _, answer := call(h, "POST", "/v1/requests", "veil-secret", body)
+	c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+	c.Assert(disp.starts.of("veil", "order-17"), qt.Equals, 1)
+	c.Assert(disp.withdrawn, qt.HasLen, 0)
+}
+
+// TestWindow guards against a submission that is accepted after its record may
+// have expired, and against a refusal that wrongly says "not run".
+func TestWindow(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1764800000000)
+	opts := testOptions(&fakeDispatcher{starts: &starts{}})
+	opts.Now = func() time.Time { return now }
+	h := New(opts).Handler()
+	post := func(age time.Duration) (int, errorBody) {
+		status, _, body := call(h, "POST", "/v1/requests", "veil-secret", chosen(fmt.Sprintf("order-%d", age), now.Add(-age), `1`))
+		if e := decodeAnswer(t, body).Error; e != nil {
+			return status, *e
+		}
+		return status, errorBody{}
+	}
+	for _, age := range []time.Duration{-defaultTolerance, 0, defaultWindow} {
+		status, _ := post(age)
+		c.Assert(status, qt.Equals, 200, qt.Commentf("age %s", age))
+	}
+	status, e := post(defaultWindow + time.Millisecond)
+	c.Assert(status, qt.Equals, 410)
+	c.Assert(e.Kind, qt.Equals, errkind.SubmissionStale)
+	c.Assert(e.Outcome, qt.Equals, errkind.MayHaveRun)
+	_, e = post(-defaultTolerance - time.Millisecond)
+	c.Assert(e.Kind, qt.Equals, errkind.SubmissionFuture)
+	c.Assert(e.Outcome, qt.Equals, errkind.NotRun)
+	c.Assert(e.Detail, qt.Contains, "501ms ahead")
+}
+
+// TestPauseAcrossExpiry guards against a second start when the process is
+// paused between the age check and the record, long enough for the record of
+// the first attempt to expire.
+func TestPauseAcrossExpiry(t *testing.T) {
+	c := qt.New(t)
+	clock := &jumpClock{start: time.UnixMilli(1764800000000), jump: defaultWindow + defaultTolerance + time.Second}
+	counts := &starts{}
+	opts := testOptions(&fakeDispatcher{starts: counts})
+	opts.Now = clock.now
+	h := New(opts).Handler()
+	// The pause is tried at each reading of the clock during the resubmission.
+	for at := 1; at <= 8; at++ {
+		clock.reset(0)
+		id := fmt.Sprintf("order-%d", at)
+		body := chosen(id, clock.start, `1`)
+		status, _, _ := call(h, "POST", "/v1/requests", "veil-secret", body)
+		c.Assert(status, qt.Equals, 200)
+		clock.reset(at)
+		call(h, "POST", "/v1/requests", "veil-secret", body)
+		c.Assert(counts.of("veil", id), qt.Equals, 1, qt.Commentf("pause at reading %d", at))
+	}
+}
+
+// jumpClock stands still and jumps ahead once, at a chosen reading.
+type jumpClock struct {
+	start time.Time
+	jump  time.Duration
+
+	mu       sync.Mutex
+	readings int
+	at       int // reading at which it jumps; 0 for never
+}
+
+func (j *jumpClock) reset(at int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.readings, j.at = 0, at
+}
+
+func (j *jumpClock) now() time.Time {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.readings++
+	if j.at > 0 && j.readings >= j.at {
+		return j.start.Add(j.jump)
+	}
+	return j.start
+}
+
+// TestIssuedIDs guards against ids that were never issued, have expired or
+// belong to a submission without an id being run.
+func TestIssuedIDs(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1764800000000)
+	counts := &starts{}
+	opts := testOptions(&fakeDispatcher{starts: counts})
+	opts.Now = func() time.Time { return now }
+	s := New(opts)
+	h := s.Handler()
+	post := func(id string) posted {
+		status, header, body := call(h, "POST", "/v1/requests", "veil-secret", fmt.Sprintf(`{"id":%q,"service":"veil-desk","kind":"preview"}`, id))
+		return posted{status, header, body}
+	}
+	c.Assert(errorKind(t, post("@entry-1.5f.1").Body), qt.Equals, errkind.InvalidRequest)
+	used, unused := s.issued.issue(1)[0], s.issued.issue(1)[0]
+	first := post(used)
+	c.Assert(first.Status, qt.Equals, 200)
+	_, _, anonymous := call(h, "POST", "/v1/requests", "veil-secret", previewBody)
+	id := decodeAnswer(t, anonymous).ID
+	c.Assert(errorKind(t, post(id).Body), qt.Equals, errkind.SubmissionStale)
+	now = now.Add(defaultWindow)
+	c.Assert(post(used), qt.DeepEquals, first)
+	now = now.Add(2 * time.Second)
+	for _, id := range []string{used, unused} {
+		c.Assert(errorKind(t, post(id).Body), qt.Equals, errkind.SubmissionStale)
+		_, _, body := call(h, "GET", "/v1/requests/"+id, "veil-secret", "")
+		c.Assert(errorKind(t, body), qt.Equals, errkind.SubmissionStale)
+	}
+	c.Assert(errorKind(t, post("@entry-1.60.1").Body), qt.Equals, errkind.HomeLost)
+	c.Assert(counts.of("veil", used), qt.Equals, 1)
+	c.Assert(counts.of("veil", unused), qt.Equals, 0)
+}
+
+// TestDrainingHomeAnswersRecorded guards against a draining home that refuses a
+// resubmission as "not run" although it ran.
+func TestDrainingHomeAnswersRecorded(t *testing.T) {
+	c := qt.New(t)
+	s := testServer(&fakeDispatcher{starts: &starts{}})
+	h := s.Handler()
+	body := chosen("order-17", time.Now(), `1`)
+	_, _, first := call(h, "POST", "/v1/requests", "veil-secret", body)
+	s.refusing.Store(true)
+	status, _, again := call(h, "POST", "/v1/requests", "veil-secret", body)
+	c.Assert(status, qt.Equals, 200)
+	c.Assert(again, qt.Equals, first)
+	_, _, other := call(h, "POST", "/v1/requests", "veil-secret", chosen("order-18", time.Now(), `1`))
+	c.Assert(errorKind(t, other), qt.Equals, errkind.Draining)
+}
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"oriolerelay/event"
 	"oriolerelay/transport"
@@ -14,31 +16,149 @@
 }
 
 func (s *Server) acceptInternal(c *transport.Conn) transport.Handler {
-	if c.PeerHello.Role == wire.RoleAgent {
-		s.log.Log(event.EntryAgentConnected, "agent", c.PeerHello.Node, "address", c.RemoteAddr())
-		return &agentConn{inner: s.disp.AgentHandler(c), log: s.log}
+	if c.PeerHello.Role != wire.RoleAgent {
+		return &peerConn{server: s}
+	}
+	s.log.Log(event.EntryAgentConnected, "agent", c.PeerHello.Node, "address", c.RemoteAddr())
+	s.agents.add(c)
+	return &agentConn{server: s, inner: s.disp.AgentHandler(c)}
+}
+
+// dialPeer returns the function with which peers are dialled.
+func (s *Server) dialPeer(o transport.Options) func(context.Context, string) (*transport.Conn, error) {
+	return func(ctx context.Context, address string) (*transport.Conn, error) {
+		return transport.Dial(ctx, address, o, func(*transport.Conn) transport.Handler { return &peerConn{server: s} })
 	}
-	return &peerConn{server: s}
 }
 
 // agentConn passes the messages of an agent to the dispatcher.
 type agentConn struct {
-	inner transport.Handler
-	log   *event.Logger
+	server *Server
+	inner  transport.Handler
 }
 
 func (a *agentConn) Handle(c *transport.Conn, f wire.Frame) { a.inner.Handle(c, f) }
 
 func (a *agentConn) Closed(c *transport.Conn, err error) {
-	a.log.Log(event.EntryAgentClosed, "agent", c.PeerHello.Node, "err", err)
+	a.server.agents.remove(c)
+	a.server.log.Log(event.EntryAgentClosed, "agent", c.PeerHello.Node, "err", err)
 	a.inner.Closed(c, err)
 }
 
-// peerConn serves the messages of a peer entry.
+// peerConn serves the messages of a peer entry on either side of a connection.
 type peerConn struct{ server *Server }
 
 func (p *peerConn) Handle(c *transport.Conn, f wire.Frame) {
-	p.server.log.Log(event.EntryUnexpected, "peer", c.PeerHello.Node, "type", f.Body.MessageType())
+	s := p.server
+	switch m := f.Body.(type) {
+	case *wire.Forward:
+		go func() { s.sendForwarded(c, f.CallID, s.serveForward(m), m.Offset) }()
+	case *wire.Fetch:
+		go func() { s.sendForwarded(c, f.CallID, s.serveFetch(m), m.Offset) }()
+	case *wire.Heartbeat:
+		s.peerTicket(c, m.Ticket)
+	case *wire.State:
+		s.offerState(c, m)
+	case *wire.Hello:
+		s.peers.learn(m.Entries)
+	default:
+		s.log.Log(event.EntryUnexpected, "peer", c.PeerHello.Node, "type", f.Body.MessageType())
+	}
 }
 
 func (p *peerConn) Closed(*transport.Conn, error) {}
+
+func (s *Server) heartbeat() *wire.Heartbeat {
+	return &wire.Heartbeat{Ticket: s.tickets.Load().Number}
+}
+
+// peerTicket sends the configuration to a peer whose ticket number is lower.
+func (s *Server) peerTicket(c *transport.Conn, number uint64) {
+	if number >= s.tickets.Load().Number {
+		return
+	}
+	m, err := s.stateMessage()
+	if err != nil {
+		s.log.Log(event.EntryStateInvalid, "err", err)
+		return
+	}
+	go s.sendSoon(c, m)
+}
+
+func (s *Server) stateMessage() (*wire.State, error) {
+	number, state, err := s.tickets.Encoded()
+	if err != nil {
+		return nil, err
+	}
+	return &wire.State{Ticket: number, JSON: state}, nil
+}
+
+func (s *Server) offerState(c *transport.Conn, m *wire.State) {
+	if m.Ticket <= s.tickets.Load().Number {
+		return
+	}
+	if err := s.tickets.Offer(m.JSON); err != nil {
+		s.log.Log(event.EntryStateInvalid, "peer", c.PeerHello.Node, "err", err)
+		return
+	}
+	s.log.Log(event.EntryStateFromPeer, "peer", c.PeerHello.Node, "ticket", m.Ticket)
+}
+
+// sendTimeout bounds a one-way message to a connection whose queue is full.
+const sendTimeout = time.Second
+
+func (s *Server) sendSoon(c *transport.Conn, m wire.Message) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	_ = c.Send(ctx, m) // the peer asks again with its next heartbeat
+}
+
+// pushStates passes each newer configuration to the agents until ctx ends.
+func (s *Server) pushStates(ctx context.Context) error {
+	for {
+		changed := s.tickets.Changed()
+		if s.tickets.Load().Number > 0 {
+			m, err := s.stateMessage()
+			if err != nil {
+				return err
+			}
+			s.disp.PushState(*m)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// agentConns are the open connections of agents. It is safe for concurrent use.
+type agentConns struct {
+	mu    sync.Mutex
+	conns map[*transport.Conn]struct{}
+}
+
+func (a *agentConns) add(c *transport.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conns == nil {
+		a.conns = make(map[*transport.Conn]struct{})
+	}
+	a.conns[c] = struct{}{}
+}
+
+func (a *agentConns) remove(c *transport.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.conns, c)
+}
+
+func (a *agentConns) list() []*transport.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]*transport.Conn, 0, len(a.conns))
+	for c := range a.conns {
+		list = append(list, c)
+	}
+	return list
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,39 @@
+package entry
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics counts the work of the entry itself. Messages are counted by transport.
+type metrics struct {
+	forwardsLost prometheus.Counter
+	answers      *prometheus.CounterVec
+}
+
+func newMetrics(s *Server) *metrics {
+	m := &metrics{
+		forwardsLost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oriole_forwards_lost_total",
+			Help: "Forwards to a home that got no reply.",
+		}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_http_answers_total",
+			Help: "HTTP answers by path and status.",
+		}, []string{"path", "status"}),
+	}
+	size := func(pick func(entries int, bytes int64) float64) func() float64 {
+		return func() float64 { return pick(s.record.Size()) }
+	}
+	s.registry.MustRegister(m.forwardsLost, m.answers,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "oriole_record_submissions",
+			Help: "Submissions in the record of this home.",
+		}, size(func(n int, _ int64) float64 { return float64(n) })),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "oriole_record_bytes",
+			Help: "Accounted bytes of the record of this home.",
+		}, size(func(_ int, b int64) float64 { return float64(b) })),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "oriole_peers_connected",
+			Help: "Peer entries with an open connection from this entry.",
+		}, func() float64 { return float64(len(s.peers.connectedTo())) }))
+	return m
+}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -16,3 +16,9 @@
 func (s *Server) getEndpoints(*http.Request, string) reply {
 	return jsonReply(http.StatusOK, map[string]any{"endpoints": s.disp.Endpoints()})
 }
+
+// getState returns the configuration in force. Origins give the ticket that
+// set each object.
+func (s *Server) getState(*http.Request, string) reply {
+	return jsonReply(http.StatusOK, s.tickets.Load())
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,25 +23,27 @@
 
 // Run runs an entry with settings s until ctx ends, then drains it.
 func Run(ctx context.Context, s Settings, log *event.Logger) error {
-	tlsConf, err := s.TLS.load()
+	tlsConf, err := s.TLS.Load()
 	if err != nil {
 		return err
 	}
 	reg := prometheus.NewRegistry()
 	self := ids.NewIncarnation(s.Node)
-	state := func() *ticket.State { return nil }
-	disp := dispatch.New(dispatch.Config{Self: self, State: state, Logger: log, Registerer: reg})
-	server := New(Options{
-		Self: self, Dispatcher: disp, State: state,
-		Callers: s.Callers, Operators: s.Operators, Logger: log, Registry: reg,
-	})
-	internal, err := transport.Listen(s.InternalAddress, transport.Options{
+	opts := transport.Options{
 		TLS:   tlsConf,
 		Stats: transport.NewStats(reg),
 		Hello: func() wire.Hello {
 			return wire.Hello{Node: self, Role: wire.RoleEntry, Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack}
 		},
+	}
+	tickets := noTickets{}
+	disp := dispatch.New(dispatch.Config{Self: self, State: tickets.Load, Logger: log, Registerer: reg})
+	server := New(Options{
+		Self: self, Dispatcher: disp, Tickets: tickets, Members: alone{self},
+		Callers: s.Callers, Operators: s.Operators, Seeds: s.Seeds, Transport: opts,
+		Window: milliseconds(s.WindowMS), Tolerance: milliseconds(s.ToleranceMS), Logger: log, Registry: reg,
 	})
+	internal, err := transport.Listen(s.InternalAddress, opts)
 	if err != nil {
 		return err
 	}
@@ -60,6 +60,7 @@
 	defer stopInternal()
 	g.Go(func() error { return server.ServeInternal(ictx, internal) })
 	g.Go(func() error { return disp.Run(ictx) })
+	g.Go(func() error { return server.Run(ictx) })
 	g.Go(func() error {
 		defer stopInternal() // tasks in flight need the agents until the last answer
 		return Serve(gctx, web, func() error { return web.Serve(public) }, milliseconds(s.DrainLimitMS))
@@ -67,15 +68,16 @@
 	return g.Wait()
 }
 
-// load reads the PEM files.
-func (f TLSFiles) load() (*tls.Config, error) {
-	var pem [3][]byte
-	for i, path := range []string{f.AuthorityFile, f.CertFile, f.KeyFile} {
-		b, err := os.ReadFile(path)
-		if err != nil {
-			return nil, fmt.Errorf("read tls file: %w", err)
-		}
-		pem[i] = b
-	}
-	return transport.NodeTLS(pem[0], pem[1], pem[2])
-}
+type noTickets struct{}
+
+func (noTickets) Load() *ticket.State              { return &ticket.State{} }
+func (noTickets) Changed() <-chan struct{}         { return nil }
+func (noTickets) Encoded() (uint64, []byte, error) { return 0, nil, nil }
+func (noTickets) Offer([]byte) error               { return nil }
+
+type alone struct{ self ids.Incarnation }
+
+func (a alone) Home(ids.Submission, string, time.Time) (ids.Incarnation, error) { return a.self, nil }
+func (a alone) Own(ids.Incarnation) bool                                        { return false }
+func (a alone) Gone(ids.Incarnation) bool                                       { return false }
+func (a alone) Entries() []wire.EntryAddress                                    { return nil }
--- a/entry/server.go
+++ b/entry/server.go
@@ -7,68 +7,136 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/ids"
-	"oriolerelay/ticket"
+	"oriolerelay/submission"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
 )
 
-// Options are the parts that a Server connects. Self, Dispatcher and State are
-// required.
+// Options are the parts that a Server connects. Self, Dispatcher, Tickets and
+// Members are required.
 type Options struct {
 	Self       ids.Incarnation
 	Dispatcher Dispatcher
-	// State returns the configuration in force, or nil when there is none yet.
-	State     func() *ticket.State
-	Callers   []CallerToken
-	Operators []OperatorToken
-	Logger    *event.Logger
-	Registry  *prometheus.Registry // nil means a registry of its own
+	Tickets    Tickets
+	Members    Members
+	Callers    []CallerToken
+	Operators  []OperatorToken
+	// Seeds are the internal addresses at which peers are looked for.
+	Seeds []string
+	// Transport is used to dial peers. Its Hello must name Self.
+	Transport transport.Options
+	Record    submission.Config
+	// Window and Tolerance bound submitted_at; zero takes the defaults.
+	Window, Tolerance time.Duration
+	Logger            *event.Logger
+	Registry          *prometheus.Registry // nil means a registry of its own
+	// Now replaces the steady clock in tests.
+	Now func() time.Time
 }
 
 // Server serves the HTTP APIs and the home of submissions. It is safe for
 // concurrent use.
 type Server struct {
-	self     ids.Incarnation
-	disp     Dispatcher
-	state    func() *ticket.State
-	creds    credentials
-	log      *event.Logger
-	registry *prometheus.Registry
-	issuer   *ids.Issuer
-	mux      *http.ServeMux
-	draining atomic.Bool
+	self      ids.Incarnation
+	disp      Dispatcher
+	tickets   Tickets
+	members   Members
+	creds     credentials
+	log       *event.Logger
+	registry  *prometheus.Registry
+	metrics   *metrics
+	mux       *http.ServeMux
+	now       func() time.Time
+	window    time.Duration
+	tolerance time.Duration
+
+	issued  *issuedIDs
+	record  *submission.Table
+	running runningJobs
+	peers   peers
+	agents  agentConns
+
+	draining atomic.Bool // readyz fails
+	refusing atomic.Bool // new submissions are refused
 }
 
 // New returns a server.
 func New(o Options) *Server {
 	s := &Server{
-		self:     o.Self,
-		disp:     o.Dispatcher,
-		state:    o.State,
-		creds:    newCredentials(o.Callers, o.Operators),
-		log:      o.Logger,
-		registry: o.Registry,
-		issuer:   ids.NewIssuer(o.Self),
-		mux:      http.NewServeMux(),
+		self:      o.Self,
+		disp:      o.Dispatcher,
+		tickets:   o.Tickets,
+		members:   o.Members,
+		creds:     newCredentials(o.Callers, o.Operators),
+		log:       o.Logger,
+		registry:  o.Registry,
+		mux:       http.NewServeMux(),
+		now:       o.Now,
+		window:    orDefault(o.Window, defaultWindow),
+		tolerance: orDefault(o.Tolerance, defaultTolerance),
+	}
+	if s.now == nil {
+		s.now = newSteadyClock().now
 	}
 	if s.registry == nil {
 		s.registry = prometheus.NewRegistry()
 	}
+	// The record must use the clock of the age check.
+	o.Record.Now = s.now
+	s.record = submission.NewTable(o.Record)
+	s.issued = newIssuedIDs(o.Self, s.window, s.now)
+	s.metrics = newMetrics(s)
+	s.peers = peers{
+		self:    o.Self,
+		seeds:   o.Seeds,
+		dial:    s.dialPeer(o.Transport),
+		gone:    o.Members.Gone,
+		entries: o.Members.Entries,
+		beat:    s.heartbeat,
+		log:     o.Logger,
+	}
+	s.peers.init()
 	s.routes()
 	return s
 }
 
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
+
+// Run connects to the peers and passes configuration changes on until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.peers.run(ctx) })
+	g.Go(func() error { return s.pushStates(ctx) })
+	return g.Wait()
+}
+
 func (s *Server) routes() {
-	s.handle("/v1/jobs", methods{http.MethodPost: s.postSubmission(false)})
-	s.handle("/v1/requests", methods{http.MethodPost: s.postSubmission(true)})
+	s.handle("/v1/submission-ids", methods{http.MethodPost: s.postSubmissionIDs})
+	for path, request := range map[string]bool{"/v1/jobs": false, "/v1/requests": true} {
+		s.handle(path, methods{http.MethodPost: s.postSubmission(request)})
+		s.handle(path+"/{id}", methods{
+			http.MethodGet:    s.submissionByID(wire.FetchAnswer),
+			http.MethodDelete: s.submissionByID(wire.FetchCancel),
+		})
+	}
 	s.handle("/v1/endpoints", methods{http.MethodGet: s.operatorOnly(s.getEndpoints)})
+	s.handle("/v1/state", methods{http.MethodGet: s.operatorOnly(s.getState)})
 	s.handle("/healthz", methods{http.MethodGet: s.getHealth})
 	s.handle("/readyz", methods{http.MethodGet: s.getReady})
 	s.handleRaw("/metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
@@ -93,7 +161,9 @@
 			errorReply(errMethod(r.Method, path)).write(w)
 			return
 		}
-		h(r).write(w)
+		answer := h(r)
+		s.metrics.answers.WithLabelValues(path, strconv.Itoa(answer.Status)).Inc()
+		answer.write(w)
 	})
 }
 
@@ -155,9 +225,6 @@
 	if s.draining.Load() {
 		return errDraining()
 	}
-	if s.state() == nil {
-		return errkind.New(errkind.NoConfiguration, "no configuration is known yet")
-	}
 	return nil
 }
 
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -90,6 +90,7 @@
 	status, _, _ := call(h, "GET", "/readyz", "", "")
 	c.Assert(status, qt.Equals, http.StatusOK)
 	s.draining.Store(true)
+	s.refusing.Store(true)
 	status, _, body := call(h, "POST", "/v1/requests", "veil-secret", previewBody)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(errorKind(t, body), qt.Equals, errkind.Draining)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 
 	"oriolerelay/ids"
 	"oriolerelay/settings"
+	"oriolerelay/transport"
 )
 
 // Defaults of optional settings.
@@ -29,9 +30,9 @@
 	PlatformURL     string   `json:"platform_url"`     // base URL of the platform's log
 	Seeds           []string `json:"seeds"`            // internal addresses of other entries
 
-	TLS       TLSFiles        `json:"tls"`
-	Callers   []CallerToken   `json:"callers"`
-	Operators []OperatorToken `json:"operators"`
+	TLS       transport.TLSFiles `json:"tls"`
+	Callers   []CallerToken      `json:"callers"`
+	Operators []OperatorToken    `json:"operators"`
 
 	WindowMS     int64 `json:"window_ms"`      // age up to which a caller-chosen id is accepted
 	ToleranceMS  int64 `json:"tolerance_ms"`   // accepted lead of submitted_at over this clock
@@ -39,13 +40,6 @@
 	DrainLimitMS int64 `json:"drain_limit_ms"` // longest wait for requests in flight
 }
 
-// TLSFiles names the PEM files of the node's certificate.
-type TLSFiles struct {
-	AuthorityFile string `json:"authority_file"`
-	CertFile      string `json:"cert_file"`
-	KeyFile       string `json:"key_file"`
-}
-
 // CallerToken gives a caller's bearer token and its team.
 type CallerToken struct {
 	Token string `json:"token"`
@@ -66,13 +60,7 @@
 	for _, a := range s.Seeds {
 		checkAddress(p, "seeds", a)
 	}
-	for path, file := range map[string]string{
-		"tls.authority_file": s.TLS.AuthorityFile, "tls.cert_file": s.TLS.CertFile, "tls.key_file": s.TLS.KeyFile,
-	} {
-		if file == "" {
-			p.Add(path, "is missing")
-		}
-	}
+	s.TLS.Check(p, "tls")
 	s.checkTokens(p)
 	checkDuration(p, "window_ms", &s.WindowMS, defaultWindow)
 	checkDuration(p, "tolerance_ms", &s.ToleranceMS, defaultTolerance)
--- a/event/entry.go
+++ b/event/entry.go
@@ -16,5 +16,6 @@
 	EntryStateFromPeer   = define(411, Info, "configuration received from a peer")
 	EntryStateInvalid    = define(412, Warn, "configuration from a peer was refused")
 	EntryMemberSilent    = define(413, Warn, "member entry is silent")
+	EntryReplyLost       = define(415, Warn, "answer was not sent to the peer")
 	EntryLeaveFailed     = define(414, Warn, "leave record was not appended")
 )
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -222,6 +222,8 @@
 	TraceParent string `cbor:"4,keyasint,omitempty"`
 	// Hops counts forwards; a home forwards at most once more.
 	Hops uint8 `cbor:"5,keyasint,omitempty"`
+	// Offset asks for the answer from this byte on; see Forwarded.Total.
+	Offset int `cbor:"6,keyasint,omitempty"`
 }
 
 // FetchAction says what a Fetch asks of the home.
@@ -240,6 +242,9 @@
 	Submission  string      `cbor:"2,keyasint"`
 	SubmittedAt int64       `cbor:"3,keyasint,omitempty"`
 	Action      FetchAction `cbor:"4,keyasint"`
+	Hops        uint8       `cbor:"5,keyasint,omitempty"`
+	// Offset asks for the answer from this byte on; see Forwarded.Total.
+	Offset int `cbor:"6,keyasint,omitempty"`
 }
 
 // Forwarded carries the HTTP answer of the home.
@@ -247,6 +252,9 @@
 	Status     int    `cbor:"1,keyasint"`
 	Body       []byte `cbor:"2,keyasint"`
 	RetryAfter int64  `cbor:"3,keyasint,omitempty"` // seconds
+	// Total is the size of the whole answer when it does not fit one frame. The
+	// same message with an Offset then fetches the rest.
+	Total int `cbor:"4,keyasint,omitempty"`
 }
 
 // Ack is the empty reply.
