Platform client and stand-in, ticket and membership folds with followers

Cause: entries, agents and the development stack need the log, the leases, configuration and homes before they can be wired. Change: platform client with errors that tell "not applied" from "unknown"; in-memory stand-in with run-time faults and its thin command; platform/follow, one follower for any stream; ticket validation, fold, submit and exchange with peers; membership fold, views, rendezvous home, join, leave, reset. The completeness rule is strict (known time > L - lead): the platform may stamp an unread record with exactly the time of the last read.

--- /dev/null
+++ b/cmd/oriole-platform/main.go
@@ -0,0 +1,83 @@
+// Command oriole-platform is an in-memory fake of the platform's log and leases
+// for tests and development.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"oriolerelay/event"
+	"oriolerelay/platform/standin"
+	"oriolerelay/settings"
+)
+
+// shutdownTimeout bounds the wait for calls in flight.
+const shutdownTimeout = 5 * time.Second
+
+// config holds the settings.
+type config struct {
+	// Listen is the TCP address as host:port.
+	Listen string `json:"listen"`
+	// RetentionMS is the age at which records expire, in ms; 0 keeps all.
+	RetentionMS int64 `json:"retention_ms"`
+}
+
+// Check implements settings.Checker.
+func (c *config) Check(p *settings.Problems) {
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		p.Add("listen", "must be host:port: %v", err)
+	}
+	if c.RetentionMS < 0 {
+		p.Add("retention_ms", "must not be negative, is %d", c.RetentionMS)
+	}
+}
+
+func main() {
+	path := flag.String("settings", "", "path of the JSON settings")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Parse()
+	if err := run(*path, *check); err != nil {
+		fmt.Fprintln(os.Stderr, "oriole-platform:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string, check bool) error {
+	var c config
+	if err := settings.Load(path, &c); err != nil || check {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log := event.NewLogger(os.Stderr, "platform")
+	log.Log(event.ProcessStarted, "address", l.Addr())
+	retention := time.Duration(c.RetentionMS) * time.Millisecond
+	server := &http.Server{Handler: standin.New(standin.WithRetention(retention)), ReadHeaderTimeout: shutdownTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	log.Log(event.ProcessDraining)
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(shutdown); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	log.Log(event.ProcessStopped)
+	return nil
+}
--- /dev/null
+++ b/members/follower.go
@@ -0,0 +1,211 @@
+package members
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"oriolerelay/errkind"
+	"oriolerelay/event"
+	"oriolerelay/ids"
+	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
+	"oriolerelay/wire"
+)
+
+const (
+	// SilentAfter is the time without contact after which a member may be reported
+	// as silent.
+	SilentAfter = 2 * time.Second
+	// leaveStep separates the entries that may append a leave record for a silent
+	// member, so that usually one does.
+	leaveStep = time.Second
+	// appendPause is the shortest time between two appends of one record. It covers
+	// a read, which shows a record whose answer was lost.
+	appendPause = time.Second
+	// rejoinPause and maxRejoinPause bound the pause before an entry that peers
+	// removed joins again; it doubles on repetition, so that two sides of a partition
+	// do not write membership records all the time.
+	rejoinPause    = 5 * time.Second
+	maxRejoinPause = 160 * time.Second
+	// stableAfter is the time in the view after which the pause is forgotten.
+	stableAfter = 10 * time.Minute
+	// resetAfter is the time for which a reader without a base waits for a snapshot.
+	resetAfter = 10 * time.Second
+)
+
+// Option changes a Follower at construction.
+type Option func(*follow.Options)
+
+// WithRetention makes the follower write snapshots before records expire after d.
+func WithRetention(d time.Duration) Option { return func(o *follow.Options) { o.Retention = d } }
+
+// Follower keeps the membership and places submissions. Its methods are safe for
+// concurrent use.
+type Follower struct {
+	client  *platform.Client
+	log     *event.Logger
+	records *follow.Follower[*State]
+
+	mu     sync.Mutex
+	self   Member // zero when this process is no member
+	upkeep upkeep
+}
+
+// upkeep holds the timers of the records that this process owes the log.
+type upkeep struct {
+	silent      map[ids.Incarnation]time.Time // since when a member was reported
+	tried       map[ids.Incarnation]time.Time // the last leave record appended for it
+	joinAt      time.Time                     // the earliest time of the next join record
+	joinedSince time.Time                     // zero while not in the newest view
+	wasMember   bool
+	replaced    bool
+	pause       time.Duration
+	noBaseSince time.Time
+}
+
+// NewFollower returns a follower that knows no members. log may be nil.
+func NewFollower(client *platform.Client, log *event.Logger, opts ...Option) *Follower {
+	o := follow.Options{Log: log}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Follower{client: client, log: log, records: follow.New(client, Stream, machine{}, o)}
+}
+
+// Run follows the log and appends the records that are due, until ctx ends. It
+// must be called once.
+func (f *Follower) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return f.records.Run(ctx) })
+	g.Go(func() error {
+		ticker := time.NewTicker(follow.ReadInterval)
+		defer ticker.Stop()
+		for {
+			f.maintain(ctx)
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	})
+	return g.Wait()
+}
+
+// State returns the newest fold and the platform time before which no unknown
+// record was stamped. It reports false while the log was not read completely.
+func (f *Follower) State() (s *State, knownMS int64, ok bool) {
+	p := f.records.Position()
+	return p.State, p.KnownMS, p.Folding
+}
+
+// Home returns the home of a submission. Its errors are of kind HomeUnknown (the
+// log was not read far enough), SubmissionStale (the view is no longer kept) and
+// HomeLost (with the incarnation, which has ended). A home that only left is
+// returned without error, since it may still answer.
+func (f *Follower) Home(sub ids.Submission, team string, submittedAt time.Time) (ids.Incarnation, error) {
+	s, knownMS, ok := f.State()
+	switch {
+	case ok:
+		return s.home(sub, team, submittedAt, knownMS)
+	case sub.Issued():
+		return sub.Home, nil
+	}
+	return ids.Incarnation{}, errkind.New(errkind.HomeUnknown, "the membership was not read yet")
+}
+
+// Left reports whether the incarnation has left or was replaced.
+func (f *Follower) Left(node ids.Incarnation) bool {
+	s, _, ok := f.State()
+	if !ok {
+		return false
+	}
+	_, left := s.departed(node)
+	return left
+}
+
+// Addresses returns the members of the newest view.
+func (f *Follower) Addresses() []wire.EntryAddress {
+	s, _, ok := f.State()
+	if !ok {
+		return nil
+	}
+	members := s.Newest().Members
+	addresses := make([]wire.EntryAddress, len(members))
+	for i, m := range members {
+		addresses[i] = wire.EntryAddress{Node: m.Node, Address: m.Address, Region: m.Region}
+	}
+	return addresses
+}
+
+// Address returns the address of a member or former member.
+func (f *Follower) Address(node ids.Incarnation) (string, bool) {
+	s, _, ok := f.State()
+	if !ok {
+		return "", false
+	}
+	members := s.Newest().Members
+	if i, found := findName(members, node.Name); found && members[i].Node == node {
+		return members[i].Address, true
+	}
+	d, found := s.departed(node)
+	return d.Member.Address, found
+}
+
+// Join makes this process a member and keeps it one until Leave. It waits until
+// the join record was read back; when ctx ends before, it returns the error and
+// the follower continues to try.
+func (f *Follower) Join(ctx context.Context, m Member) error {
+	f.mu.Lock()
+	f.self = m
+	f.upkeep.joinAt = time.Time{}
+	f.mu.Unlock()
+	return f.await(ctx, m.Node, true)
+}
+
+// Leave ends the membership of this process and waits until the leave record was
+// read back or ctx ends. Peers append the record later when this call cannot.
+func (f *Follower) Leave(ctx context.Context) error {
+	f.mu.Lock()
+	m := f.self
+	f.self = Member{}
+	f.mu.Unlock()
+	if m.Node.IsZero() {
+		return nil
+	}
+	if err := f.append(ctx, record{Type: typeLeave, Member: m, By: m.Node.String()}); platform.IsNotApplied(err) {
+		return err
+	}
+	return f.await(ctx, m.Node, false)
+}
+
+// await waits until the node is or is not in the newest view.
+func (f *Follower) await(ctx context.Context, node ids.Incarnation, member bool) error {
+	for {
+		if s, _, ok := f.State(); ok && s.has(node) == member {
+			return nil
+		}
+		select {
+		case <-time.After(follow.ReadInterval / 5):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *State) has(node ids.Incarnation) bool {
+	members := s.Newest().Members
+	i, found := findName(members, node.Name)
+	return found && members[i].Node == node
+}
+
+func (f *Follower) append(ctx context.Context, r record) error {
+	_, err := f.client.Append(ctx, Stream, r)
+	if err != nil {
+		f.log.Log(event.MemberAppendFail, "type", r.Type, "member", r.Member.Node, "err", err)
+	}
+	return err
+}
--- /dev/null
+++ b/members/follower_test.go
@@ -0,0 +1,91 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/errkind"
+	"oriolerelay/ids"
+	"oriolerelay/platform"
+	"oriolerelay/platform/standin"
+)
+
+func testMember(name string, number uint64) Member {
+	return Member{Node: ids.Incarnation{Name: name, Number: number}, Address: "127.0.0.1:1", Region: "west"}
+}
+
+// inBubble runs test with a fake clock, a platform and a function that starts a
+// follower of it.
+func inBubble(t *testing.T, test func(c *qt.C, server *standin.Server, start func() *Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		server := standin.New()
+		test(c, server, func() *Follower {
+			f := NewFollower(platform.NewClient("http://platform", platform.WithTransport(server.Transport())), nil)
+			go func() { _ = f.Run(ctx) }()
+			synctest.Wait()
+			return f
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func mustParse(c *qt.C, id string) ids.Submission {
+	sub, err := ids.ParseSubmission(id)
+	c.Assert(err, qt.IsNil)
+	return sub
+}
+
+// Guards against two entries that place one submission at different homes, and
+// against placing it while the log cannot be read.
+func TestFollowersAgreeOnTheHomeAndRefuseInAnOutage(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		a, b := start(), start()
+		c.Assert(a.Join(c.Context(), testMember("entry-a", 1)), qt.IsNil)
+		c.Assert(b.Join(c.Context(), testMember("entry-b", 2)), qt.IsNil)
+		time.Sleep(5 * time.Second)
+		homes := map[string]int{}
+		for i := range 100 {
+			sub := mustParse(c, fmt.Sprintf("west:order-%d", i))
+			at := time.Now().Add(400 * time.Millisecond)
+			homeA, err := a.Home(sub, "lace", at)
+			c.Assert(err, qt.IsNil)
+			homeB, err := b.Home(sub, "lace", at)
+			c.Assert(err, qt.IsNil)
+			c.Assert(homeA, qt.Equals, homeB)
+			homes[homeA.Name]++
+		}
+		c.Assert(homes, qt.HasLen, 2)
+
+		server.SetFaults(standin.Faults{Down: true})
+		time.Sleep(LeadMS * time.Millisecond)
+		_, err := a.Home(mustParse(c, "order-1"), "lace", time.Now())
+		c.Assert(errkind.Is(err, errkind.HomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
+// Guards against a dead member that keeps its share of new submissions, and
+// against a false leave that is permanent.
+func TestSilentMemberLeavesAndALiveOneRejoins(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *standin.Server, start func() *Follower) {
+		a, b := start(), start()
+		memberB := testMember("entry-b", 2)
+		c.Assert(a.Join(c.Context(), testMember("entry-a", 1)), qt.IsNil)
+		c.Assert(b.Join(c.Context(), memberB), qt.IsNil)
+		a.ReportSilent([]ids.Incarnation{memberB.Node})
+		time.Sleep(2 * time.Second)
+		c.Assert(a.Left(memberB.Node), qt.IsTrue)
+		a.ReportSilent(nil)
+		time.Sleep(rejoinPause + 2*time.Second)
+		c.Assert(a.Left(memberB.Node), qt.IsFalse)
+		c.Assert(b.Leave(c.Context()), qt.IsNil)
+		c.Assert(a.Addresses(), qt.HasLen, 1)
+	})
+}
--- /dev/null
+++ b/members/home.go
@@ -0,0 +1,111 @@
+package members
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oriolerelay/errkind"
+	"oriolerelay/ids"
+)
+
+// Complete reports whether a reader that knows every record stamped before
+// knownMS knows the view in force at the submission time atMS. A record stamped
+// exactly at knownMS may be unknown and would be in force at knownMS + LeadMS,
+// so the comparison is strict.
+func Complete(knownMS, atMS int64) bool { return knownMS > atMS-LeadMS }
+
+// At returns the view in force at the submission time in Unix ms, and false when
+// that view is older than the state goes back. The view is final only if
+// Complete holds.
+func (s *State) At(atMS int64) (View, bool) {
+	stamp := atMS - LeadMS
+	if stamp < s.FloorMS {
+		return View{}, false
+	}
+	after := sort.Search(len(s.Views), func(i int) bool { return s.Views[i].StampMS > stamp })
+	return s.Views[after-1], true
+}
+
+// Home returns the member with the highest rendezvous weight for the key (team,
+// id), among the members of a region when region is not empty. It reports false
+// without a candidate.
+func (v View) Home(team, id, region string) (Member, bool) {
+	var key xxhash.Digest
+	key.Reset()
+	_, _ = key.WriteString(team) // a Digest's write never fails
+	_, _ = key.Write([]byte{0})  // names and ids hold no zero byte
+	_, _ = key.WriteString(id)
+	prefix := key.Sum64()
+	best, bestWeight, found := 0, uint64(0), false
+	for i := range v.Members {
+		if region != "" && v.Members[i].Region != region {
+			continue
+		}
+		w := weight(prefix, v.Members[i].Node)
+		// Members are in order of their names, so equal weights have one winner.
+		if !found || w > bestWeight {
+			best, bestWeight, found = i, w, true
+		}
+	}
+	if !found {
+		return Member{}, false
+	}
+	return v.Members[best], true
+}
+
+func weight(key uint64, node ids.Incarnation) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(key)
+	_, _ = d.WriteString(node.Name)
+	var number [8]byte
+	for i := range number {
+		number[i] = byte(node.Number >> (8 * i))
+	}
+	_, _ = d.Write(number[:])
+	return d.Sum64()
+}
+
+// home places a submission by a state that knows every record stamped before
+// knownMS.
+func (s *State) home(sub ids.Submission, team string, submittedAt time.Time, knownMS int64) (ids.Incarnation, error) {
+	if sub.Issued() {
+		return sub.Home, s.checkAlive(sub.Home)
+	}
+	at := submittedAt.UnixMilli()
+	if !Complete(knownMS, at) {
+		return ids.Incarnation{}, errkind.New(errkind.HomeUnknown,
+			"the membership is known up to %d ms before the time needed", at-LeadMS-knownMS+1)
+	}
+	view, ok := s.At(at)
+	if !ok {
+		return ids.Incarnation{}, errkind.New(errkind.SubmissionStale, "the members at the submission time are no longer known")
+	}
+	home, ok := view.Home(team, sub.Raw, sub.Region)
+	if !ok {
+		err := errkind.New(errkind.HomeUnknown, "no entry of region %q was in force at the submission time", sub.Region)
+		// The view is final, so no entry ever acts for this id and time.
+		err.Outcome = errkind.NotRun
+		return ids.Incarnation{}, err
+	}
+	return home.Node, s.checkAlive(home.Node)
+}
+
+// checkAlive returns HomeLost when a later incarnation of the name has joined. A
+// member that only left may still answer for its submissions.
+func (s *State) checkAlive(node ids.Incarnation) error {
+	if d, ok := s.departed(node); ok && d.Replaced {
+		return errkind.New(errkind.HomeLost, "entry %s was replaced by a later incarnation", node)
+	}
+	return nil
+}
+
+func (s *State) departed(node ids.Incarnation) (Departed, bool) {
+	for i := len(s.Departed) - 1; i >= 0; i-- {
+		if s.Departed[i].Member.Node == node {
+			return s.Departed[i], true
+		}
+	}
+	return Departed{}, false
+}
--- /dev/null
+++ b/members/machine.go
@@ -0,0 +1,51 @@
+package members
+
+import (
+	"encoding/json"
+	"errors"
+
+	"oriolerelay/platform"
+)
+
+// machine folds the member stream for the follow package.
+type machine struct{}
+
+// stateJSON is the form of a State in a snapshot.
+type stateJSON struct {
+	FloorMS  int64      `json:"floor_ms"`
+	Views    []View     `json:"views"`
+	Departed []Departed `json:"departed"`
+}
+
+func (machine) Empty() *State { return EmptyState() }
+
+func (machine) Apply(s *State, r platform.Record) *State { return s.Apply(r) }
+
+func (machine) Restart(r platform.Record) (*State, bool) {
+	rec, err := decodeRecord(r.Value)
+	if err != nil || rec.Type != typeReset {
+		return nil, false
+	}
+	return resetState(r), true
+}
+
+func (machine) Encode(s *State) (json.RawMessage, error) {
+	return json.Marshal(stateJSON(*s))
+}
+
+func (machine) Decode(b json.RawMessage) (*State, error) {
+	var j stateJSON
+	if err := json.Unmarshal(b, &j); err != nil {
+		return nil, err
+	}
+	if len(j.Views) == 0 || j.Views[0].StampMS != j.FloorMS {
+		return nil, errors.New("snapshot whose views do not start at its floor")
+	}
+	for i := 1; i < len(j.Views); i++ {
+		if j.Views[i].StampMS < j.Views[i-1].StampMS {
+			return nil, errors.New("snapshot whose views are out of order")
+		}
+	}
+	s := State(j)
+	return &s, nil
+}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,209 @@
+// Package members folds the membership records of entries and places
+// submissions: it finds the home of a submission from the view that was in force
+// at the submission's own time (design section 4).
+package members
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"oriolerelay/ids"
+	"oriolerelay/platform"
+)
+
+// Stream is the log stream of membership records.
+const Stream = "members"
+
+const (
+	// LeadMS is the time after its stamp from which a record is in force, in ms. It
+	// must exceed the age of a follower's newest read plus the clock tolerance.
+	LeadMS = 3000
+	// keepMS is the time for which past views are kept, in ms of the stream. It covers
+	// the submission window of 120 s, the lead and as much again for a slow log.
+	keepMS = 2*120_000 + LeadMS
+	// maxDeparted bounds the departed incarnations that are remembered to answer
+	// home_lost: five days at 200 restarts and failures a day.
+	maxDeparted = 1024
+)
+
+// Member is one entry incarnation.
+type Member struct {
+	Node       ids.Incarnation `json:"node"`
+	Address    string          `json:"address"`
+	Region     string          `json:"region,omitempty"`
+	DataCentre string          `json:"data_centre,omitempty"`
+}
+
+// View is the set of members in force from a time on. It is never modified.
+type View struct {
+	// StampMS is the platform time of the record that made the view. The view is in
+	// force for submissions from StampMS + LeadMS on.
+	StampMS int64 `json:"stamp_ms"`
+	// Members are in order of their names, one incarnation for each name.
+	Members []Member `json:"members"`
+}
+
+// Departed is a former member.
+type Departed struct {
+	Member  Member `json:"member"`
+	StampMS int64  `json:"stamp_ms"`
+	// Replaced means that a later incarnation of the name joined, so that this one
+	// has ended.
+	Replaced bool `json:"replaced"`
+}
+
+// State is the fold of a prefix of the stream. It is never modified, and it is a
+// function of the records alone.
+type State struct {
+	// FloorMS is the stamp of the oldest view. Views in force at submission times
+	// before FloorMS + LeadMS are not known.
+	FloorMS int64
+	// Views are in order of their stamps. There is at least one.
+	Views []View
+	// Departed are former members, the latest last.
+	Departed []Departed
+}
+
+// Record types in the stream.
+const (
+	typeJoin  = "join"
+	typeLeave = "leave"
+	// typeReset ends all memberships. It is a base for readers when older records
+	// have expired without a snapshot.
+	typeReset = "reset"
+)
+
+// record is a membership record.
+type record struct {
+	Type   string `json:"type"`
+	Member Member `json:"member,omitzero"`
+	// By is the entry that appended the record.
+	By string `json:"by,omitempty"`
+}
+
+// decodeRecord parses a record of the stream. Unknown fields are ignored.
+func decodeRecord(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}, fmt.Errorf("decode record: %w", err)
+	}
+	switch r.Type {
+	case typeReset:
+		return r, nil
+	case typeJoin, typeLeave:
+		if !ids.ValidName(r.Member.Node.Name) {
+			return record{}, fmt.Errorf("%s of an invalid name %q", r.Type, r.Member.Node.Name)
+		}
+		return r, nil
+	}
+	return record{}, fmt.Errorf("record of type %q is no membership record", r.Type)
+}
+
+// EmptyState returns the fold of no records.
+func EmptyState() *State { return &State{Views: []View{{}}} }
+
+// Newest returns the view after all folded records. It may not be in force yet.
+func (s *State) Newest() View { return s.Views[len(s.Views)-1] }
+
+// Apply returns the state after the record. A record that is no membership
+// record, or that changes nothing, returns s itself.
+func (s *State) Apply(r platform.Record) *State {
+	rec, err := decodeRecord(r.Value)
+	if err != nil {
+		return s
+	}
+	switch rec.Type {
+	case typeReset:
+		return resetState(r)
+	case typeJoin:
+		return s.join(rec.Member, r.TimeMS)
+	}
+	return s.leave(rec.Member.Node, r.TimeMS)
+}
+
+// resetState is the state right after a reset record. It keeps nothing of the
+// earlier records, so that every reader has the same state after it.
+func resetState(r platform.Record) *State {
+	return &State{FloorMS: r.TimeMS, Views: []View{{StampMS: r.TimeMS}}}
+}
+
+func (s *State) join(m Member, stamp int64) *State {
+	members := s.Newest().Members
+	i, found := findName(members, m.Node.Name)
+	if found && members[i] == m {
+		return s // a repeated append after a lost answer
+	}
+	if d, ok := s.departed(m.Node); ok && d.Replaced {
+		return s // a delayed append of an incarnation that has ended
+	}
+	departed := withoutIncarnation(s.Departed, m.Node)
+	joined := slices.Clone(members)
+	if !found {
+		joined = slices.Insert(joined, i, m)
+		departed = markReplaced(departed, m.Node)
+	} else {
+		if old := members[i]; old.Node != m.Node {
+			departed = append(departed, Departed{Member: old, StampMS: stamp})
+			departed = markReplaced(departed, m.Node)
+		}
+		joined[i] = m
+	}
+	return s.with(joined, departed, stamp)
+}
+
+func (s *State) leave(node ids.Incarnation, stamp int64) *State {
+	members := s.Newest().Members
+	i, found := findName(members, node.Name)
+	if !found || members[i].Node != node {
+		return s
+	}
+	departed := append(slices.Clone(s.Departed), Departed{Member: members[i], StampMS: stamp})
+	left := slices.Delete(slices.Clone(members), i, i+1)
+	return s.with(left, departed, stamp)
+}
+
+// with returns the state with a new newest view, without the views and departed
+// members that are no longer needed at stamp.
+func (s *State) with(members []Member, departed []Departed, stamp int64) *State {
+	views := slices.Clone(s.Views)
+	v := View{StampMS: stamp, Members: members}
+	if last := len(views) - 1; views[last].StampMS == stamp {
+		views[last] = v // records with one stamp come into force together
+	} else {
+		views = append(views, v)
+	}
+	keep := 0
+	for keep+1 < len(views) && views[keep+1].StampMS <= stamp-keepMS {
+		keep++
+	}
+	views = views[keep:]
+	floor := s.FloorMS
+	if keep > 0 {
+		floor = views[0].StampMS
+	}
+	departed = departed[max(0, len(departed)-maxDeparted):]
+	return &State{FloorMS: floor, Views: views, Departed: departed}
+}
+
+func findName(members []Member, name string) (int, bool) {
+	return slices.BinarySearchFunc(members, name, func(m Member, n string) int {
+		return cmp.Compare(m.Node.Name, n)
+	})
+}
+
+func withoutIncarnation(d []Departed, node ids.Incarnation) []Departed {
+	return slices.DeleteFunc(slices.Clone(d), func(x Departed) bool { return x.Member.Node == node })
+}
+
+// markReplaced marks the former incarnations of a name that joined again. It
+// changes d, which must not be shared.
+func markReplaced(d []Departed, node ids.Incarnation) []Departed {
+	for i := range d {
+		if d[i].Member.Node.Name == node.Name {
+			d[i].Replaced = true
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/members/upkeep.go
@@ -0,0 +1,155 @@
+package members
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oriolerelay/event"
+	"oriolerelay/ids"
+)
+
+// ReportSilent tells the follower which members have been out of contact for
+// SilentAfter. A member that is not reported again counts as heard of. The
+// follower appends leave records for them in its turn.
+func (f *Follower) ReportSilent(nodes []ids.Incarnation) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := make(map[ids.Incarnation]time.Time, len(nodes))
+	for _, n := range nodes {
+		since[n] = now
+		if t, ok := f.upkeep.silent[n]; ok {
+			since[n] = t
+		}
+	}
+	f.upkeep.silent = since
+}
+
+// maintain appends the records that are due.
+func (f *Follower) maintain(ctx context.Context) {
+	for _, r := range f.due(time.Now()) {
+		if err := f.append(ctx, r); err != nil {
+			continue
+		}
+		switch r.Type {
+		case typeJoin:
+			f.log.Log(event.MemberJoined, "member", r.Member.Node)
+		case typeLeave:
+			f.log.Log(event.MemberLeft, "member", r.Member.Node)
+		case typeReset:
+			f.log.Log(event.MembersReset)
+		}
+	}
+}
+
+// due returns the records to append now and notes the attempts.
+func (f *Follower) due(now time.Time) []record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.records.Position()
+	if !p.Folding {
+		return f.dueReset(p.NoBase, now)
+	}
+	f.upkeep.noBaseSince = time.Time{}
+	if f.self.Node.IsZero() {
+		return nil
+	}
+	return append(f.dueJoin(p.State, now), f.dueLeaves(p.State, now)...)
+}
+
+// dueReset starts the membership anew when the records before the kept ones are
+// gone and no snapshot has appeared. Entries that still run see the reset in the
+// same order and join again, so no two views differ.
+func (f *Follower) dueReset(noBase bool, now time.Time) []record {
+	u := &f.upkeep
+	switch {
+	case !noBase || f.self.Node.IsZero():
+		u.noBaseSince = time.Time{}
+		return nil
+	case u.noBaseSince.IsZero():
+		u.noBaseSince = now
+		return nil
+	case now.Sub(u.noBaseSince) < resetAfter:
+		return nil
+	}
+	u.noBaseSince = now
+	return []record{{Type: typeReset, By: f.self.Node.String()}}
+}
+
+func (f *Follower) dueJoin(s *State, now time.Time) []record {
+	u := &f.upkeep
+	if s.has(f.self.Node) {
+		if u.joinedSince.IsZero() {
+			u.joinedSince = now
+		}
+		if now.Sub(u.joinedSince) > stableAfter {
+			u.pause = 0
+		}
+		u.wasMember = true
+		return nil
+	}
+	if d, ok := s.departed(f.self.Node); ok && d.Replaced {
+		if !u.replaced {
+			u.replaced = true
+			f.log.Log(event.MemberReplaced, "member", f.self.Node)
+		}
+		return nil
+	}
+	if u.wasMember {
+		u.wasMember, u.joinedSince = false, time.Time{}
+		u.pause = min(max(rejoinPause, 2*u.pause), maxRejoinPause)
+		u.joinAt = now.Add(u.pause)
+		f.log.Log(event.MemberRejoins, "member", f.self.Node, "after", u.pause)
+	}
+	if now.Before(u.joinAt) {
+		return nil
+	}
+	u.joinAt = now.Add(appendPause)
+	return []record{{Type: typeJoin, Member: f.self, By: f.self.Node.String()}}
+}
+
+func (f *Follower) dueLeaves(s *State, now time.Time) []record {
+	u := &f.upkeep
+	var records []record
+	for node, since := range u.silent {
+		if !s.has(node) || node == f.self.Node {
+			continue
+		}
+		if now.Sub(since) < leaveDelay(s.Newest().Members, u.silent, node, f.self.Node) {
+			continue
+		}
+		if now.Sub(u.tried[node]) < appendPause {
+			continue
+		}
+		if u.tried == nil {
+			u.tried = map[ids.Incarnation]time.Time{}
+		}
+		u.tried[node] = now
+		records = append(records, record{Type: typeLeave, Member: Member{Node: node}, By: f.self.Node.String()})
+	}
+	for node := range u.tried {
+		if !s.has(node) {
+			delete(u.tried, node)
+		}
+	}
+	return records
+}
+
+// leaveDelay is the time for which self waits before it appends a leave record
+// for a silent member: the member that follows it in name order, among those
+// that are not silent, goes first.
+func leaveDelay(members []Member, silent map[ids.Incarnation]time.Time, node, self ids.Incarnation) time.Duration {
+	start := slices.IndexFunc(members, func(m Member) bool { return m.Node == node })
+	rank := 0
+	for i := 1; i < len(members); i++ {
+		m := members[(start+i)%len(members)].Node
+		if m == self {
+			break
+		}
+		if _, ok := silent[m]; !ok {
+			rank++
+		}
+	}
+	return time.Duration(rank) * leaveStep
+}
--- /dev/null
+++ b/ticket/follower_test.go
@@ -0,0 +1,93 @@
+package ticket
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/errkind"
+	"oriolerelay/platform"
+	"oriolerelay/platform/standin"
+)
+
+func validService() *Service {
+	return &Service{
+		Kinds:     map[string]Kind{"preview": {DeadlineMS: 2000, ExpectedMS: 100, MaxAttempts: 1, QueueLimit: 100}},
+		Endpoints: EndpointRules{Policy: policyLeastFinish, Buffer: 2, EjectAfterFailures: 5, EjectMS: 1000},
+	}
+}
+
+func serviceTicket(number uint64, author string) *Ticket {
+	return &Ticket{Number: number, Author: author, Reason: "test", Services: map[string]*Service{"veil-desk": validService()}}
+}
+
+// inBubble runs test with a fake clock, a platform and a function that starts a
+// follower of it.
+func inBubble(t *testing.T, test func(c *qt.C, server *standin.Server, start func() *Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		server := standin.New()
+		test(c, server, func() *Follower {
+			f := NewFollower(platform.NewClient("http://platform", platform.WithTransport(server.Transport())), nil)
+			go func() { _ = f.Run(ctx) }()
+			synctest.Wait()
+			return f
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against two operators who both believe that their ticket is in force.
+func TestConflictingTicketsHaveOneWinner(t *testing.T) {
+	inBubble(t, func(c *qt.C, _ *standin.Server, start func() *Follower) {
+		first, second := start(), start()
+		results := make(chan error, 2)
+		for i, f := range []*Follower{first, second} {
+			go func() {
+				_, err := f.Submit(c.Context(), serviceTicket(1, fmt.Sprintf("operator-%d", i)))
+				results <- err
+			}()
+		}
+		a, b := <-results, <-results
+		if a != nil {
+			a, b = b, a
+		}
+		c.Assert(a, qt.IsNil)
+		c.Assert(errkind.Is(b, errkind.TicketLost), qt.IsTrue, qt.Commentf("%v", b))
+		time.Sleep(time.Second)
+		c.Assert(first.Load(), qt.DeepEquals, second.Load())
+		c.Assert(first.Load().Number, qt.Equals, uint64(1))
+	})
+}
+
+// Guards against a wrong answer when the append took effect and its reply was lost.
+func TestSubmitReadsBackAfterALostAnswer(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		f := start()
+		server.SetFaults(standin.Faults{LoseAnswers: true})
+		v, err := f.Submit(c.Context(), serviceTicket(1, "fraser"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(v.Status, qt.Equals, StatusAccepted)
+		c.Assert(f.Load().Number, qt.Equals, uint64(1))
+	})
+}
+
+// Guards against a ticket that is reported as not sent although it was, and the reverse.
+func TestSubmitDuringAnOutage(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		f := start()
+		server.SetFaults(standin.Faults{Down: true})
+		_, err := f.Submit(c.Context(), serviceTicket(1, "fraser"))
+		c.Assert(errkind.Is(err, errkind.LogUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+		server.SetFaults(standin.Faults{})
+		v, err := f.Submit(c.Context(), serviceTicket(1, "fraser"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(v.Status, qt.Equals, StatusAccepted)
+	})
+}
