Entry: failure tests of homes and forwards

Change: entries in one process over loopback QUIC with a counting fake of the dispatcher: receiving entry dies, home dies and is replaced, interleaved answers, broken and silent connections, views that differ, answers larger than a frame, configuration from a peer. Two faults were found and fixed: an earlier incarnation of the entry's own name was answered as unreachable instead of lost, and accepted connections stayed open after the listener was closed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,13 +50,15 @@
 
 // Members knows the entries.
 type Members interface {
-	// Home returns the home of a caller-chosen id, or home_unknown when the
-	// membership at submittedAt is not completely known.
+	// Home returns the home of a submission. Its errors are of kind HomeUnknown,
+	// when the membership at submittedAt is not completely known, SubmissionStale,
+	// when it is no longer known, and HomeLost, when the home was replaced.
 	Home(id ids.Submission, team string, submittedAt time.Time) (ids.Incarnation, error)
-	// Own reports whether this process joined under node.
-	Own(node ids.Incarnation) bool
-	// Gone reports whether node has left or was replaced.
-	Gone(node ids.Incarnation) bool
-	// Entries lists the entries of the newest view with their addresses.
-	Entries() []wire.EntryAddress
+	// Left reports whether node has left or was replaced.
+	Left(node ids.Incarnation) bool
+	// Addresses lists the entries of the newest view.
+	Addresses() []wire.EntryAddress
+	// ReportSilent names the members without contact for some seconds; it replaces
+	// the earlier report.
+	ReportSilent(nodes []ids.Incarnation)
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -30,6 +30,8 @@
 	release chan struct{} // nil runs jobs at once
 	running chan struct{} // receives one value for each job that began, may be nil
 	fail    *errkind.Error
+	gate    func()                       // called before a job ends, may be nil
+	result  func(t dispatch.Task) []byte // the answer of a task; nil returns its payload
 	// withdrawn receives the id of each job whose context ended, may be nil.
 	withdrawn chan string
 	pushed    chan wire.State // receives each pushed configuration, may be nil
@@ -62,8 +64,11 @@
 	}
 	d.starts.add(job)
 	d.mu.Lock()
-	running, release := d.running, d.release
+	running, release, gate, result := d.running, d.release, d.gate, d.result
 	d.mu.Unlock()
+	if gate != nil {
+		gate()
+	}
 	if running != nil {
 		running <- struct{}{}
 	}
@@ -79,11 +84,18 @@
 	}
 	a := dispatch.Answer{Started: len(job.Tasks)}
 	for _, t := range job.Tasks {
-		a.Tasks = append(a.Tasks, dispatch.TaskAnswer{Outcome: errkind.Done, Body: t.Payload})
+		a.Tasks = append(a.Tasks, dispatch.TaskAnswer{Outcome: errkind.Done, Body: answerOf(t, result)})
 	}
 	return a
 }
 
+func answerOf(t dispatch.Task, result func(dispatch.Task) []byte) []byte {
+	if result != nil {
+		return result(t)
+	}
+	return t.Payload
+}
+
 func failedAnswer(job dispatch.Job, err *errkind.Error, o errkind.Outcome) dispatch.Answer {
 	a := dispatch.Answer{Err: err}
 	for range job.Tasks {
@@ -94,8 +106,11 @@
 
 func (d *fakeDispatcher) AgentHandler(*transport.Conn) transport.Handler { return ignore{} }
 func (d *fakeDispatcher) PushState(m wire.State) {
-	if d.pushed != nil {
-		d.pushed <- m
+	d.mu.Lock()
+	pushed := d.pushed
+	d.mu.Unlock()
+	if pushed != nil {
+		pushed <- m
 	}
 }
 
@@ -170,24 +185,38 @@
 	home    func(id ids.Submission, team string) (ids.Incarnation, error)
 	gone    map[ids.Incarnation]bool
 	entries []wire.EntryAddress
+	silent  []ids.Incarnation
+	// reported is closed at the first report of a silent member, may be nil.
+	reported chan struct{}
 }
 
 func (f *fakeMembers) Home(id ids.Submission, team string, _ time.Time) (ids.Incarnation, error) {
+	if id.Issued() {
+		return id.Home, nil
+	}
 	f.mu.Lock()
 	home := f.home
 	f.mu.Unlock()
 	return home(id, team)
 }
 
-func (f *fakeMembers) Own(ids.Incarnation) bool { return false }
+func (f *fakeMembers) ReportSilent(nodes []ids.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = nodes
+	if f.reported != nil && len(nodes) > 0 {
+		close(f.reported)
+		f.reported = nil
+	}
+}
 
-func (f *fakeMembers) Gone(n ids.Incarnation) bool {
+func (f *fakeMembers) Left(n ids.Incarnation) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.gone[n]
 }
 
-func (f *fakeMembers) Entries() []wire.EntryAddress {
+func (f *fakeMembers) Addresses() []wire.EntryAddress {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.entries
--- a/entry/fetch.go
+++ b/entry/fetch.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return errorReply(err)
 	}
-	if s.isSelf(home) {
+	if home == s.self {
 		return s.inquireHere(ctx, q)
 	}
 	if q.hops >= maxHops {
--- a/entry/home.go
+++ b/entry/home.go
@@ -16,24 +16,17 @@
 	if s.record.Lookup(submission.Key{Team: team, ID: id.Raw}) != nil {
 		return s.self, nil
 	}
-	if !id.Issued() {
-		return s.members.Home(id, team, time.UnixMilli(submittedAt))
+	home, err := s.members.Home(id, team, time.UnixMilli(submittedAt))
+	if err == nil && home.Name == s.self.Name && home != s.self {
+		err = errHomeLost(home) // an earlier process of this entry's name
 	}
-	if id.Home.Name == s.self.Name && !s.isSelf(id.Home) {
-		return ids.Incarnation{}, errHomeLost(id.Home)
-	}
-	return id.Home, nil
+	return home, err
 }
 
 func errHomeLost(home ids.Incarnation) error {
 	return errkind.New(errkind.HomeLost, "the home %s of the submission is gone", home)
 }
 
-// isSelf reports whether this process is the home of submissions placed at node.
-func (s *Server) isSelf(node ids.Incarnation) bool {
-	return node == s.self || s.members.Own(node)
-}
-
 // checkAge refuses a submission outside its window. Without a record, one that
 // is too old may have run, since its record may have expired.
 func (s *Server) checkAge(a *arrival) error {
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -10,17 +10,19 @@
 	"oriolerelay/wire"
 )
 
-// ServeInternal accepts the connections of agents and peer entries until ctx ends.
+// ServeInternal accepts the connections of agents and peer entries until ctx
+// ends, and then closes them.
 func (s *Server) ServeInternal(ctx context.Context, l *transport.Listener) error {
+	defer s.conns.close()
 	return l.Serve(ctx, s.acceptInternal)
 }
 
 func (s *Server) acceptInternal(c *transport.Conn) transport.Handler {
+	s.conns.add(c)
 	if c.PeerHello.Role != wire.RoleAgent {
 		return &peerConn{server: s}
 	}
 	s.log.Log(event.EntryAgentConnected, "agent", c.PeerHello.Node, "address", c.RemoteAddr())
-	s.agents.add(c)
 	return &agentConn{server: s, inner: s.disp.AgentHandler(c)}
 }
 
@@ -40,7 +42,7 @@
 func (a *agentConn) Handle(c *transport.Conn, f wire.Frame) { a.inner.Handle(c, f) }
 
 func (a *agentConn) Closed(c *transport.Conn, err error) {
-	a.server.agents.remove(c)
+	a.server.conns.remove(c)
 	a.server.log.Log(event.EntryAgentClosed, "agent", c.PeerHello.Node, "err", err)
 	a.inner.Closed(c, err)
 }
@@ -66,7 +68,7 @@
 	}
 }
 
-func (p *peerConn) Closed(*transport.Conn, error) {}
+func (p *peerConn) Closed(c *transport.Conn, _ error) { p.server.conns.remove(c) }
 
 func (s *Server) heartbeat() *wire.Heartbeat {
 	return &wire.Heartbeat{Ticket: s.tickets.Load().Number}
@@ -132,33 +134,52 @@
 	}
 }
 
-// agentConns are the open connections of agents. It is safe for concurrent use.
-type agentConns struct {
-	mu    sync.Mutex
-	conns map[*transport.Conn]struct{}
+// openConns are the accepted connections. It is safe for concurrent use.
+type openConns struct {
+	mu     sync.Mutex
+	conns  map[*transport.Conn]struct{}
+	closed bool
 }
 
-func (a *agentConns) add(c *transport.Conn) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conns == nil {
-		a.conns = make(map[*transport.Conn]struct{})
+func (o *openConns) add(c *transport.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		_ = c.Close()
+		return
+	}
+	if o.conns == nil {
+		o.conns = make(map[*transport.Conn]struct{})
 	}
-	a.conns[c] = struct{}{}
+	o.conns[c] = struct{}{}
+}
+
+func (o *openConns) remove(c *transport.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, c)
 }
 
-func (a *agentConns) remove(c *transport.Conn) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.conns, c)
+// close closes all connections and each later one. A closed listener alone
+// would leave them open.
+func (o *openConns) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	for c := range o.conns {
+		_ = c.Close()
+	}
 }
 
-func (a *agentConns) list() []*transport.Conn {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	list := make([]*transport.Conn, 0, len(a.conns))
-	for c := range a.conns {
-		list = append(list, c)
+// agents returns the connections of agents.
+func (o *openConns) agents() []*transport.Conn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []*transport.Conn
+	for c := range o.conns {
+		if c.PeerHello.Role == wire.RoleAgent {
+			list = append(list, c)
+		}
 	}
 	return list
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -35,8 +35,7 @@
 	self    ids.Incarnation
 	seeds   []string
 	dial    func(ctx context.Context, address string) (*transport.Conn, error)
-	gone    func(ids.Incarnation) bool
-	entries func() []wire.EntryAddress
+	members Members
 	beat    func() *wire.Heartbeat
 	log     *event.Logger
 
@@ -86,7 +85,7 @@
 	for _, a := range p.seeds {
 		p.want(a)
 	}
-	p.learn(p.entries())
+	p.learn(p.members.Addresses())
 }
 
 // learn starts a link to each entry that is named by the view or by a peer.
@@ -191,7 +190,7 @@
 			return true
 		}
 	}
-	for _, e := range p.entries() {
+	for _, e := range p.members.Addresses() {
 		if e.Address == address {
 			return true
 		}
@@ -229,7 +228,7 @@
 // not when the last one failed. The errors are of kind HomeLost, when the log
 // shows that home is gone, and HomeUnreachable.
 func (p *peers) get(ctx context.Context, home ids.Incarnation) (*transport.Conn, error) {
-	for _, e := range p.entries() {
+	for _, e := range p.members.Addresses() {
 		if e.Node.Name == home.Name {
 			p.want(e.Address)
 		}
@@ -251,7 +250,7 @@
 		}
 		break
 	}
-	if p.gone(home) {
+	if p.members.Left(home) {
 		return nil, errHomeLost(home)
 	}
 	return nil, errkind.New(errkind.HomeUnreachable, "this entry has no connection to the home %s", home)
--- a/entry/run.go
+++ b/entry/run.go
@@ -78,6 +78,6 @@
 type alone struct{ self ids.Incarnation }
 
 func (a alone) Home(ids.Submission, string, time.Time) (ids.Incarnation, error) { return a.self, nil }
-func (a alone) Own(ids.Incarnation) bool                                        { return false }
-func (a alone) Gone(ids.Incarnation) bool                                       { return false }
-func (a alone) Entries() []wire.EntryAddress                                    { return nil }
+func (a alone) Left(ids.Incarnation) bool                                       { return false }
+func (a alone) Addresses() []wire.EntryAddress                                  { return nil }
+func (a alone) ReportSilent([]ids.Incarnation)                                  {}
--- a/entry/server.go
+++ b/entry/server.go
@@ -65,7 +65,7 @@
 	record  *submission.Table
 	running runningJobs
 	peers   peers
-	agents  agentConns
+	conns   openConns
 
 	draining atomic.Bool // readyz fails
 	refusing atomic.Bool // new submissions are refused
@@ -101,8 +101,7 @@
 		self:    o.Self,
 		seeds:   o.Seeds,
 		dial:    s.dialPeer(o.Transport),
-		gone:    o.Members.Gone,
-		entries: o.Members.Entries,
+		members: o.Members,
 		beat:    s.heartbeat,
 		log:     o.Logger,
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return errorReply(err)
 	}
-	if s.isSelf(home) {
+	if home == s.self {
 		return s.submitHere(ctx, a)
 	}
 	return s.forwardSubmission(ctx, home, a)
