Entry: operators' API, view watch, drain and the whole daemon

Cause: the entry needs its followers of tickets and members, and a stop that interrupts nothing. A drain fails readyz, appends the leave record, serves new submissions for the grace period and until no view places ids here, then refuses them, waits for jobs, HTTP requests and answers owed to peers, and closes. Idle HTTP connections are closed by the answer header during the grace period: SetKeepAlivesEnabled(false) was ruled out because it closes idle connections at once, under a request that is on its way. Conclusion: the daemon itself still lacks a test.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -67,7 +67,7 @@
 	opts.Self, opts.Tickets, opts.Members = self, n.tickets, n.members
 	opts.Transport = transport.Options{
 		TLS:   c.tls(self.Name),
-		Hello: func() wire.Hello { return wire.Hello{Node: self, Role: wire.RoleEntry, Entries: n.members.Addresses()} },
+		Hello: func() wire.Hello { return n.server.hello() },
 	}
 	n.server = New(opts)
 	n.handler = n.server.Handler()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,10 @@
 	Encoded() (number uint64, state []byte, err error)
 	// Offer takes the state of a peer if it is newer.
 	Offer(state []byte) error
+	// Fold returns the fold of the log, and false while it was not read completely.
+	Fold() (ticket.Fold, bool)
+	// Submit sends a ticket and returns its verdict after it was read back.
+	Submit(ctx context.Context, t *ticket.Ticket) (ticket.Verdict, error)
 }
 
 // Members knows the entries.
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -179,6 +179,12 @@
 	return nil
 }
 
+func (f *fakeTickets) Fold() (ticket.Fold, bool) { return ticket.Fold{State: f.Load()}, true }
+
+func (f *fakeTickets) Submit(context.Context, *ticket.Ticket) (ticket.Verdict, error) {
+	return ticket.Verdict{}, errkind.New(errkind.LogUnavailable, "no log in this test")
+}
+
 // fakeMembers is a view that a test sets.
 type fakeMembers struct {
 	mu      sync.Mutex
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,9 +55,9 @@
 	s := p.server
 	switch m := f.Body.(type) {
 	case *wire.Forward:
-		go func() { s.sendForwarded(c, f.CallID, s.serveForward(m), m.Offset) }()
+		s.serveCall(c, f.CallID, m.Offset, func() reply { return s.serveForward(m) })
 	case *wire.Fetch:
-		go func() { s.sendForwarded(c, f.CallID, s.serveFetch(m), m.Offset) }()
+		s.serveCall(c, f.CallID, m.Offset, func() reply { return s.serveFetch(m) })
 	case *wire.Heartbeat:
 		s.peerTicket(c, m.Ticket)
 	case *wire.State:
@@ -70,6 +71,30 @@
 
 func (p *peerConn) Closed(c *transport.Conn, _ error) { p.server.conns.remove(c) }
 
+// serveCall answers a call of a peer on a goroutine of its own.
+func (s *Server) serveCall(c *transport.Conn, callID uint64, offset int, answer func() reply) {
+	s.forwards.begin()
+	go func() {
+		defer s.forwards.end()
+		s.sendForwarded(c, callID, answer(), offset)
+	}()
+}
+
+// hello describes this entry and the entries that it knows.
+func (s *Server) hello() wire.Hello {
+	h := s.place
+	h.Ticket = s.tickets.Load().Number
+	h.Entries = s.members.Addresses()
+	if a := s.address.Load(); a != nil && !slices.ContainsFunc(h.Entries, func(e wire.EntryAddress) bool { return e.Node == s.self }) {
+		h.Entries = append(slices.Clone(h.Entries), wire.EntryAddress{Node: s.self, Address: *a, Region: s.place.Region})
+	}
+	return h
+}
+
+// setAddress makes the internal address of this entry known to agents and
+// peers before it is a member.
+func (s *Server) setAddress(address string) { s.address.Store(&address) }
+
 func (s *Server) heartbeat() *wire.Heartbeat {
 	return &wire.Heartbeat{Ticket: s.tickets.Load().Number}
 }
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -1,24 +1,131 @@
 package entry
 
-import "net/http"
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"oriolerelay/errkind"
+	"oriolerelay/ids"
+	"oriolerelay/ticket"
+)
 
 // operatorOnly serves h to holders of an operator's token.
-func (s *Server) operatorOnly(h func(r *http.Request, operator string) reply) handlerFunc {
+func (s *Server) operatorOnly(h handlerFunc) handlerFunc {
 	return func(r *http.Request) reply {
-		name, err := s.creds.operator(r)
-		if err != nil {
+		if _, err := s.creds.operator(r); err != nil {
 			return errorReply(err)
 		}
-		return h(r, name)
+		return h(r)
+	}
+}
+
+// ticketAnswer is the answer to a ticket that was sent.
+type ticketAnswer struct {
+	Verdict *ticket.Verdict `json:"verdict,omitempty"`
+	Error   *errorBody      `json:"error,omitempty"`
+}
+
+// postTicket sends a ticket and answers with its verdict. It goes on when the
+// operator disconnects, because the record may already be in the log.
+func (s *Server) postTicket(r *http.Request) reply {
+	raw, err := readBody(r)
+	if err != nil {
+		return errorReply(err)
+	}
+	t, err := ticket.Decode(raw)
+	if err != nil {
+		return errorReply(err)
+	}
+	v, err := s.tickets.Submit(context.WithoutCancel(r.Context()), t)
+	if err == nil {
+		return jsonReply(http.StatusOK, ticketAnswer{Verdict: &v})
+	}
+	answer, e := errorReply(err), errorOf(err)
+	body := ticketAnswer{Error: &e}
+	if v.Status != "" {
+		body.Verdict = &v
+	}
+	answer.Body = encodeJSON(body)
+	return answer
+}
+
+func (s *Server) getTickets(*http.Request) reply {
+	fold, err := s.fold()
+	if err != nil {
+		return errorReply(err)
+	}
+	list := fold.History
+	if list == nil {
+		list = []ticket.Accepted{}
+	}
+	return jsonReply(http.StatusOK, map[string]any{"tickets": list})
+}
+
+func (s *Server) getTicket(r *http.Request) reply {
+	number, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+	if err != nil {
+		return errorReply(invalid("ticket number: %w", err))
+	}
+	fold, err := s.fold()
+	if err != nil {
+		return errorReply(err)
 	}
+	t, ok := fold.Find(number)
+	if !ok {
+		return errorReply(errkind.New(errkind.NotFound, "ticket %d is not accepted, or older than the last %d", number, ticket.HistoryTickets))
+	}
+	return jsonReply(http.StatusOK, t)
 }
 
-func (s *Server) getEndpoints(*http.Request, string) reply {
-	return jsonReply(http.StatusOK, map[string]any{"endpoints": s.disp.Endpoints()})
+func (s *Server) fold() (ticket.Fold, error) {
+	fold, ok := s.tickets.Fold()
+	if !ok {
+		return fold, errkind.New(errkind.LogUnavailable, "this entry has not read the log of tickets completely")
+	}
+	return fold, nil
 }
 
 // getState returns the configuration in force. Origins give the ticket that
 // set each object.
-func (s *Server) getState(*http.Request, string) reply {
+func (s *Server) getState(*http.Request) reply {
 	return jsonReply(http.StatusOK, s.tickets.Load())
 }
+
+func (s *Server) getEndpoints(*http.Request) reply {
+	list := s.disp.Endpoints()
+	return jsonReply(http.StatusOK, map[string]any{"endpoints": json.RawMessage(jsonList(list, len(list)))})
+}
+
+// jsonList encodes an empty list as [] even when it is nil.
+func jsonList(v any, n int) []byte {
+	if n == 0 {
+		return []byte("[]")
+	}
+	return encodeJSON(v)
+}
+
+// memberStatus is an entry as this entry sees it.
+type memberStatus struct {
+	Node      ids.Incarnation `json:"node"`
+	Address   string          `json:"address"`
+	Region    string          `json:"region,omitempty"`
+	Self      bool            `json:"self"`
+	Connected bool            `json:"connected"`
+}
+
+func (s *Server) getMembers(*http.Request) reply {
+	connected := map[ids.Incarnation]bool{}
+	for _, n := range s.peers.connectedTo() {
+		connected[n] = true
+	}
+	list := []memberStatus{}
+	for _, m := range s.members.Addresses() {
+		list = append(list, memberStatus{
+			Node: m.Node, Address: m.Address, Region: m.Region,
+			Self: m.Node == s.self, Connected: connected[m.Node],
+		})
+	}
+	return jsonReply(http.StatusOK, map[string]any{"members": list})
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -166,7 +166,7 @@
 	p.log.Log(event.EntryPeerClosed, "peer", conn.PeerHello.Node, "address", l.address, "err", conn.Err())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.conn, l.since = nil, time.Now()
+	l.conn, l.since = nil, lastContact(conn.Err())
 	p.signal()
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/dispatch"
 	"oriolerelay/event"
 	"oriolerelay/ids"
+	"oriolerelay/members"
+	"oriolerelay/platform"
 	"oriolerelay/ticket"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
@@ -21,63 +26,177 @@
 // readHeaderTimeout bounds how long a caller may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
 
+// Daemon is an entry with its listeners open.
+type Daemon struct {
+	settings Settings
+	log      *event.Logger
+	server   *Server
+	disp     *dispatch.Dispatcher
+	tickets  *ticket.Follower
+	members  *members.Follower
+	internal *transport.Listener
+	public   net.Listener
+	profile  net.Listener // nil without a pprof address
+}
+
 // Run runs an entry with settings s until ctx ends, then drains it.
 func Run(ctx context.Context, s Settings, log *event.Logger) error {
-	tlsConf, err := s.TLS.Load()
+	d, err := Open(s, log)
 	if err != nil {
 		return err
 	}
-	reg := prometheus.NewRegistry()
+	return d.Run(ctx)
+}
+
+// Open opens the listeners of an entry. Run must follow.
+func Open(s Settings, log *event.Logger) (*Daemon, error) {
+	tlsConf, err := s.TLS.Load()
+	if err != nil {
+		return nil, err
+	}
 	self := ids.NewIncarnation(s.Node)
-	opts := transport.Options{
-		TLS:   tlsConf,
-		Stats: transport.NewStats(reg),
-		Hello: func() wire.Hello {
-			return wire.Hello{Node: self, Role: wire.RoleEntry, Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack}
-		},
-	}
-	tickets := noTickets{}
-	disp := dispatch.New(dispatch.Config{Self: self, State: tickets.Load, Logger: log, Registerer: reg})
-	server := New(Options{
-		Self: self, Dispatcher: disp, Tickets: tickets, Members: alone{self},
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	client := platform.NewClient(s.PlatformURL)
+	retention := milliseconds(s.LogRetentionMS)
+	d := &Daemon{
+		settings: s,
+		log:      log,
+		tickets:  ticket.NewFollower(client, log, ticket.WithRetention(retention)),
+		members:  members.NewFollower(client, log, members.WithRetention(retention)),
+	}
+	d.disp = dispatch.New(dispatch.Config{
+		Self: self, State: d.tickets.Load, Entries: d.entries, Logger: log, Registerer: reg,
+	})
+	opts := transport.Options{TLS: tlsConf, Stats: transport.NewStats(reg)}
+	opts.Hello = func() wire.Hello { return d.server.hello() }
+	d.server = New(Options{
+		Self: self, Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack,
+		Dispatcher: d.disp, Tickets: d.tickets, Members: d.members,
 		Callers: s.Callers, Operators: s.Operators, Seeds: s.Seeds, Transport: opts,
 		Window: milliseconds(s.WindowMS), Tolerance: milliseconds(s.ToleranceMS), Logger: log, Registry: reg,
 	})
-	internal, err := transport.Listen(s.InternalAddress, opts)
-	if err != nil {
+	if err := d.listen(opts); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen(opts transport.Options) error {
+	var err error
+	if d.internal, err = transport.Listen(d.settings.InternalAddress, opts); err != nil {
 		return err
 	}
-	defer internal.Close()
-	public, err := net.Listen("tcp", s.HTTPAddress)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", s.HTTPAddress, err)
+	if d.public, err = net.Listen("tcp", d.settings.HTTPAddress); err != nil {
+		return fmt.Errorf("listen on %s: %w", d.settings.HTTPAddress, err)
+	}
+	if d.settings.PprofAddress != "" {
+		if d.profile, err = net.Listen("tcp", d.settings.PprofAddress); err != nil {
+			return fmt.Errorf("listen on %s: %w", d.settings.PprofAddress, err)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) close() {
+	if d.internal != nil {
+		_ = d.internal.Close()
+	}
+	if d.public != nil {
+		_ = d.public.Close()
+	}
+	if d.profile != nil {
+		_ = d.profile.Close()
 	}
-	log.Log(event.EntryListening, "http", public.Addr(), "internal", internal.Address(), "incarnation", self)
+}
+
+// HTTPAddress returns the address of the HTTP APIs as ip:port.
+func (d *Daemon) HTTPAddress() string { return d.public.Addr().String() }
 
-	web := &http.Server{Handler: server.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	g, gctx := errgroup.WithContext(ctx)
-	ictx, stopInternal := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopInternal()
-	g.Go(func() error { return server.ServeInternal(ictx, internal) })
-	g.Go(func() error { return disp.Run(ictx) })
-	g.Go(func() error { return server.Run(ictx) })
+// InternalAddress returns the address for agents and peers as ip:port.
+func (d *Daemon) InternalAddress() string { return d.internal.Address() }
+
+// entries returns the number of entries among which quotas are divided.
+func (d *Daemon) entries() int { return max(len(d.members.Addresses()), 1) }
+
+// Run serves until ctx ends, then drains and closes the entry.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.close()
+	d.log.Log(event.EntryListening, "http", d.HTTPAddress(), "internal", d.InternalAddress(), "incarnation", d.server.self)
+	// The parts outlive ctx: requests in flight need them until the drain ends.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, inner := errgroup.WithContext(inner)
+	web := &http.Server{Handler: d.server.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	for _, part := range []func(context.Context) error{
+		d.disp.Run, d.tickets.Run, d.members.Run, d.server.Run, d.join, d.serveProfile,
+		func(ctx context.Context) error { return d.server.ServeInternal(ctx, d.internal) },
+	} {
+		g.Go(func() error { return ignoreCancel(part(inner)) })
+	}
+	g.Go(func() error { return ignoreClosed(web.Serve(d.public)) })
 	g.Go(func() error {
-		defer stopInternal() // tasks in flight need the agents until the last answer
-		return Serve(gctx, web, func() error { return web.Serve(public) }, milliseconds(s.DrainLimitMS))
+		select {
+		case <-ctx.Done():
+			d.drainer(web).run()
+		case <-inner.Done(): // a part failed
+			_ = web.Close()
+		}
+		stop()
+		return nil
 	})
-	return g.Wait()
+	err := g.Wait()
+	d.log.Log(event.ProcessStopped, "incarnation", d.server.self)
+	return err
+}
+
+func (d *Daemon) drainer(web *http.Server) *drainer {
+	return &drainer{
+		server: d.server, web: web, leaver: d.members, quiesce: d.disp.Drain, log: d.log,
+		grace: milliseconds(d.settings.DrainGraceMS), limit: milliseconds(d.settings.DrainLimitMS),
+	}
 }
 
-type noTickets struct{}
+// join makes this process a member. The follower goes on trying during an outage.
+func (d *Daemon) join(ctx context.Context) error {
+	address := d.settings.AdvertiseAddress
+	if address == "" {
+		address = d.InternalAddress()
+	}
+	d.server.setAddress(address)
+	return d.members.Join(ctx, members.Member{
+		Node: d.server.self, Address: address, Region: d.settings.Region, DataCentre: d.settings.DataCentre,
+	})
+}
 
-func (noTickets) Load() *ticket.State              { return &ticket.State{} }
-func (noTickets) Changed() <-chan struct{}         { return nil }
-func (noTickets) Encoded() (uint64, []byte, error) { return 0, nil, nil }
-func (noTickets) Offer([]byte) error               { return nil }
+// serveProfile serves pprof on its own address, when one is set.
+func (d *Daemon) serveProfile(ctx context.Context) error {
+	if d.profile == nil {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return ignoreClosed(server.Serve(d.profile))
+}
 
-type alone struct{ self ids.Incarnation }
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
 
-func (a alone) Home(ids.Submission, string, time.Time) (ids.Incarnation, error) { return a.self, nil }
-func (a alone) Left(ids.Incarnation) bool                                       { return false }
-func (a alone) Addresses() []wire.EntryAddress                                  { return nil }
-func (a alone) ReportSilent([]ids.Incarnation)                                  {}
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve http: %w", err)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -27,6 +26,9 @@
 // Members are required.
 type Options struct {
 	Self       ids.Incarnation
+	Region     string
+	DataCentre string
+	Rack       string
 	Dispatcher Dispatcher
 	Tickets    Tickets
 	Members    Members
@@ -34,7 +36,7 @@
 	Operators  []OperatorToken
 	// Seeds are the internal addresses at which peers are looked for.
 	Seeds []string
-	// Transport is used to dial peers. Its Hello must name Self.
+	// Transport is used to dial peers.
 	Transport transport.Options
 	Record    submission.Config
 	// Window and Tolerance bound submitted_at; zero takes the defaults.
@@ -66,6 +68,11 @@
 	running runningJobs
 	peers   peers
 	conns   openConns
+	// forwards counts the answers that are owed to peers.
+	forwards inFlight
+
+	place   wire.Hello             // Self and where it runs
+	address atomic.Pointer[string] // internal address, nil while unknown
 
 	draining atomic.Bool // readyz fails
 	refusing atomic.Bool // new submissions are refused
@@ -94,6 +101,7 @@
 	}
 	// The record must use the clock of the age check.
 	o.Record.Now = s.now
+	s.place = wire.Hello{Node: o.Self, Role: wire.RoleEntry, Region: o.Region, DataCentre: o.DataCentre, Rack: o.Rack}
 	s.record = submission.NewTable(o.Record)
 	s.issued = newIssuedIDs(o.Self, s.window, s.now)
 	s.metrics = newMetrics(s)
@@ -122,6 +130,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.peers.run(ctx) })
 	g.Go(func() error { return s.pushStates(ctx) })
+	g.Go(func() error { return s.watchView(ctx) })
 	return g.Wait()
 }
 
@@ -134,8 +143,16 @@
 			http.MethodDelete: s.submissionByID(wire.FetchCancel),
 		})
 	}
-	s.handle("/v1/endpoints", methods{http.MethodGet: s.operatorOnly(s.getEndpoints)})
-	s.handle("/v1/state", methods{http.MethodGet: s.operatorOnly(s.getState)})
+	for path, get := range map[string]handlerFunc{
+		"/v1/tickets/{number}": s.getTicket, "/v1/state": s.getState,
+		"/v1/endpoints": s.getEndpoints, "/v1/members": s.getMembers,
+	} {
+		s.handle(path, methods{http.MethodGet: s.operatorOnly(get)})
+	}
+	s.handle("/v1/tickets", methods{
+		http.MethodGet:  s.operatorOnly(s.getTickets),
+		http.MethodPost: s.operatorOnly(s.postTicket),
+	})
 	s.handle("/healthz", methods{http.MethodGet: s.getHealth})
 	s.handle("/readyz", methods{http.MethodGet: s.getReady})
 	s.handleRaw("/metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
@@ -161,6 +178,10 @@
 			return
 		}
 		answer := h(r)
+		if s.draining.Load() {
+			// The next request of this caller should reach another entry.
+			w.Header().Set("Connection", "close")
+		}
 		s.metrics.answers.WithLabelValues(path, strconv.Itoa(answer.Status)).Inc()
 		answer.write(w)
 	})
@@ -224,22 +245,10 @@
 	if s.draining.Load() {
 		return errDraining()
 	}
+	if _, ok := s.tickets.Fold(); !ok && s.tickets.Load().Number == 0 {
+		return errkind.New(errkind.NoConfiguration, "no configuration is known yet")
+	}
 	return nil
 }
 
 func errDraining() error { return errkind.New(errkind.Draining, "this entry is draining") }
-
-// Serve serves HTTP on server until ctx ends, then shuts down without cutting
-// a request in flight, for at most limit.
-func Serve(ctx context.Context, server *http.Server, listen func() error, limit time.Duration) error {
-	failed := make(chan error, 1)
-	go func() { failed <- listen() }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve http: %w", err)
-	case <-ctx.Done():
-	}
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	defer cancel()
-	return server.Shutdown(sctx)
-}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"time"
 
 	"oriolerelay/ids"
@@ -29,6 +30,13 @@
 	InternalAddress string   `json:"internal_address"` // ip:port (UDP) for agents and peers
 	PlatformURL     string   `json:"platform_url"`     // base URL of the platform's log
 	Seeds           []string `json:"seeds"`            // internal addresses of other entries
+	// AdvertiseAddress is where agents and peers reach InternalAddress; empty means
+	// the address itself.
+	AdvertiseAddress string `json:"advertise_address"`
+	PprofAddress     string `json:"pprof_address"` // ip:port of pprof; empty turns it off
+	// LogRetentionMS is how long the platform keeps records. Zero means that this
+	// entry writes no snapshots.
+	LogRetentionMS int64 `json:"log_retention_ms"`
 
 	TLS       transport.TLSFiles `json:"tls"`
 	Callers   []CallerToken      `json:"callers"`
@@ -60,6 +68,15 @@
 	for _, a := range s.Seeds {
 		checkAddress(p, "seeds", a)
 	}
+	for path, a := range map[string]string{"advertise_address": s.AdvertiseAddress, "pprof_address": s.PprofAddress} {
+		if a != "" {
+			checkAddress(p, path, a)
+		}
+	}
+	checkURL(p, "platform_url", s.PlatformURL)
+	if s.LogRetentionMS < 0 {
+		p.Add("log_retention_ms", "is %d, it must not be negative", s.LogRetentionMS)
+	}
 	s.TLS.Check(p, "tls")
 	s.checkTokens(p)
 	checkDuration(p, "window_ms", &s.WindowMS, defaultWindow)
@@ -111,6 +128,13 @@
 	}
 }
 
+func checkURL(p *settings.Problems, path, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		p.Add(path, "%q is not an http URL", value)
+	}
+}
+
 // checkDuration fills in a default for zero and refuses negative values.
 func checkDuration(p *settings.Problems, path string, ms *int64, fallback time.Duration) {
 	if *ms == 0 {
