--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/errkind"
+)
+
+// fakeLeaver reports the leave and lets the drain go on when the test says so.
+type fakeLeaver struct {
+	left    chan struct{}
+	proceed chan struct{}
+}
+
+func (l *fakeLeaver) Leave(context.Context) error {
+	close(l.left)
+	<-l.proceed
+	return nil
+}
+
+// TestDrainKeepsRequestsInFlight guards against a planned stop that cuts a
+// request, and against a listener that closes before the load balancer knows.
+func TestDrainKeepsRequestsInFlight(t *testing.T) {
+	c := qt.New(t)
+	disp := &fakeDispatcher{starts: &starts{}, release: make(chan struct{}), running: make(chan struct{}, 10)}
+	s := testServer(disp)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	web := &http.Server{Handler: s.Handler()}
+	served := make(chan error, 1)
+	go func() { served <- web.Serve(l) }()
+	post := func(body string) posted {
+		r, _ := http.NewRequest("POST", "http://"+l.Addr().String()+"/v1/requests", strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer veil-secret")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return posted{Body: err.Error()}
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return posted{resp.StatusCode, resp.Header, string(b)}
+	}
+	later := func(body string) <-chan posted {
+		ch := make(chan posted, 1)
+		go func() { ch <- post(body) }()
+		return ch
+	}
+	leaver := &fakeLeaver{left: make(chan struct{}), proceed: make(chan struct{})}
+	quiesce := make(chan struct{})
+	drained := make(chan struct{})
+	d := &drainer{
+		server: s, web: web, leaver: leaver, grace: time.Millisecond, limit: time.Minute,
+		quiesce: func(context.Context) error {
+			close(quiesce)
+			<-disp.release
+			return nil
+		},
+	}
+	before := later(previewBody)
+	<-disp.running
+	go func() {
+		defer close(drained)
+		d.run()
+	}()
+	<-leaver.left
+	status, _, _ := call(s.Handler(), "GET", "/readyz", "", "")
+	c.Assert(status, qt.Equals, 503)
+	during := later(chosen("order-17", time.Now(), `1`))
+	<-disp.running
+	close(leaver.proceed)
+	<-quiesce
+	refused := post(previewBody)
+	c.Assert(refused.Status, qt.Equals, 503)
+	c.Assert(errorKind(t, refused.Body), qt.Equals, errkind.Draining)
+	close(disp.release)
+	c.Assert((<-before).Status, qt.Equals, 200)
+	c.Assert((<-during).Status, qt.Equals, 200)
+	<-drained
+	c.Assert(<-served, qt.Equals, http.ErrServerClosed)
+}
