Client: issued or chosen ids, safe resubmission, Retry-After

Cause: callers need a client that can resubmit without running a task twice. A lost answer is asked for again with the same bytes; a new id is used only after a refusal that says 'not run' and allows it, and never in place of an id that the caller chose; pauses are at least as long as asked for, and no pause is begun that the caller's deadline does not allow.

--- /dev/null
+++ b/client/ids.go
@@ -0,0 +1,113 @@
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"oriolerelay/errkind"
+)
+
+const (
+	// idBatch is the number of ids taken at once.
+	idBatch = 100
+	// idAge is how long ids are kept for use. Entries accept them for 120 s, and a
+	// resubmission needs its part of that.
+	idAge = 60 * time.Second
+)
+
+// idPool holds issued ids that were not used yet.
+type idPool struct {
+	mu    sync.Mutex
+	ids   []string
+	taken time.Time
+}
+
+// check drops the unused ids when err shows that their home may be gone.
+func (p *idPool) check(err error) {
+	var e *Error
+	if errors.As(err, &e) && e.Kind != errkind.HomeLost && e.Kind != errkind.HomeUnreachable && e.Kind != errkind.Draining {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ids = nil
+}
+
+// name gives b a new id.
+func (c *Client) name(ctx context.Context, b *submissionBody) error {
+	switch c.ids {
+	case Chosen:
+		b.ID, b.SubmittedAt = rand.Text(), time.Now().UnixMilli()
+	case Issued:
+		id, err := c.nextIssued(ctx)
+		if err != nil {
+			return err
+		}
+		b.ID = id
+	}
+	return nil
+}
+
+func (c *Client) nextIssued(ctx context.Context) (string, error) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if len(c.pool.ids) == 0 || time.Since(c.pool.taken) > idAge {
+		taken := time.Now()
+		list, err := c.IssueIDs(ctx, idBatch)
+		if err != nil {
+			return "", err
+		}
+		c.pool.ids, c.pool.taken = list, taken
+	}
+	id := c.pool.ids[0]
+	c.pool.ids = c.pool.ids[1:]
+	return id, nil
+}
+
+// IssueIDs takes n new ids from an entry, which becomes the home of the
+// submissions that use them. Nothing runs by it, so it is tried at every entry.
+func (c *Client) IssueIDs(ctx context.Context, n int) ([]string, error) {
+	body, err := json.Marshal(map[string]int{"count": n})
+	if err != nil {
+		return nil, fmt.Errorf("encode count: %w", err)
+	}
+	for attempt := 1; ; attempt++ {
+		list, wait, err := c.issueOnce(ctx, body)
+		if err == nil {
+			return list, nil
+		}
+		if attempt == c.attempts || ctx.Err() != nil {
+			return nil, fmt.Errorf("take ids: %w", err)
+		}
+		var e *Error
+		if errors.As(err, &e) && e.Retry == errkind.RetryNever {
+			return nil, fmt.Errorf("take ids: %w", err)
+		}
+		if err := c.pauseWithin(ctx, waitFor(wait)); err != nil {
+			return nil, fmt.Errorf("take ids: %w", err)
+		}
+	}
+}
+
+func (c *Client) issueOnce(ctx context.Context, body []byte) ([]string, time.Duration, error) {
+	r, err := c.call(ctx, http.MethodPost, idsPath, body)
+	if err != nil {
+		return nil, 0, err
+	}
+	if e := refusal(r.body); e != nil {
+		return nil, max(r.retryAfter, time.Duration(e.RetryAfterMS)*time.Millisecond), e
+	}
+	var m struct {
+		IDs []string `json:"ids"`
+	}
+	if err := json.Unmarshal(r.body, &m); err != nil || len(m.IDs) == 0 {
+		return nil, 0, fmt.Errorf("answer with status %d has no ids", r.status)
+	}
+	return m.IDs, 0, nil
+}
--- /dev/null
+++ b/client/submission.go
@@ -0,0 +1,144 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"oriolerelay/errkind"
+)
+
+// Demand is the amount of a worker that a task needs.
+type Demand struct {
+	MilliCores   uint32 `json:"millicores,omitempty"`
+	MemoryMiB    uint32 `json:"memory_mib,omitempty"`
+	Accelerators uint32 `json:"accelerators,omitempty"`
+}
+
+// Task is one call of an endpoint.
+type Task struct {
+	Payload  any           // encoded as JSON
+	Demand   Demand        // zero means no particular demand
+	Expected time.Duration // declared run time; zero when not known
+}
+
+// Job is a set of 1 to 150 tasks that is answered together.
+type Job struct {
+	// ID and SubmittedAt name the submission. An empty ID is filled in by the
+	// client. With a caller-chosen ID, SubmittedAt is required and must be the same
+	// in each resubmission; it has a resolution of 1 ms.
+	ID          string
+	SubmittedAt time.Time
+	Service     string
+	Kind        string
+	Deadline    time.Duration // zero means the default of the kind
+	Tasks       []Task
+}
+
+// Request is a single task with its own answer.
+type Request struct {
+	ID          string
+	SubmittedAt time.Time
+	Service     string
+	Kind        string
+	Deadline    time.Duration
+	Task
+}
+
+// Answer is the final answer of a submission.
+type Answer struct {
+	ID string `json:"id"`
+	// Status is "complete", "failed" or "running".
+	Status  string       `json:"status"`
+	Error   *Error       `json:"error"`
+	Started int          `json:"started"` // tasks that started, in a failed answer
+	Tasks   []TaskAnswer `json:"tasks"`
+}
+
+// TaskAnswer is the final state of one task.
+type TaskAnswer struct {
+	Index   int             `json:"index"`
+	Outcome errkind.Outcome `json:"outcome"`
+	Kind    errkind.Kind    `json:"kind"`
+	// Body is the result as JSON; BodyBase64 is one that is not JSON.
+	Body       json.RawMessage `json:"body"`
+	BodyBase64 []byte          `json:"body_base64"`
+}
+
+// Error is a refusal or failure as an entry states it.
+type Error struct {
+	Kind         errkind.Kind    `json:"kind"`
+	Detail       string          `json:"detail"`
+	Outcome      errkind.Outcome `json:"outcome"`
+	Retry        errkind.Retry   `json:"retry"`
+	RetryAfterMS int64           `json:"retry_after_ms"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Kind, e.Outcome, e.Detail)
+}
+
+type taskBody struct {
+	Payload    json.RawMessage `json:"payload,omitempty"`
+	Demand     *Demand         `json:"demand,omitempty"`
+	ExpectedMS int64           `json:"expected_ms,omitempty"`
+}
+
+type submissionBody struct {
+	ID          string     `json:"id,omitempty"`
+	SubmittedAt int64      `json:"submitted_at,omitempty"`
+	Service     string     `json:"service"`
+	Kind        string     `json:"kind"`
+	DeadlineMS  int64      `json:"deadline_ms,omitempty"`
+	Tasks       []taskBody `json:"tasks,omitempty"`
+	*taskBody
+}
+
+func (t Task) body() (taskBody, error) {
+	b := taskBody{ExpectedMS: t.Expected.Milliseconds()}
+	if t.Demand != (Demand{}) {
+		b.Demand = &t.Demand
+	}
+	if t.Payload == nil {
+		return b, nil
+	}
+	var err error
+	if b.Payload, err = json.Marshal(t.Payload); err != nil {
+		return b, fmt.Errorf("encode payload: %w", err)
+	}
+	return b, nil
+}
+
+// body returns the parts of j that all sends share.
+func (j Job) body() (*submissionBody, error) {
+	b := &submissionBody{ID: j.ID, Service: j.Service, Kind: j.Kind, DeadlineMS: j.Deadline.Milliseconds()}
+	for i, t := range j.Tasks {
+		tb, err := t.body()
+		if err != nil {
+			return nil, fmt.Errorf("task %d: %w", i, err)
+		}
+		b.Tasks = append(b.Tasks, tb)
+	}
+	return b, b.setTime(j.SubmittedAt)
+}
+
+func (r Request) body() (*submissionBody, error) {
+	tb, err := r.Task.body()
+	if err != nil {
+		return nil, err
+	}
+	b := &submissionBody{ID: r.ID, Service: r.Service, Kind: r.Kind, DeadlineMS: r.Deadline.Milliseconds(), taskBody: &tb}
+	return b, b.setTime(r.SubmittedAt)
+}
+
+func (b *submissionBody) setTime(at time.Time) error {
+	if at.IsZero() {
+		return nil
+	}
+	if b.ID == "" {
+		return fmt.Errorf("SubmittedAt is set without an ID")
+	}
+	b.SubmittedAt = at.UnixMilli()
+	return nil
+}
