--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,77 @@
+package event_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/event"
+)
+
+var update = flag.Bool("update", false, "write the catalogue docs/events.md")
+
+const cataloguePath = "../docs/events.md"
+
+func renderCatalogue() string {
+	events := event.Catalogue()
+	codes := make([]int, 0, len(events))
+	for code := range events {
+		codes = append(codes, code)
+	}
+	slices.Sort(codes)
+	var b strings.Builder
+	b.WriteString("# Log events\n\nEvery event that the programs log. Codes are never reused. After a change run\n`go test ./event -update`.\n\n| code | level | message |\n|---|---|---|\n")
+	for _, code := range codes {
+		e := events[code]
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", e.Code, e.Level, e.Message)
+	}
+	return b.String()
+}
+
+// An event that is missing from the catalogue is unknown to the operators who
+// read the logs.
+func TestCatalogueEqualsCode(t *testing.T) {
+	c := qt.New(t)
+	want := renderCatalogue()
+	if *update {
+		c.Assert(os.WriteFile(cataloguePath, []byte(want), 0o644), qt.IsNil)
+	}
+	got, err := os.ReadFile(cataloguePath)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, want)
+}
+
+// Events need a known level and a one-line message that is unique, so that a log
+// line leads to one place in the code.
+func TestEventsAreWellFormed(t *testing.T) {
+	c := qt.New(t)
+	messages := map[string]int{}
+	for code, e := range event.Catalogue() {
+		comment := qt.Commentf("event %d", code)
+		c.Check(e.Code, qt.Equals, code, comment)
+		c.Check(slices.Contains([]event.Level{event.Info, event.Warn, event.Error}, e.Level), qt.IsTrue, comment)
+		c.Check(e.Message == "" || strings.ContainsAny(e.Message, "|\n"), qt.IsFalse, comment)
+		c.Check(messages[e.Message], qt.Equals, 0, comment)
+		messages[e.Message] = code
+	}
+}
+
+// A changed line format breaks the log searches in docs/operations.md.
+func TestLine(t *testing.T) {
+	c := qt.New(t)
+	var b bytes.Buffer
+	event.NewLogger(&b, "entry-1").Log(event.ProcessStarted, "address", "127.0.0.1:80")
+	line := b.String()
+	for _, part := range []string{"node=entry-1", "level=info", "event=500", `msg="process started"`, "address=127.0.0.1:80"} {
+		c.Check(line, qt.Contains, part)
+	}
+	c.Check(strings.Count(line, "\n"), qt.Equals, 1)
+	var none *event.Logger
+	none.Log(event.ProcessStarted)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
+	"slices"
 	"strings"
 )
 
@@ -72,17 +74,37 @@
 	return nil
 }
 
-// Parse decodes and checks JSON settings.
+// Parse decodes and checks JSON settings. s must point to a struct. Values of a
+// wrong type keep their defaults, so that Check can report the faults of the rest.
 func Parse(b []byte, s Checker) error {
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
+	if !json.Valid(b) {
+		return syntaxError(b)
+	}
+	var p Problems
+	checkShape("", b, reflect.TypeOf(s), &p)
+	shaped := len(p.list)
+	var mismatch *json.UnmarshalTypeError
+	if err := json.Unmarshal(b, s); err != nil && !(errors.As(err, &mismatch) && shaped > 0) {
 		return fmt.Errorf("decode: %w", err)
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("decode: data after the JSON object")
+	var checked Problems
+	s.Check(&checked)
+	for _, f := range checked.list {
+		// A value of a wrong type is reported once, by its type.
+		if !slices.ContainsFunc(p.list[:shaped], func(g Problem) bool { return g.Path == f.Path }) {
+			p.list = append(p.list, f)
+		}
 	}
-	var p Problems
-	s.Check(&p)
 	return p.Err()
 }
+
+func syntaxError(b []byte) error {
+	var v any
+	err := json.Unmarshal(b, &v)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		line := 1 + bytes.Count(b[:min(syntax.Offset, int64(len(b)))], []byte("\n"))
+		return fmt.Errorf("decode: line %d: %w", line, err)
+	}
+	return fmt.Errorf("decode: %w", err)
+}
