--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histogram bounds: ratios are stored in thousandths up to 10,000, times in
+// microseconds up to 10 minutes, both with three significant figures.
+const (
+	ratioScale    = 1000
+	maxRatio      = 10_000 * ratioScale
+	maxMicros     = int64(10 * time.Minute / time.Microsecond)
+	significantly = 3
+)
+
+// Stat is a summary of one histogram.
+type Stat struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	Mean  float64 `json:"mean"`
+	Max   float64 `json:"max"`
+}
+
+func summarise(h *hdrhistogram.Histogram, unit float64) Stat {
+	q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / unit }
+	return Stat{
+		Count: h.TotalCount(), P50: q(50), P90: q(90), P99: q(99),
+		Mean: h.Mean() / unit, Max: float64(h.Max()) / unit,
+	}
+}
+
+// Verdict is how one submission ended for its caller.
+type Verdict string
+
+// Verdicts. Only complete answers count in the response times.
+const (
+	Complete       Verdict = "complete"
+	Refused        Verdict = "refused"         // not run
+	Failed         Verdict = "failed"          // a final answer that says it may have run
+	DeadlineMissed Verdict = "deadline_missed" // may have run, deadline passed
+	NoAnswer       Verdict = "no_answer"       // broken connection or unreadable answer
+)
+
+// Recorder collects the answers of one run. It is not safe for concurrent use.
+type Recorder struct {
+	ratio, response *hdrhistogram.Histogram
+	verdicts        map[Verdict]int
+	kinds           map[string]int
+	tasks           int
+	refusalMicros   *hdrhistogram.Histogram
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
+		ratio:         hdrhistogram.New(1, maxRatio, significantly),
+		response:      hdrhistogram.New(1, maxMicros, significantly),
+		refusalMicros: hdrhistogram.New(1, maxMicros, significantly),
+		verdicts:      map[Verdict]int{},
+		kinds:         map[string]int{},
+	}
+}
+
+// Add records one answer. kind is the error kind, empty when complete.
+func (r *Recorder) Add(s Submission, v Verdict, kind string, response, ideal time.Duration) {
+	r.verdicts[v]++
+	if kind != "" {
+		r.kinds[kind]++
+	}
+	switch v {
+	case Complete:
+		r.tasks += len(s.Run)
+		record(r.response, response.Microseconds(), maxMicros)
+		if ideal > 0 {
+			record(r.ratio, int64(float64(response)/float64(ideal)*ratioScale), maxRatio)
+		}
+	case Refused:
+		record(r.refusalMicros, response.Microseconds(), maxMicros)
+	}
+}
+
+// record clamps v, because the histogram refuses values above its bound.
+func record(h *hdrhistogram.Histogram, v, highest int64) { _ = h.RecordValue(min(max(v, 1), highest)) }
+
+// Traffic is the messages that the processes sent during a run.
+type Traffic struct {
+	Messages map[string]float64 `json:"messages"`
+	Bytes    map[string]float64 `json:"bytes"`
+	// Nodes is the number of processes that were asked.
+	Nodes int `json:"nodes"`
+}
+
+// usefulTypes are the messages that advance work; all others are wasted
+// (docs/design.md section 7).
+var usefulTypes = map[string]bool{"start": true, "result": true, "forward": true, "forwarded": true}
+
+// Wasted returns the number and bytes of messages that advanced no work.
+func (t Traffic) Wasted() (messages, bytes float64) {
+	for name, n := range t.Messages {
+		if !usefulTypes[name] {
+			messages += n
+			bytes += t.Bytes[name]
+		}
+	}
+	return messages, bytes
+}
+
+// Result is the outcome of one run.
+type Result struct {
+	Name     string          `json:"name"`
+	Workload string          `json:"workload"`
+	Policy   string          `json:"policy"`
+	Seed     uint64          `json:"seed"`
+	Load     float64         `json:"load"`
+	Seconds  float64         `json:"seconds"`
+	Fleet    Fleet           `json:"fleet"`
+	Faults   []string        `json:"faults,omitempty"`
+	Sent     int             `json:"sent"`
+	Tasks    int             `json:"tasks"` // tasks of complete answers
+	Verdicts map[Verdict]int `json:"verdicts"`
+	Kinds    map[string]int  `json:"kinds"`
+	// Ratio is response/ideal; Response and Refusal are in milliseconds.
+	Ratio    Stat    `json:"ratio"`
+	Response Stat    `json:"response_ms"`
+	Refusal  Stat    `json:"refusal_ms"`
+	Traffic  Traffic `json:"traffic"`
+	// WastedPerTask is wasted messages for each started task.
+	WastedPerTask float64 `json:"wasted_per_task"`
+	// ControlBytesPerNode is bytes per second of wasted messages that a process sent.
+	ControlBytesPerNode float64 `json:"control_bytes_per_node_s"`
+	Starts              int     `json:"starts"`
+	DoubleStarts        int     `json:"double_starts"`
+}
+
+// Fill copies the recorder's summaries into res.
+func (r *Recorder) Fill(res *Result) {
+	res.Verdicts, res.Kinds, res.Tasks = r.verdicts, r.kinds, r.tasks
+	res.Ratio = summarise(r.ratio, ratioScale)
+	res.Response = summarise(r.response, 1000)
+	res.Refusal = summarise(r.refusalMicros, 1000)
+	for _, n := range r.verdicts {
+		res.Sent += n
+	}
+}
+
+// WriteJSON writes results as one indented JSON array.
+func WriteJSON(w io.Writer, results []Result) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(results)
+}
+
+// WriteTable writes results as a Markdown table.
+func WriteTable(w io.Writer, results []Result) error {
+	var b strings.Builder
+	b.WriteString("| run | policy | load | sent | complete | refused | failed | missed | no answer | ratio p50 | p90 | p99 | mean | wasted/task | control B/s/node | double starts |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(&b, "| %s | %s | %.0f%% | %d | %d | %d | %d | %d | %d | %.2f | %.2f | %.2f | %.2f | %.3f | %.0f | %d |\n",
+			r.Name, r.Policy, 100*r.Load, r.Sent, r.Verdicts[Complete], r.Verdicts[Refused], r.Verdicts[Failed],
+			r.Verdicts[DeadlineMissed], r.Verdicts[NoAnswer], r.Ratio.P50, r.Ratio.P90, r.Ratio.P99, r.Ratio.Mean,
+			r.WastedPerTask, r.ControlBytesPerNode, r.DoubleStarts)
+	}
+	b.WriteString("\nMessages sent per started task by type:\n\n")
+	for _, r := range results {
+		names := make([]string, 0, len(r.Traffic.Messages))
+		for name := range r.Traffic.Messages {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		fmt.Fprintf(&b, "- %s, %s:", r.Name, r.Policy)
+		for _, name := range names {
+			fmt.Fprintf(&b, " %s %.3f", name, r.Traffic.Messages[name]/float64(max(r.Starts, 1)))
+		}
+		b.WriteString("\n")
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
