load: runner against live entries; proctest: programs as separate processes

Cause: failures such as SIGKILL and SIGSTOP need separate processes, and the metrics of a run must come from the processes themselves. Ruled out: free ports from the ephemeral range, because an outgoing connection can take the port of a process that restarts. Conclusion: go test ./load passes against a fake; no program was started yet.

--- /dev/null
+++ b/internal/proctest/cluster.go
@@ -0,0 +1,231 @@
+package proctest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"oriolerelay/transport"
+)
+
+// Tokens and names in the settings of a cluster.
+const (
+	VeilsToken    = "token-veils"
+	SleevesToken  = "token-sleeves"
+	OperatorToken = "token-operator"
+	OtherOperator = "token-operator-2"
+	Region        = "west"
+)
+
+// Worker describes one agent with the sample endpoint beside it.
+type Worker struct {
+	Service string
+	Speed   float64
+	Slots   int
+}
+
+// Spec describes a cluster.
+type Spec struct {
+	Entries int
+	Workers []Worker
+	// Entry and Agent are merged into the settings of every entry or agent.
+	Entry, Agent map[string]any
+}
+
+// Cluster is one platform, entries, and agents with a sample endpoint each.
+type Cluster struct {
+	Dir       string
+	Platform  *Process
+	Entries   []*Process
+	Agents    []*Process
+	Endpoints []*Process
+	Spec      Spec
+
+	EntryHTTP    []string // base URL of each entry
+	AgentHTTP    []string
+	EndpointHTTP []string
+	PlatformHTTP string
+
+	bin       string
+	authority *transport.Authority
+	internal  []string
+}
+
+// certificateLife is longer than any test or load run.
+const certificateLife = 24 * time.Hour
+
+// NewCluster writes the settings of all processes below dir. bin holds the programs.
+func NewCluster(dir, bin string, spec Spec) (*Cluster, error) {
+	authority, err := transport.NewAuthority(certificateLife)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Dir: dir, Spec: spec, bin: bin, authority: authority}
+	if err := os.WriteFile(c.path("authority.pem"), authority.CertificatePEM(), 0o600); err != nil {
+		return nil, err
+	}
+	for range spec.Entries {
+		a, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		c.internal = append(c.internal, a)
+	}
+	if err := c.addPlatform(); err != nil {
+		return nil, err
+	}
+	for i := range spec.Entries {
+		if err := c.addEntry(i); err != nil {
+			return nil, err
+		}
+	}
+	for i, w := range spec.Workers {
+		if err := c.addWorker(i, w); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) path(name string) string { return filepath.Join(c.Dir, name) }
+
+func (c *Cluster) process(name, program, ready string, settings map[string]any) (*Process, error) {
+	b, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	file := c.path(name + ".json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return nil, err
+	}
+	return &Process{Name: name, Program: filepath.Join(c.bin, program), Settings: file, LogFile: c.path(name + ".log"), ReadyURL: ready}, nil
+}
+
+func (c *Cluster) tls(name string) (map[string]any, error) {
+	cert, key, err := c.authority.Issue(name, certificateLife)
+	if err != nil {
+		return nil, err
+	}
+	certFile, keyFile := c.path(name+".crt"), c.path(name+".key")
+	if err := errors.Join(os.WriteFile(certFile, cert, 0o600), os.WriteFile(keyFile, key, 0o600)); err != nil {
+		return nil, err
+	}
+	return map[string]any{"authority_file": c.path("authority.pem"), "cert_file": certFile, "key_file": keyFile}, nil
+}
+
+func (c *Cluster) addPlatform() error {
+	addr, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	c.PlatformHTTP = "http://" + addr
+	c.Platform, err = c.process("platform", "oriole-platform", c.PlatformHTTP+"/v1/streams/tickets/records?from=0&limit=1", map[string]any{"listen": addr})
+	return err
+}
+
+func (c *Cluster) addEntry(i int) error {
+	addr, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("entry-%d", i+1)
+	tls, err := c.tls(name)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for j, a := range c.internal {
+		if j != i {
+			seeds = append(seeds, a)
+		}
+	}
+	settings := map[string]any{
+		"node": name, "region": Region, "data_centre": fmt.Sprintf("dc-%d", i%3+1),
+		"http_address": addr, "internal_address": c.internal[i], "platform_url": c.PlatformHTTP,
+		"seeds": seeds, "tls": tls,
+		"callers":   []map[string]string{{"token": VeilsToken, "team": "veils"}, {"token": SleevesToken, "team": "sleeves"}},
+		"operators": []map[string]string{{"token": OperatorToken, "name": "gwenllian"}, {"token": OtherOperator, "name": "fraser"}},
+	}
+	merge(settings, c.Spec.Entry)
+	base := "http://" + addr
+	p, err := c.process(name, "oriole-entry", base+"/readyz", settings)
+	c.Entries = append(c.Entries, p)
+	c.EntryHTTP = append(c.EntryHTTP, base)
+	return err
+}
+
+func (c *Cluster) addWorker(i int, w Worker) error {
+	agentAddr, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	endpointAddr, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("agent-%d", i+1)
+	tls, err := c.tls(name)
+	if err != nil {
+		return err
+	}
+	settings := map[string]any{
+		"node": name, "region": Region, "data_centre": fmt.Sprintf("dc-%d", i%3+1), "rack": fmt.Sprintf("rack-%d", i/3+1),
+		"worker": fmt.Sprintf("worker-%d", i+1), "listen": agentAddr, "seeds": c.internal, "tls": tls,
+		// Deadlines of the workloads are up to 60 s.
+		"record_age_ms": 75_000,
+	}
+	merge(settings, c.Spec.Agent)
+	c.AgentHTTP = append(c.AgentHTTP, "http://"+agentAddr)
+	agent, err := c.process(name, "oriole-agent", "http://"+agentAddr+"/healthz", settings)
+	if err != nil {
+		return err
+	}
+	c.Agents = append(c.Agents, agent)
+	endpoint, err := c.process(fmt.Sprintf("endpoint-%d", i+1), "oriole-endpoint", "http://"+endpointAddr+"/starts", map[string]any{
+		"agent": agentAddr, "listen": endpointAddr, "service": w.Service, "slots": w.Slots, "speed": w.Speed,
+		"capacity": map[string]int{"millicores": 64_000, "memory_mib": 262_144},
+	})
+	c.Endpoints = append(c.Endpoints, endpoint)
+	c.EndpointHTTP = append(c.EndpointHTTP, "http://"+endpointAddr)
+	return err
+}
+
+func merge(into, from map[string]any) {
+	for k, v := range from {
+		into[k] = v
+	}
+}
+
+// All returns every process, the platform first.
+func (c *Cluster) All() []*Process {
+	all := []*Process{c.Platform}
+	all = append(all, c.Entries...)
+	all = append(all, c.Agents...)
+	return append(all, c.Endpoints...)
+}
+
+// Start starts every process and waits until each is ready.
+func (c *Cluster) Start(ctx context.Context) error {
+	for _, p := range c.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.All() {
+		if err := p.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop kills every process.
+func (c *Cluster) Stop() {
+	for _, p := range c.All() {
+		p.Kill()
+	}
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,243 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Answer is what a caller got for one submission.
+type Answer struct {
+	ID     string `json:"id"`
+	Status string `json:"status"`
+	Error  *struct {
+		Kind         string `json:"kind"`
+		Detail       string `json:"detail"`
+		Outcome      string `json:"outcome"`
+		Retry        string `json:"retry"`
+		RetryAfterMS int64  `json:"retry_after_ms"`
+	} `json:"error"`
+	Started int `json:"started"`
+	Tasks   []struct {
+		Index   int             `json:"index"`
+		Outcome string          `json:"outcome"`
+		Kind    string          `json:"kind"`
+		Body    json.RawMessage `json:"body"`
+	} `json:"tasks"`
+}
+
+// WrongAnswer is the verdict for a complete answer that is not the whole answer to the
+// caller's own submission.
+const WrongAnswer Verdict = "wrong_answer"
+
+// taskPayload is what a sample endpoint runs and echoes. Nonce ties the answer
+// to the submission.
+type taskPayload struct {
+	MS    float64 `json:"ms"`
+	Nonce string  `json:"nonce"`
+	Pad   string  `json:"pad,omitempty"`
+}
+
+// Body returns the request body of s. nonce must be unique for each submission.
+func (s Submission) Body(service, nonce string) map[string]any {
+	tasks := make([]map[string]any, len(s.Run))
+	for i, r := range s.Run {
+		tasks[i] = map[string]any{"payload": taskPayload{
+			MS: float64(r) / float64(time.Millisecond), Nonce: nonce + "/" + strconv.Itoa(i),
+			Pad: strings.Repeat("x", s.Class.PayloadBytes),
+		}}
+	}
+	body := map[string]any{"service": service, "kind": s.Class.Kind, "deadline_ms": s.Class.Deadline.Milliseconds()}
+	if s.Class.Request {
+		body["payload"] = tasks[0]["payload"]
+	} else {
+		body["tasks"] = tasks
+	}
+	return body
+}
+
+func (s Submission) path() string {
+	if s.Class.Request {
+		return "/v1/requests"
+	}
+	return "/v1/jobs"
+}
+
+// Judge classifies the answer to s that was sent with the given nonce.
+func Judge(s Submission, nonce string, status int, body []byte) (Verdict, Answer) {
+	var a Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return NoAnswer, a
+	}
+	if status == http.StatusOK && a.Status == "complete" {
+		if !whole(s, nonce, a) {
+			return WrongAnswer, a
+		}
+		return Complete, a
+	}
+	switch {
+	case a.Error == nil:
+		return NoAnswer, a
+	case a.Error.Outcome == "not_run":
+		return Refused, a
+	case a.Error.Kind == "deadline_passed":
+		return DeadlineMissed, a
+	}
+	return Failed, a
+}
+
+// whole reports whether a holds the echo of every task of s, in order.
+func whole(s Submission, nonce string, a Answer) bool {
+	if len(a.Tasks) != len(s.Run) {
+		return false
+	}
+	for i, t := range a.Tasks {
+		var echo struct {
+			Index   int         `json:"index"`
+			Payload taskPayload `json:"payload"`
+		}
+		if json.Unmarshal(t.Body, &echo) != nil || t.Index != i || t.Outcome != "done" ||
+			echo.Index != i || echo.Payload.Nonce != nonce+"/"+strconv.Itoa(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// Outcome is the judged answer of one submission.
+type Outcome struct {
+	Submission Submission
+	Entry      int
+	Verdict    Verdict
+	Answer     Answer
+	Err        error // of a call without an answer
+	Response   time.Duration
+}
+
+// Kind returns the error kind of the answer, or "transport" for a broken call.
+func (o Outcome) Kind() string {
+	switch {
+	case o.Err != nil:
+		return "transport"
+	case o.Answer.Error != nil:
+		return o.Answer.Error.Kind
+	}
+	return ""
+}
+
+// answerGrace is how long after its deadline a submission's answer is awaited.
+const answerGrace = 5 * time.Second
+
+// Drive sends the schedule of p to the entries in turn and returns all outcomes
+// in the order of the schedule. It returns when every answer has arrived or the
+// deadline of its submission has passed by answerGrace.
+func (t Target) Drive(ctx context.Context, p Plan) []Outcome {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	schedule := p.Schedule()
+	outcomes := make([]Outcome, len(schedule))
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, s := range schedule {
+		if !sleepUntil(ctx, start.Add(s.At)) {
+			outcomes = outcomes[:i]
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			outcomes[i] = t.send(ctx, client, p, i, s)
+		}()
+	}
+	wg.Wait()
+	return outcomes
+}
+
+func (t Target) send(ctx context.Context, client *http.Client, p Plan, i int, s Submission) Outcome {
+	nonce := fmt.Sprintf("%s-%d-%d", p.Workload.Name, p.Seed, i)
+	o := Outcome{Submission: s, Entry: i % len(t.Entries)}
+	ctx, cancel := context.WithTimeout(ctx, s.Class.Deadline+answerGrace)
+	defer cancel()
+	body := s.Body(p.Workload.Service, nonce)
+	start := time.Now()
+	status, b, err := do(ctx, client, http.MethodPost, t.Entries[o.Entry]+s.path(), t.Token, body)
+	o.Response = time.Since(start)
+	if err != nil {
+		o.Verdict, o.Err = NoAnswer, err
+		return o
+	}
+	o.Verdict, o.Answer = Judge(s, nonce, status, b)
+	return o
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Measure drives p and summarises it. The fleet must be the live endpoints.
+func (t Target) Measure(ctx context.Context, p Plan, fleet Fleet, res *Result) ([]Outcome, error) {
+	before, err := t.ReadTraffic(ctx)
+	if err != nil {
+		return nil, err
+	}
+	startsBefore, err := t.CountStarts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	begin := time.Now()
+	outcomes := t.Drive(ctx, p)
+	res.Seconds = time.Since(begin).Seconds()
+	r := NewRecorder()
+	for _, o := range outcomes {
+		r.Add(o.Submission, o.Verdict, o.Kind(), o.Response, fleet.Ideal(o.Submission))
+	}
+	r.Fill(res)
+	res.Workload, res.Seed, res.Fleet = p.Workload.Name, p.Seed, fleet
+	// A killed node no longer answers; its messages are missing from the sum.
+	after, _ := t.ReadTraffic(ctx)
+	res.Traffic = after.Minus(before)
+	starts, err := t.CountStarts(ctx)
+	if err != nil {
+		return outcomes, err
+	}
+	res.countStarts(startsBefore, starts, idempotentIDs(outcomes))
+	messages, bytes := res.Traffic.Wasted()
+	res.WastedPerTask = messages / float64(max(res.Starts, 1))
+	res.ControlBytesPerNode = bytes / max(res.Seconds, 1) / float64(max(after.Nodes, 1))
+	return outcomes, nil
+}
+
+// idempotentIDs returns the single requests that may start more than once.
+func idempotentIDs(outcomes []Outcome) map[string]bool {
+	ids := map[string]bool{}
+	for _, o := range outcomes {
+		if o.Submission.Class.Request && o.Submission.Class.Idempotent {
+			ids[o.Answer.ID] = true
+		}
+	}
+	return ids
+}
+
+// countStarts counts the starts since before, and the tasks that started more
+// than once although they must not.
+func (r *Result) countStarts(before, after map[string]int, idempotent map[string]bool) {
+	for key, n := range after {
+		r.Starts += n - before[key]
+		id, _, _ := strings.Cut(key, "/")
+		if n > 1 && !idempotent[id] {
+			r.DoubleStarts++
+		}
+	}
+}
--- /dev/null
+++ b/load/run_test.go
@@ -0,0 +1,94 @@
+package load_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/load"
+)
+
+func job(tasks int) load.Submission {
+	return load.Submission{Class: &load.Class{Kind: "k", Deadline: time.Second}, Run: make([]time.Duration, tasks)}
+}
+
+func answer(order ...int) []byte {
+	tasks := []map[string]any{}
+	for at, i := range order {
+		tasks = append(tasks, map[string]any{"index": at, "outcome": "done", "body": map[string]any{
+			"index": i, "payload": map[string]any{"nonce": fmt.Sprintf("n/%d", i)},
+		}})
+	}
+	b, _ := json.Marshal(map[string]any{"id": "x", "status": "complete", "tasks": tasks})
+	return b
+}
+
+// A tool that accepts a partial or mixed answer would hide the worst faults.
+func TestJudge(t *testing.T) {
+	c := qt.New(t)
+	for _, tc := range []struct {
+		name   string
+		status int
+		body   string
+		want   load.Verdict
+	}{
+		{"whole", 200, string(answer(0, 1, 2)), load.Complete},
+		{"partial", 200, string(answer(0, 1)), load.WrongAnswer},
+		{"mixed order", 200, string(answer(0, 2, 1)), load.WrongAnswer},
+		{"not JSON", 200, "<html>", load.NoAnswer},
+		{"no error", 500, "{}", load.NoAnswer},
+		{"refused", 503, `{"error": {"kind": "queue_full", "outcome": "not_run"}}`, load.Refused},
+		{"missed", 504, `{"error": {"kind": "deadline_passed", "outcome": "may_have_run"}}`, load.DeadlineMissed},
+		{"failed", 502, `{"error": {"kind": "agent_lost", "outcome": "may_have_run"}}`, load.Failed},
+	} {
+		got, _ := load.Judge(job(3), "n", tc.status, []byte(tc.body))
+		c.Check(got, qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+	other, _ := load.Judge(job(3), "other", 200, answer(0, 1, 2))
+	c.Check(other, qt.Equals, load.WrongAnswer)
+}
+
+// A run must count every submission, the messages since its start and each task
+// that started twice.
+func TestMeasure(t *testing.T) {
+	c := qt.New(t)
+	calls := 0
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		fmt.Fprintf(w, "# TYPE oriole_messages_total counter\noriole_messages_total{direction=\"sent\",type=\"refused\"} %d\n", calls*10)
+		fmt.Fprintf(w, "oriole_messages_total{direction=\"received\",type=\"refused\"} 99\n")
+		fmt.Fprintf(w, "# TYPE oriole_message_bytes_total counter\noriole_message_bytes_total{direction=\"sent\",type=\"refused\"} %d\n", calls*400)
+	})
+	mux.HandleFunc("GET /starts/tasks", func(w http.ResponseWriter, _ *http.Request) {
+		if calls > 1 {
+			_, _ = w.Write([]byte(`[{"submission":"a","index":0,"starts":1},{"submission":"a","index":1,"starts":2}]`))
+			return
+		}
+		_, _ = w.Write([]byte(`[]`))
+	})
+	mux.HandleFunc("POST /", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(503)
+		_, _ = w.Write([]byte(`{"error": {"kind": "no_endpoint", "outcome": "not_run"}}`))
+	})
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	target := load.Target{Entries: []string{srv.URL}, Nodes: []string{srv.URL}, Endpoints: []string{srv.URL}}
+	plan := load.Plan{Workload: load.Veils(), Seed: 1, Rate: 400, Length: 200 * time.Millisecond}
+	var res load.Result
+	outcomes, err := target.Measure(context.Background(), plan, load.Fleet{{Speed: 1, Slots: 1}}, &res)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(outcomes), qt.Equals, len(plan.Schedule()))
+	c.Check(res.Verdicts, qt.DeepEquals, map[load.Verdict]int{load.Refused: len(outcomes)})
+	c.Check(res.Kinds, qt.DeepEquals, map[string]int{"no_endpoint": len(outcomes)})
+	c.Check(res.Starts, qt.Equals, 3)
+	c.Check(res.DoubleStarts, qt.Equals, 1)
+	c.Check(res.Traffic.Messages["refused"], qt.Equals, 10.0)
+	c.Check(res.WastedPerTask, qt.Equals, 10.0/3)
+}
--- /dev/null
+++ b/load/target.go
@@ -0,0 +1,202 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// Target is the system under load. URLs are base URLs.
+type Target struct {
+	Entries       []string
+	Token         string
+	OperatorToken string
+	// Nodes are the entries and agents whose /metrics are read.
+	Nodes []string
+	// Endpoints are sample endpoints, whose starts are counted.
+	Endpoints []string
+}
+
+// maxAnswerBytes bounds an answer that is read.
+const maxAnswerBytes = 64 << 20
+
+// newClient returns a client for open-loop load: many connections in parallel,
+// and no limit on the time of a call except the caller's context.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, IdleConnTimeout: 30 * time.Second}}
+}
+
+func do(ctx context.Context, client *http.Client, method, url, token string, body any) (int, []byte, error) {
+	var r io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, err
+		}
+		r = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	// Without a replay function the transport never sends a body twice.
+	req.GetBody = nil
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return resp.StatusCode, b, err
+}
+
+// ReadTraffic sums the messages that all nodes have sent, by type. A node that
+// does not answer is left out.
+func (t Target) ReadTraffic(ctx context.Context) (Traffic, error) {
+	sum := Traffic{Messages: map[string]float64{}, Bytes: map[string]float64{}}
+	client := newClient()
+	defer client.CloseIdleConnections()
+	var errs []error
+	for _, node := range t.Nodes {
+		m, err := ReadMetrics(ctx, client, node)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		sum.Nodes++
+		for name, v := range m.BySentType("oriole_messages_total") {
+			sum.Messages[name] += v
+		}
+		for name, v := range m.BySentType("oriole_message_bytes_total") {
+			sum.Bytes[name] += v
+		}
+	}
+	return sum, errors.Join(errs...)
+}
+
+// Minus returns the traffic since before. A counter that went back belongs to a
+// process that was restarted; the difference then counts from zero.
+func (t Traffic) Minus(before Traffic) Traffic {
+	d := Traffic{Messages: map[string]float64{}, Bytes: map[string]float64{}, Nodes: t.Nodes}
+	for name, v := range t.Messages {
+		d.Messages[name] = max(v-before.Messages[name], 0)
+		d.Bytes[name] = max(t.Bytes[name]-before.Bytes[name], 0)
+	}
+	return d
+}
+
+// Metrics holds the samples of one process by metric name.
+type Metrics map[string][]Sample
+
+// Sample is one value with its labels.
+type Sample struct {
+	Labels map[string]string
+	Value  float64
+}
+
+// ReadMetrics reads the counters and gauges of the process at the base URL.
+func ReadMetrics(ctx context.Context, client *http.Client, base string) (Metrics, error) {
+	status, body, err := do(ctx, client, http.MethodGet, base+"/metrics", "", nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("%s/metrics answered %d", base, status)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%s/metrics: %w", base, err)
+	}
+	m := Metrics{}
+	for name, f := range families {
+		for _, row := range f.GetMetric() {
+			s := Sample{Labels: map[string]string{}}
+			for _, l := range row.GetLabel() {
+				s.Labels[l.GetName()] = l.GetValue()
+			}
+			switch {
+			case row.GetCounter() != nil:
+				s.Value = row.GetCounter().GetValue()
+			case row.GetGauge() != nil:
+				s.Value = row.GetGauge().GetValue()
+			default:
+				continue
+			}
+			m[name] = append(m[name], s)
+		}
+	}
+	return m, nil
+}
+
+// Value returns the sum of all samples of a metric.
+func (m Metrics) Value(name string) float64 {
+	sum := 0.0
+	for _, s := range m[name] {
+		sum += s.Value
+	}
+	return sum
+}
+
+// BySentType returns the samples with direction "sent" by their type.
+func (m Metrics) BySentType(name string) map[string]float64 {
+	by := map[string]float64{}
+	for _, s := range m[name] {
+		if s.Labels["direction"] == "sent" {
+			by[s.Labels["type"]] += s.Value
+		}
+	}
+	return by
+}
+
+// TaskStarts is the number of starts of one task at one sample endpoint.
+type TaskStarts struct {
+	Submission string `json:"submission"`
+	Index      int    `json:"index"`
+	Starts     int    `json:"starts"`
+}
+
+// CountStarts returns the starts of every task over all sample endpoints.
+func (t Target) CountStarts(ctx context.Context) (map[string]int, error) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	starts := map[string]int{}
+	for _, e := range t.Endpoints {
+		status, body, err := do(ctx, client, http.MethodGet, e+"/starts/tasks", "", nil)
+		if err != nil {
+			return nil, err
+		}
+		var tasks []TaskStarts
+		if err := json.Unmarshal(body, &tasks); err != nil || status != http.StatusOK {
+			return nil, fmt.Errorf("%s/starts/tasks answered %d: %w", e, status, err)
+		}
+		for _, s := range tasks {
+			starts[fmt.Sprintf("%s/%d", s.Submission, s.Index)] += s.Starts
+		}
+	}
+	return starts, nil
+}
+
+// SetMode sets the fault of a sample endpoint; straggler 1 and fail false end it.
+func (t Target) SetMode(ctx context.Context, endpoint int, fail bool, straggler int) error {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	status, body, err := do(ctx, client, http.MethodPut, t.Endpoints[endpoint]+"/mode", "", map[string]any{"fail": fail, "straggler": straggler})
+	if err == nil && status/100 != 2 {
+		err = fmt.Errorf("%s/mode answered %d: %s", t.Endpoints[endpoint], status, strings.TrimSpace(string(body)))
+	}
+	return err
+}
