--- a/endpoint/sample.go
+++ b/endpoint/sample.go
@@ -117,9 +117,11 @@
 // Register adds the test interface of s to e:
 //
 //	GET /starts?submission=S&index=I  {"starts": n, "total": n}
+//	GET /starts/tasks                 [{"submission", "index", "starts"}]
 //	PUT /mode {"fail": bool, "straggler": factor}
 func (s *Sample) Register(e *Endpoint) {
 	e.Handle("GET /starts", http.HandlerFunc(s.serveStarts))
+	e.Handle("GET /starts/tasks", http.HandlerFunc(s.serveTasks))
 	e.Handle("PUT /mode", http.HandlerFunc(s.serveMode))
 }
 
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -152,7 +152,7 @@
 	}
 	merge(settings, c.Spec.Entry)
 	base := "http://" + addr
-	p, err := c.process(name, "oriole-entry", base+"/readyz", settings)
+	p, err := c.process(name, "oriole-entry", base+"/healthz", settings)
 	c.Entries = append(c.Entries, p)
 	c.EntryHTTP = append(c.EntryHTTP, base)
 	return err
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -163,11 +163,12 @@
 		if p.ReadyURL == "" {
 			return nil
 		}
-		return getOK(ctx, p.ReadyURL)
+		return GetOK(ctx, p.ReadyURL)
 	})
 }
 
-func getOK(ctx context.Context, url string) error {
+// GetOK returns nil when a GET of url answers with a 2xx status within one second.
+func GetOK(ctx context.Context, url string) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/load/run.go
+++ b/load/run.go
@@ -160,7 +160,7 @@
 
 func (t Target) send(ctx context.Context, client *http.Client, p Plan, i int, s Submission) Outcome {
 	nonce := fmt.Sprintf("%s-%d-%d", p.Workload.Name, p.Seed, i)
-	o := Outcome{Submission: s, Entry: i % len(t.Entries)}
+	o := Outcome{Submission: s, Entry: t.pick(i)}
 	ctx, cancel := context.WithTimeout(ctx, s.Class.Deadline+answerGrace)
 	defer cancel()
 	body := s.Body(p.Workload.Service, nonce)
--- a/load/target.go
+++ b/load/target.go
@@ -24,6 +24,8 @@
 	Nodes []string
 	// Endpoints are sample endpoints, whose starts are counted.
 	Endpoints []string
+	// Ready tells whether an entry may get submissions; nil means always.
+	Ready func(entry int) bool
 }
 
 // maxAnswerBytes bounds an answer that is read.
