agent: record, drain, lease state, key reload, metrics and spans

Change: - record: bounded by admitted entries, tombstones, answer bytes and age. What was sent on a connection that then ended is reported on the next one.

Ruled out: leaving client certificates to crypto/tls, which has no hook to log a refused peer; keeping every answer for the whole record age, which at 256 KiB an answer exceeds the memory of a node.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,9 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace"
+
 	"oriolerelay/event"
 	"oriolerelay/ids"
 	"oriolerelay/transport"
@@ -30,8 +33,17 @@
 	Seeds      []string // internal addresses of entries
 
 	TLS   *tls.Config
-	Log   *event.Logger    // may be nil
-	Stats *transport.Stats // may be nil
+	Keys  *transport.TLSFiles // watched for faults and expiry; may be nil
+	Log   *event.Logger       // may be nil
+	Stats *transport.Stats    // may be nil
+	// Metrics takes the agent's figures and Gatherer serves /metrics; both may
+	// be nil.
+	Metrics  prometheus.Registerer
+	Gatherer prometheus.Gatherer
+	// Traces takes the agent's spans; nil means the global provider.
+	Traces trace.TracerProvider
+	// Leases renews the worker's lease; nil means that the worker has none.
+	Leases Leaser
 
 	Buffer         int
 	MaxRecords     int
@@ -91,26 +103,31 @@
 func (a *Agent) Load() wire.Load { return a.core.load() }
 
 // Run serves until ctx ends, then drains: new tasks are refused at once, those
-// admitted before are finished and reported, and Run returns.
+// admitted before are finished and reported, and Run returns. It also drains
+// when another process takes the worker's lease, and then returns ErrLeaseLost.
 func (a *Agent) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 5 * time.Second}
+	failed := make(chan error, 2)
 	var wg sync.WaitGroup
 	wg.Go(func() { a.entries.run(work) })
-	wg.Go(func() { a.core.watchEndpoint(work) })
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(a.listener) }()
+	wg.Go(func() { a.core.watch(work) })
+	wg.Go(func() { a.watchKeys(work) })
+	if a.cfg.Leases != nil {
+		wg.Go(func() { a.keepLease(work, func() { failed <- ErrLeaseLost }) })
+		defer a.releaseLease()
+	}
+	go func() { failed <- fmt.Errorf("announcement server: %w", srv.Serve(a.listener)) }()
 	var err error
 	select {
 	case <-ctx.Done():
-	case err = <-served:
-		err = fmt.Errorf("announcement server: %w", err)
+	case err = <-failed:
 	}
 	a.cfg.Log.Log(event.ProcessDraining)
 	a.core.drain()
-	a.entries.close()
 	a.cfg.Log.Log(event.AgentDrained)
+	a.entries.close()
 	stop()
 	_ = srv.Close()
 	wg.Wait()
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/ids"
@@ -60,11 +63,16 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/endpoint", a.serveAnnouncement)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	if a.cfg.Gatherer != nil {
+		mux.Handle("GET /metrics", promhttp.HandlerFor(a.cfg.Gatherer, promhttp.HandlerOpts{}))
+	}
 	return mux
 }
 
+func (a *Agent) connect(m Announcement) runner { return newBackend(m, a.cfg) }
+
 func (a *Agent) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
-	body, err := readAll(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
 	if err != nil {
 		writeError(w, errkind.New(errkind.BodyTooLarge, "announcement: %v", err))
 		return
@@ -75,7 +83,7 @@
 		writeError(w, errkind.New(errkind.InvalidRequest, "announcement: %v", err))
 		return
 	}
-	if err := a.core.announced(m); err != nil {
+	if err := a.core.announced(m, a.connect); err != nil {
 		a.cfg.Log.Log(event.AnnounceRefused, "reason", err)
 		writeError(w, err)
 		return
@@ -90,68 +98,37 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]string{"kind": string(err.Kind), "detail": err.Detail}})
 }
 
+// takeoverAfter is when an endpoint at another address may replace the current
+// one: after one missed renewal, so that two live ones do not take turns.
+const takeoverAfter = RenewalPeriod * 3 / 2
+
 // announced applies an announcement of the endpoint on this host.
-func (c *core) announced(m Announcement) *errkind.Error {
+func (c *core) announced(m Announcement, connect func(Announcement) runner) *errkind.Error {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := c.endpoint
-	if current != nil && current.address != m.Address {
-		if m.Leaving {
-			return nil // an endpoint that was replaced before
-		}
-		if now.Sub(current.renewed) < takeoverAfter && !current.unreachable.Load() {
-			return errkind.New(errkind.IDConflict, "endpoint %s is announced and renews", current.address)
-		}
+	var current Announcement
+	if c.endpoint != nil {
+		current = c.endpoint.announcement()
 	}
+	other := c.endpoint != nil && current.Address != m.Address
 	switch {
+	case m.Leaving && (c.endpoint == nil || other):
+		return nil // it was withdrawn or replaced before
 	case m.Leaving:
-		if current != nil {
-			c.cfg.Log.Log(event.EndpointLeaving, "service", m.Service, "address", m.Address)
-			c.withdraw(now)
-		}
+		c.cfg.Log.Log(event.EndpointLeaving, "service", m.Service, "address", m.Address)
+		c.setEndpoint(nil)
+		c.dispatch(now)
 		return nil
-	case current != nil && current.Announcement() == m:
-		current.renewed = now
+	case other && now.Sub(c.renewed) < takeoverAfter:
+		return errkind.New(errkind.IDConflict, "endpoint %s is announced and renews", current.Address)
+	}
+	c.renewed = now
+	if c.endpoint != nil && current == m {
 		return nil
 	}
 	c.cfg.Log.Log(event.EndpointAnnounced, "service", m.Service, "address", m.Address, "slots", m.Slots)
-	c.setEndpoint(newBackend(m, c.cfg, now))
+	c.setEndpoint(connect(m))
 	c.dispatch(now)
 	return nil
 }
-
-// takeoverAfter is when an endpoint at another address may replace the current
-// one: after one missed renewal, so that two live ones do not take turns.
-const takeoverAfter = RenewalPeriod * 3 / 2
-
-// withdraw removes the endpoint; queued tasks are refused, running ones go on.
-func (c *core) withdraw(now time.Time) {
-	c.setEndpoint(nil)
-	c.dispatch(now)
-}
-
-func (c *core) setEndpoint(b *backend) {
-	if c.endpoint != nil {
-		c.endpoint.close()
-	}
-	c.endpoint = b
-	c.announceAll()
-}
-
-// announceAll queues a new announcement on every connection.
-func (c *core) announceAll() {
-	c.revision++
-	for l := range c.links {
-		l.announce = true
-		l.signal()
-	}
-}
-
-func (c *core) announcement() *wire.Announce {
-	m := &wire.Announce{Revision: c.revision}
-	if b := c.endpoint; b != nil {
-		m.Service, m.Slots, m.Buffer, m.Capacity = b.service, uint32(b.slots), uint32(c.rules.buffer), b.capacity
-	}
-	return m
-}
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -53,6 +53,8 @@
 	mu    sync.Mutex
 	conns []usedConn
 	ended bool
+	// dialFailed is set at the end of a call that could not connect in time.
+	dialFailed bool
 }
 
 type usedConn struct {
@@ -96,9 +98,13 @@
 	if a.written() {
 		return lostResult(ctx, err)
 	}
-	r := wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.ConnectionRefused, Detail: excerpt([]byte(err.Error()))}
-	if ctx.Err() != nil {
+	r := wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.ConnectionRefused, Detail: excerpt(err.Error())}
+	var op *net.OpError
+	switch {
+	case ctx.Err() != nil:
 		r.Kind = errkind.DeadlinePassed
+	case errors.As(err, &op) && op.Op == "dial":
+		a.dialFailed = true
 	}
 	return r
 }
--- a/agent/backend.go
+++ b/agent/backend.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/wire"
@@ -21,62 +24,75 @@
 // idleConnTimeout closes pooled connections to the endpoint.
 const idleConnTimeout = 30 * time.Second
 
+const (
+	// dialTimeout bounds a connection attempt to an endpoint on this host.
+	dialTimeout = time.Second
+	// maxHeaderBytes bounds the header of an endpoint's answer.
+	maxHeaderBytes = 64 << 10
+)
+
 // backend is one announced endpoint. Its values do not change; another
 // announcement makes a new backend.
 type backend struct {
 	announced Announcement
-	service   string
-	address   string
-	slots     int // concurrent calls: the endpoint's slots within its connection limit
-	capacity  wire.Resources
-	renewed   time.Time // guarded by the core's mutex
-
-	unreachable atomic.Bool // the last call could not connect
-	failing     atomic.Bool // the last call failed
-
 	cfg       Config
 	transport *http.Transport
+	tracer    trace.Tracer
+	failing   atomic.Bool // the last call failed
 }
 
-func newBackend(m Announcement, cfg Config, now time.Time) *backend {
-	b := &backend{
-		announced: m, service: m.Service, address: m.Address, capacity: m.Capacity,
-		slots: min(m.Slots, m.Connections), renewed: now, cfg: cfg,
-	}
-	b.transport = &http.Transport{
-		DialContext:         dialCounted,
-		MaxConnsPerHost:     m.Connections,
-		MaxIdleConnsPerHost: m.Connections,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+func newBackend(m Announcement, cfg Config) *backend {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &backend{
+		announced: m,
+		cfg:       cfg,
+		tracer:    newTracer(cfg.Traces),
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countedConn{Conn: c}, nil
+			},
+			MaxConnsPerHost:        m.Connections,
+			MaxIdleConnsPerHost:    m.Connections,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+		},
 	}
-	return b
 }
 
-// Announcement returns what the endpoint announced.
-func (b *backend) Announcement() Announcement { return b.announced }
+func (b *backend) announcement() Announcement { return b.announced }
+
+// slots is the endpoint's number of slots within its connection limit, since
+// each call takes a connection.
+func (b *backend) slots() int { return min(b.announced.Slots, b.announced.Connections) }
 
-// close releases pooled connections; calls in progress go on.
 func (b *backend) close() { b.transport.CloseIdleConnections() }
 
-// call runs t on the endpoint within t's deadline and returns its end.
-func (b *backend) call(t *task) wire.TaskResult {
+// call implements runner.
+func (b *backend) call(t *task) (wire.TaskResult, bool) {
 	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
 	defer cancel()
-	attempt := &attempt{}
-	result := b.post(attempt.trace(ctx), t, attempt)
-	b.note(result)
-	return result
+	ctx, span := startSpans(ctx, b.tracer, t)
+	a := &attempt{}
+	result := b.post(a.trace(ctx), t, a)
+	endSpan(span, &result)
+	b.note(&result)
+	return result, a.dialFailed
 }
 
 func (b *backend) post(ctx context.Context, t *task, a *attempt) wire.TaskResult {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.address+"/run", bytes.NewReader(t.spec.Payload))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.announced.Address+"/run", bytes.NewReader(t.spec.Payload))
 	if err != nil {
-		return wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.Internal, Detail: err.Error()}
+		return wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.Internal, Detail: excerpt(err.Error())}
 	}
-	// Without GetBody the transport cannot send the request a second time.
+	// Without GetBody the transport cannot send a request again that was begun.
 	req.GetBody = nil
 	setHeaders(req, t)
+	injectTrace(ctx, req.Header)
 	resp, err := b.transport.RoundTrip(req)
 	if err != nil {
 		return a.failed(ctx, err)
@@ -94,9 +110,6 @@
 	h.Set("Oriole-Team", s.Team)
 	h.Set("Oriole-Kind", s.Kind)
 	h.Set("Oriole-Deadline-Ms", strconv.FormatInt(time.Until(t.deadline).Milliseconds(), 10))
-	if s.TraceParent != "" {
-		h.Set("traceparent", s.TraceParent)
-	}
 }
 
 // readAnswer turns the endpoint's answer into a result.
@@ -106,9 +119,9 @@
 	case err != nil:
 		return lostResult(ctx, err)
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Oriole-Not-Run") == "true":
-		return wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.ConnectionRefused, Detail: "endpoint refused: " + excerpt(body)}
+		return wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.ConnectionRefused, Detail: "endpoint refused: " + excerpt(string(body))}
 	case resp.StatusCode != http.StatusOK:
-		return wire.TaskResult{Outcome: errkind.MayHaveRun, Kind: errkind.TaskFailed, Detail: resp.Status + ": " + excerpt(body)}
+		return wire.TaskResult{Outcome: errkind.MayHaveRun, Kind: errkind.TaskFailed, Detail: resp.Status + ": " + excerpt(string(body))}
 	case len(body) > maxAnswerBytes:
 		return wire.TaskResult{Outcome: errkind.MayHaveRun, Kind: errkind.AnswerTooLarge, Detail: "answer exceeds " + strconv.Itoa(maxAnswerBytes) + " bytes"}
 	}
@@ -117,7 +130,7 @@
 
 // lostResult is the result of a call that failed after bytes were written.
 func lostResult(ctx context.Context, err error) wire.TaskResult {
-	r := wire.TaskResult{Outcome: errkind.MayHaveRun, Kind: errkind.EndpointLost, Detail: excerpt([]byte(err.Error()))}
+	r := wire.TaskResult{Outcome: errkind.MayHaveRun, Kind: errkind.EndpointLost, Detail: excerpt(err.Error())}
 	if ctx.Err() != nil {
 		r.Kind = errkind.DeadlinePassed
 	}
@@ -127,34 +140,19 @@
 // excerptBytes bounds foreign text in a detail.
 const excerptBytes = 200
 
-func excerpt(b []byte) string {
-	if len(b) > excerptBytes {
-		b = b[:excerptBytes]
-	}
-	return string(bytes.ToValidUTF8(b, []byte("?")))
+func excerpt(s string) string {
+	return strings.ToValidUTF8(s[:min(len(s), excerptBytes)], "?")
 }
 
 // note logs the first failure after a success and the first success after that.
-func (b *backend) note(r wire.TaskResult) {
-	b.unreachable.Store(r.Kind == errkind.ConnectionRefused)
+func (b *backend) note(r *wire.TaskResult) {
 	failed := r.Outcome != errkind.Done
 	if b.failing.Swap(failed) == failed {
 		return
 	}
 	if failed {
-		b.cfg.Log.Log(event.EndpointFailing, "address", b.address, "kind", r.Kind, "detail", r.Detail)
+		b.cfg.Log.Log(event.EndpointFailing, "address", b.announced.Address, "kind", r.Kind, "detail", r.Detail)
 	} else {
-		b.cfg.Log.Log(event.EndpointRecovered, "address", b.address)
-	}
-}
-
-func readAll(r io.Reader) ([]byte, error) { return io.ReadAll(r) }
-
-func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+		b.cfg.Log.Log(event.EndpointRecovered, "address", b.announced.Address)
 	}
-	return &countedConn{Conn: c}, nil
 }
--- a/agent/core.go
+++ b/agent/core.go
@@ -10,9 +10,6 @@
 	"oriolerelay/wire"
 )
 
-// maxBudget bounds the deadline that a Start may carry.
-const maxBudget = 10 * time.Minute
-
 // task is an admitted task that has not ended.
 type task struct {
 	entry    *entry
@@ -26,11 +23,14 @@
 // core is the state of an agent: endpoint, queue, record and load. Its methods
 // may be called from any goroutine and never block on a peer.
 type core struct {
-	cfg Config
+	cfg     Config
+	metrics *metrics
 
 	mu       sync.Mutex
-	endpoint *backend // nil while none is announced
-	revision uint64   // of the announcement
+	endpoint runner    // nil while none is announced
+	renewed  time.Time // of the endpoint's announcement
+	held     bool      // the worker's lease allows new tasks
+	revision uint64    // of the announcement
 	rules    rules
 	queue    taskQueue
 	running  int
@@ -42,14 +42,27 @@
 	expiry   *time.Timer   // fires at the earliest deadline in the queue
 }
 
+// runner runs tasks on one announced endpoint.
+type runner interface {
+	announcement() Announcement
+	// slots is the number of tasks that may run at once.
+	slots() int
+	// call runs t within its deadline. It reports whether the endpoint could
+	// not be reached at all, which withdraws it.
+	call(t *task) (result wire.TaskResult, unreachable bool)
+	// close releases resources; calls in progress go on.
+	close()
+}
+
 func newCore(cfg Config) *core {
 	c := &core{
 		cfg:     cfg,
-		record:  newRecord(cfg.MaxRecords, cfg.RecordAge),
+		held:    true,
+		record:  newRecord(cfg),
 		links:   make(map[*link]struct{}),
 		drained: make(chan struct{}),
 	}
-	c.rules.buffer = cfg.Buffer
+	c.metrics = newMetrics(cfg.Metrics, c)
 	c.expiry = time.AfterFunc(time.Hour, c.dropExpired)
 	c.expiry.Stop()
 	return c
@@ -65,78 +78,11 @@
 	return wire.Load{Running: uint32(c.running), Queued: uint32(c.queue.len())}
 }
 
-// start handles the tasks of a Start from l's peer.
-func (c *core) start(l *link, m *wire.Start) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := range m.Tasks {
-		c.startTask(l, &m.Tasks[i], now)
-	}
-	c.dispatch(now)
-}
-
-func (c *core) startTask(l *link, spec *wire.StartTask, now time.Time) {
-	h := l.home
-	if e := h.entries[spec.Ref]; e != nil {
-		// A duplicate joins the first Start; a finished task is reported again.
-		if e.task == nil {
-			c.report(e)
-		}
-		return
-	}
-	if kind := c.admit(h, spec); kind != "" {
-		c.refuseArrival(h, spec.Ref, kind, now)
-		return
-	}
-	c.orders++
-	t := &task{
-		spec: *spec, arrived: now, order: c.orders,
-		deadline: now.Add(time.Duration(spec.BudgetMicros) * time.Microsecond),
-	}
-	t.entry = &entry{home: h, ref: spec.Ref, task: t}
-	c.record.add(t.entry, now)
-	c.queue.push(t)
-}
-
-// admit returns why a new task is refused, or an empty kind.
-func (c *core) admit(h *home, spec *wire.StartTask) errkind.Kind {
-	budget := time.Duration(spec.BudgetMicros) * time.Microsecond
-	switch {
-	case c.draining:
-		return errkind.Draining
-	case spec.BudgetMicros <= 0:
-		return errkind.DeadlinePassed
-	case spec.BudgetMicros > maxBudget.Microseconds() || budget > maxBudget:
-		return errkind.InvalidRequest
-	case spec.Ref <= h.forgotten:
-		// The key may have been recorded before, so it must not run now.
-		return errkind.Cancelled
-	case c.endpoint == nil || c.endpoint.service != spec.Service:
-		return errkind.NoEndpoint
-	case c.running+c.queue.len() >= c.endpoint.slots+c.rules.buffer:
-		return errkind.QueueFull
-	case c.record.full():
-		return errkind.RecordFull
-	}
-	return ""
-}
-
-// refuseArrival refuses a task that was not recorded before. The tombstone
-// keeps a later duplicate from running after this refusal.
-func (c *core) refuseArrival(h *home, ref uint64, kind errkind.Kind, now time.Time) {
-	e := &entry{home: h, ref: ref, refused: true, tombstone: true, kind: kind}
-	if !c.record.tombstonesFull() {
-		c.record.add(e, now)
-	}
-	c.report(e)
-}
-
-// dispatch starts queued tasks while slots are free.
+// dispatch starts queued tasks while slots are free. Without an endpoint it
+// refuses them, so that their homes can choose another agent.
 func (c *core) dispatch(now time.Time) {
-	for c.queue.len() > 0 && (c.endpoint == nil || c.running < c.endpoint.slots) {
+	for c.queue.len() > 0 && (c.endpoint == nil || c.running < c.endpoint.slots()) {
 		t := c.queue.pop()
-		t.position = -1
 		switch {
 		case !now.Before(t.deadline):
 			c.refusePending(t, errkind.DeadlinePassed)
@@ -154,7 +100,8 @@
 }
 
 func (c *core) refusePending(t *task, kind errkind.Kind) {
-	t.entry.refuse(kind)
+	c.record.refuse(t.entry, kind)
+	c.metrics.refused(kind)
 	c.report(t.entry)
 }
 
@@ -164,27 +111,30 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	for h := c.queue.head(); h != nil && !now.Before(h.deadline); h = c.queue.head() {
-		c.queue.pop()
-		c.refusePending(h, errkind.DeadlinePassed)
+		c.refusePending(c.queue.pop(), errkind.DeadlinePassed)
 	}
 	c.dispatch(now)
 }
 
 // run calls the endpoint for t and reports the end.
-func (c *core) run(t *task, b *backend) {
+func (c *core) run(t *task, r runner) {
 	begin := time.Now()
-	result := b.call(t)
+	result, unreachable := r.call(t)
 	end := time.Now()
 	result.Ref = t.spec.Ref
 	result.QueueMicros = begin.Sub(t.arrived).Microseconds()
 	result.RunMicros = end.Sub(begin).Microseconds()
+	c.metrics.finished(&result)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running--
-	e := t.entry
-	e.task = nil
-	e.outcome, e.kind, e.result = result.Outcome, result.Kind, &result
-	c.report(e)
+	c.record.finish(t.entry, &result)
+	c.report(t.entry)
+	if unreachable && c.endpoint == r {
+		m := r.announcement()
+		c.cfg.Log.Log(event.EndpointUnreachable, "service", m.Service, "address", m.Address, "detail", result.Detail)
+		c.setEndpoint(nil)
+	}
 	c.dispatch(end)
 }
 
@@ -200,112 +150,39 @@
 	h.link.signal()
 }
 
-// settle answers what became of refs. A ref that was never seen is recorded as
-// refused before the answer is sent.
-func (c *core) settle(l *link, m *wire.Settle) *wire.Settled {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	reply := &wire.Settled{Tasks: make([]wire.SettledTask, 0, len(m.Refs))}
-	size := 0
-	for _, ref := range m.Refs {
-		s := c.settleRef(l.home, ref, now)
-		if s.Result != nil {
-			if size += len(s.Result.Body); size > maxBatchBytes {
-				// The answer would not fit into the frame; the result follows.
-				c.report(l.home.entries[ref])
-				s = wire.SettledTask{Ref: ref, State: wire.TaskPending}
-			}
-		}
-		reply.Tasks = append(reply.Tasks, s)
-	}
-	return reply
-}
-
-func (c *core) settleRef(h *home, ref uint64, now time.Time) wire.SettledTask {
-	e := h.entries[ref]
-	switch {
-	case e == nil && (ref <= h.forgotten || c.record.tombstonesFull()):
-		// The past of the key is not known or a late Start could not be kept
-		// from running, so never_seen could be false.
-		return finished(wire.TaskResult{Ref: ref, Outcome: errkind.MayHaveRun, Kind: errkind.AgentLost, Detail: "record of the task has expired"})
-	case e == nil:
-		e = &entry{home: h, ref: ref, refused: true, tombstone: true, kind: errkind.Cancelled}
-		c.record.add(e, now)
-		return wire.SettledTask{Ref: ref, State: wire.TaskNeverSeen}
-	case e.task != nil:
-		return wire.SettledTask{Ref: ref, State: wire.TaskPending}
-	case e.refused:
-		return finished(wire.TaskResult{Ref: ref, Outcome: errkind.NotRun, Kind: e.kind})
-	case e.result == nil && e.outcome == errkind.Done:
-		return finished(wire.TaskResult{Ref: ref, Outcome: errkind.MayHaveRun, Kind: errkind.AgentLost, Detail: "answer was delivered before and is no longer kept"})
-	case e.result == nil:
-		return finished(wire.TaskResult{Ref: ref, Outcome: e.outcome, Kind: e.kind})
-	}
-	return finished(*e.result)
-}
-
-func finished(r wire.TaskResult) wire.SettledTask {
-	return wire.SettledTask{Ref: r.Ref, State: wire.TaskFinished, Result: &r}
-}
-
-// cancel withdraws queued tasks; running ones go on.
-func (c *core) cancel(l *link, m *wire.Cancel) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, ref := range m.Refs {
-		e := l.home.entries[ref]
-		if e != nil && e.task != nil && e.task.position >= 0 {
-			c.queue.remove(e.task)
-			c.refusePending(e.task, errkind.Cancelled)
-		}
+// setEndpoint replaces the endpoint and announces that. The caller dispatches.
+func (c *core) setEndpoint(r runner) {
+	if c.endpoint != nil {
+		c.endpoint.close()
 	}
-	c.checkDrained()
+	c.endpoint = r
+	c.announceAll()
 }
 
-// drain refuses new tasks from now on and waits until none is left.
-func (c *core) drain() {
-	c.mu.Lock()
-	c.draining = true
+// announceAll queues a new announcement on every connection.
+func (c *core) announceAll() {
+	c.revision++
 	for l := range c.links {
-		l.drain = true
+		l.announce = true
 		l.signal()
 	}
-	c.checkDrained()
-	c.mu.Unlock()
-	<-c.drained
 }
 
-// flushed waits until every connection has taken what was queued on it.
-func (c *core) flushed(ctx context.Context) {
-	for {
-		c.mu.Lock()
-		pending := false
-		for l := range c.links {
-			pending = pending || len(l.out) > 0 || len(l.replies) > 0 || l.drain
-		}
-		c.mu.Unlock()
-		if !pending || ctx.Err() != nil {
-			return
-		}
-		sleep(ctx, 2*time.Millisecond)
-	}
-}
-
-func (c *core) checkDrained() {
-	if !c.draining || c.running > 0 || c.queue.len() > 0 {
-		return
-	}
-	select {
-	case <-c.drained:
-	default:
-		close(c.drained)
+// announcement describes the endpoint to entries; it has no slots while the
+// agent may take no tasks.
+func (c *core) announcement() *wire.Announce {
+	m := &wire.Announce{Revision: c.revision}
+	if c.endpoint != nil && c.held {
+		a := c.endpoint.announcement()
+		m.Service, m.Slots, m.Capacity = a.Service, uint32(c.endpoint.slots()), a.Capacity
+		m.Buffer = uint32(c.buffer(a.Service))
 	}
+	return m
 }
 
-// watchEndpoint withdraws an endpoint that has stopped renewing and expires
-// records until ctx ends.
-func (c *core) watchEndpoint(ctx context.Context) {
+// watch withdraws an endpoint that has stopped renewing, releases answers and
+// expires records until ctx ends.
+func (c *core) watch(ctx context.Context) {
 	tick := time.NewTicker(watchPeriod)
 	defer tick.Stop()
 	for {
@@ -321,12 +198,14 @@
 func (c *core) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if b := c.endpoint; b != nil && now.Sub(b.renewed) >= renewalsMissed*RenewalPeriod {
-		c.cfg.Log.Log(event.EndpointWithdrawn, "service", b.service, "address", b.address)
-		c.withdraw(now)
+	if c.endpoint != nil && now.Sub(c.renewed) >= renewalsMissed*RenewalPeriod {
+		m := c.endpoint.announcement()
+		c.cfg.Log.Log(event.EndpointWithdrawn, "service", m.Service, "address", m.Address)
+		c.setEndpoint(nil)
+		c.dispatch(now)
 	}
 	for l := range c.links {
-		l.release(now)
+		c.release(l, now)
 	}
 	c.record.expire(now)
 }
--- a/agent/link.go
+++ b/agent/link.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oriolerelay/errkind"
-	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
 
@@ -26,6 +26,7 @@
 type sender interface {
 	Send(ctx context.Context, m wire.Message) error
 	Reply(ctx context.Context, callID uint64, m wire.Message) error
+	Call(ctx context.Context, m wire.Message) (wire.Message, error)
 	Done() <-chan struct{}
 }
 
@@ -41,7 +42,12 @@
 	sent     []*entry // reported, result still kept
 	replies  []reply
 	announce bool
-	drain    bool
+	drain    bool   // Drain is to be sent
+	acking   bool   // Drain was sent and is not confirmed
+	offered  uint64 // newest ticket sent to the peer
+	offer    bool   // the state is to be sent
+	busy     bool   // a batch is being sent
+	retired  bool   // new tasks are refused
 	closed   bool
 }
 
@@ -51,18 +57,27 @@
 }
 
 // attach makes a link for conn and hands it everything that its home has not
-// surely received. The caller runs link.run and calls core.detach at the end.
+// surely received. The caller runs link.run and calls detach at the end.
 func (c *core) attach(conn sender, peer wire.Hello) *link {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := c.record.home(peer.Node)
+	h := c.record.home(peer.Node, now)
 	l := &link{core: c, conn: conn, home: h, wake: make(chan struct{}, 1), announce: true, drain: c.draining}
 	if old := h.link; old != nil {
 		h.undelivered = append(h.undelivered, old.takeBack()...)
 	}
-	l.out, h.undelivered = h.undelivered, nil
+	for _, e := range h.undelivered {
+		if !e.expires.IsZero() && !h.known(e) {
+			continue // expired from the record meanwhile
+		}
+		l.out = append(l.out, e)
+	}
+	c.metrics.resent(len(l.out))
+	h.undelivered = nil
 	h.link = l
 	c.links[l] = struct{}{}
+	c.offerState(l, peer.Ticket)
 	l.signal()
 	return l
 }
@@ -73,10 +88,9 @@
 	defer c.mu.Unlock()
 	l.closed = true
 	delete(c.links, l)
-	h := l.home
 	lost := l.takeBack()
-	if h.link == l {
-		h.link = nil
+	if l.home.link == l {
+		l.home.link = nil
 	}
 	for _, e := range lost {
 		c.report(e)
@@ -89,6 +103,11 @@
 	return lost
 }
 
+// idle reports whether nothing is left to send on the link.
+func (l *link) idle() bool {
+	return !l.busy && len(l.out) == 0 && len(l.replies) == 0 && !l.drain && !l.acking
+}
+
 func (l *link) signal() {
 	select {
 	case l.wake <- struct{}{}:
@@ -119,46 +138,71 @@
 
 // flush sends everything queued. It reports false when the connection ended.
 func (l *link) flush() bool {
+	ctx := context.Background() // Send returns when the connection ends
 	for {
 		b := l.core.take(l)
 		if b == nil {
 			return true
 		}
 		for _, m := range b.messages {
-			if l.conn.Send(context.Background(), m) != nil {
+			if l.conn.Send(ctx, m) != nil {
 				return false
 			}
 		}
 		for _, r := range b.replies {
-			if l.conn.Reply(context.Background(), r.callID, r.body) != nil {
+			if l.send(ctx, r) != nil {
 				return false
 			}
 		}
+		if b.drain {
+			go l.sendDrain()
+		}
 	}
 }
 
+// send answers a call; a one-way message is answered one-way.
+func (l *link) send(ctx context.Context, r reply) error {
+	if r.callID == 0 {
+		return l.conn.Send(ctx, r.body)
+	}
+	return l.conn.Reply(ctx, r.callID, r.body)
+}
+
+// sendDrain tells the entry to send no more tasks and waits for its Ack. The
+// stream keeps order, so tasks that were sent before arrive before the Ack.
+func (l *link) sendDrain() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainAckTimeout)
+	defer cancel()
+	_, _ = l.conn.Call(ctx, &wire.Drain{}) // without an Ack the timeout covers tasks on their way
+	l.core.mu.Lock()
+	defer l.core.mu.Unlock()
+	l.acking = false
+}
+
 // batch is what one flush sends.
 type batch struct {
 	messages []wire.Message
 	replies  []reply
+	drain    bool
 }
 
 // take removes the next batch from l's queue, or returns nil when it is empty.
 func (c *core) take(l *link) *batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := &batch{replies: l.replies}
+	b := &batch{replies: l.replies, drain: l.drain}
 	l.replies = nil
 	if l.announce {
-		l.announce = false
 		b.messages = append(b.messages, c.announcement())
 	}
-	if l.drain {
-		l.drain = false
-		b.messages = append(b.messages, &wire.Drain{})
+	if l.offer {
+		b.messages = append(b.messages, c.rules.state)
 	}
+	l.acking = l.acking || l.drain
+	l.announce, l.offer, l.drain = false, false, false
 	b.messages = append(b.messages, c.takeReports(l)...)
-	if len(b.messages) == 0 && len(b.replies) == 0 {
+	l.busy = len(b.messages) > 0 || len(b.replies) > 0 || b.drain
+	if !l.busy {
 		return nil
 	}
 	return b
@@ -173,8 +217,7 @@
 	now := time.Now()
 	for ; n < len(l.out) && n < maxBatchTasks && size <= maxBatchBytes; n++ {
 		e := l.out[n]
-		switch {
-		case e.refused:
+		if e.refused {
 			m := refused[e.kind]
 			if m == nil {
 				m = &wire.Refused{Kind: e.kind, Load: result.Load}
@@ -182,10 +225,10 @@
 				messages = append(messages, m)
 			}
 			m.Refs = append(m.Refs, e.ref)
-		default:
-			r := c.settleRef(e.home, e.ref, now).Result
+		} else {
+			r := e.report()
 			size += len(r.Body)
-			result.Tasks = append(result.Tasks, *r)
+			result.Tasks = append(result.Tasks, r)
 		}
 		e.sentAt = now
 		l.sent = append(l.sent, e)
@@ -197,13 +240,15 @@
 	return messages
 }
 
-// release drops answers that the home has received.
-func (l *link) release(now time.Time) {
+// release drops answers that l's home has received.
+func (c *core) release(l *link, now time.Time) {
 	n := 0
 	for ; n < len(l.sent) && now.Sub(l.sent[n].sentAt) >= deliveredAfter; n++ {
-		l.sent[n].result = nil
+		c.record.release(l.sent[n])
+	}
+	if n > 0 {
+		l.sent = slices.Clone(l.sent[n:]) // a copy, so that released entries can be collected
 	}
-	l.sent = l.sent[n:]
 }
 
 func (c *core) heartbeat() *wire.Heartbeat {
@@ -212,12 +257,7 @@
 	return &wire.Heartbeat{Ticket: c.rules.ticket, Load: c.loadLocked()}
 }
 
-// Handle implements transport.Handler.
-func (l *link) Handle(_ *transport.Conn, f wire.Frame) { l.handle(f) }
-
-// Closed implements transport.Handler.
-func (l *link) Closed(*transport.Conn, error) { l.core.detach(l) }
-
+// handle applies one message of the entry.
 func (l *link) handle(f wire.Frame) {
 	switch m := f.Body.(type) {
 	case *wire.Start:
@@ -228,10 +268,16 @@
 		l.core.cancel(l, m)
 	case *wire.State:
 		l.core.setState(m)
+	case *wire.Heartbeat:
+		l.core.peerTicket(l, m.Ticket)
+	case *wire.Drain:
+		if f.CallID != 0 {
+			l.core.answer(l, f.CallID, &wire.Ack{})
+		}
 	}
 }
 
-// answer queues the reply to a call; a one-way message is answered one-way.
+// answer queues the reply to a message.
 func (c *core) answer(l *link, callID uint64, m wire.Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oriolerelay/errkind"
+	"oriolerelay/wire"
+)
+
+// metrics are the figures of one agent.
+type metrics struct {
+	tasks     *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	queueTime prometheus.Histogram
+	runTime   prometheus.Histogram
+	resends   prometheus.Counter
+}
+
+// timeBuckets cover 0.5 ms to 16 s in powers of two; most tasks take 50 ms to 1 s.
+var timeBuckets = prometheus.ExponentialBuckets(0.0005, 2, 16)
+
+// newMetrics registers the figures of c with reg, which may be nil.
+func newMetrics(reg prometheus.Registerer, c *core) *metrics {
+	m := &metrics{
+		tasks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_agent_tasks_total",
+			Help: "Tasks that the agent gave to the endpoint, by outcome and error kind.",
+		}, []string{"outcome", "kind"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_agent_refused_total",
+			Help: "Tasks that were refused and never run, by error kind.",
+		}, []string{"kind"}),
+		queueTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "oriole_agent_queue_seconds", Help: "Wait of tasks for a slot.", Buckets: timeBuckets,
+		}),
+		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "oriole_agent_run_seconds", Help: "Duration of endpoint calls.", Buckets: timeBuckets,
+		}),
+		resends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oriole_agent_resent_total", Help: "Task ends that were reported again after a connection was lost.",
+		}),
+	}
+	if reg == nil {
+		return m
+	}
+	reg.MustRegister(m.tasks, m.refusals, m.queueTime, m.runTime, m.resends)
+	for _, g := range c.gauges() {
+		reg.MustRegister(g)
+	}
+	return m
+}
+
+// gauges read the state of c when they are collected.
+func (c *core) gauges() []prometheus.Collector {
+	gauge := func(name, help string, read func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return read()
+		})
+	}
+	return []prometheus.Collector{
+		gauge("oriole_agent_running", "Tasks that run now.", func() float64 { return float64(c.running) }),
+		gauge("oriole_agent_queued", "Tasks that wait for a slot.", func() float64 { return float64(c.queue.len()) }),
+		gauge("oriole_agent_slots", "Task slots that are announced to entries.", func() float64 { return float64(c.announcement().Slots) }),
+		gauge("oriole_agent_records", "Recorded tasks that were admitted.", func() float64 { return float64(c.record.admitted) }),
+		gauge("oriole_agent_tombstones", "Recorded keys that never run.", func() float64 { return float64(c.record.tombstones) }),
+		gauge("oriole_agent_result_bytes", "Bytes of kept answers.", func() float64 { return float64(c.record.bytes) }),
+		gauge("oriole_agent_connections", "Connections to entries.", func() float64 { return float64(len(c.links)) }),
+		gauge("oriole_agent_ticket", "Number of the newest ticket in force.", func() float64 { return float64(c.rules.ticket) }),
+		gauge("oriole_agent_draining", "1 while the agent drains.", func() float64 { return number(c.draining) }),
+		gauge("oriole_agent_lease_held", "1 unless the worker's lease is held by another.", func() float64 { return number(c.held) }),
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (m *metrics) refused(kind errkind.Kind) { m.refusals.WithLabelValues(string(kind)).Inc() }
+
+func (m *metrics) resent(n int) { m.resends.Add(float64(n)) }
+
+func (m *metrics) finished(r *wire.TaskResult) {
+	m.tasks.WithLabelValues(string(r.Outcome), string(r.Kind)).Inc()
+	m.queueTime.Observe((time.Duration(r.QueueMicros) * time.Microsecond).Seconds())
+	m.runTime.Observe((time.Duration(r.RunMicros) * time.Microsecond).Seconds())
+}
--- a/agent/queue.go
+++ b/agent/queue.go
@@ -44,6 +44,7 @@
 func (h *taskHeap) Pop() any {
 	old := *h
 	t := old[len(old)-1]
+	t.position = -1
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
 	return t
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -42,6 +42,8 @@
 	MaxResultBytes int64 `json:"max_result_bytes"`
 	// RecordAgeMS is the longest deadline plus the settle time, in milliseconds.
 	RecordAgeMS int64 `json:"record_age_ms"`
+	// Traces is the address of an OTLP/HTTP collector, ip:port; empty for none.
+	Traces string `json:"traces"`
 }
 
 // Check implements settings.Checker.
@@ -60,6 +62,9 @@
 	for _, a := range s.Seeds {
 		checkAddress(p, "seeds", a)
 	}
+	if s.Traces != "" {
+		checkAddress(p, "traces", s.Traces)
+	}
 	s.TLS.Check(p, "tls")
 	s.checkLimits(p)
 }
--- a/cmd/oriole-agent/main.go
+++ b/cmd/oriole-agent/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"oriolerelay/agent"
 	"oriolerelay/event"
@@ -19,7 +20,7 @@
 
 func main() {
 	file := flag.String("settings", "agent.json", "settings file")
-	check := flag.Bool("check", false, "check the settings file and exit")
+	check := flag.Bool("check", false, "check the settings and key files and exit")
 	flag.Parse()
 	if err := run(*file, *check); err != nil {
 		fmt.Fprintln(os.Stderr, "oriole-agent:", err)
@@ -32,17 +33,26 @@
 	if err := settings.Load(file, &s); err != nil {
 		return err
 	}
-	tls, err := s.TLS.Load()
+	keys, err := s.TLS.Load()
 	if err != nil {
 		return err
 	}
 	if check {
 		return nil
 	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	cfg := s.Config()
-	cfg.TLS = tls
+	cfg.TLS, cfg.Keys = keys, &s.TLS
 	cfg.Log = event.NewLogger(os.Stderr, cfg.Node.String())
-	cfg.Stats = transport.NewStats(prometheus.DefaultRegisterer)
+	cfg.Metrics, cfg.Gatherer = reg, reg
+	cfg.Stats = transport.NewStats(reg)
+	traces, flush, err := openTraces(s.Traces, cfg.Node.Name)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	cfg.Traces = traces
 	a, err := agent.New(cfg)
 	if err != nil {
 		return err
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -13,6 +13,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -184,6 +185,11 @@
 
 // run serves the connection until it ends.
 func (c *Conn) run(h Handler) {
+	certs := c.session.ConnectionState().TLS.PeerCertificates
+	if len(certs) > 0 {
+		expiry := time.AfterFunc(time.Until(certs[0].NotAfter), func() { c.fail(ErrCertificateExpired) })
+		defer expiry.Stop()
+	}
 	go c.writeLoop()
 	err := c.readLoop(h)
 	c.fail(err)
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -10,6 +10,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"oriolerelay/event"
 	"oriolerelay/wire"
 )
 
@@ -36,6 +37,7 @@
 	TLS   *tls.Config
 	Hello func() wire.Hello // sent to the peer on each connection
 	Stats *Stats            // may be nil
+	Log   *event.Logger     // refused peers; may be nil
 }
 
 func quicConfig() *quic.Config {
@@ -52,13 +54,6 @@
 	}
 }
 
-func tlsConfig(c *tls.Config) *tls.Config {
-	c = c.Clone()
-	c.NextProtos = []string{protocolName}
-	c.MinVersion = tls.VersionTLS13
-	return c
-}
-
 // Listener accepts connections.
 type Listener struct {
 	inner *quic.Listener
@@ -67,7 +62,7 @@
 
 // Listen listens on a UDP address (ip:port).
 func Listen(address string, opts Options) (*Listener, error) {
-	inner, err := quic.ListenAddr(address, tlsConfig(opts.TLS), quicConfig())
+	inner, err := quic.ListenAddr(address, listenTLS(opts), quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -116,7 +111,7 @@
 func Dial(ctx context.Context, address string, opts Options, newHandler func(*Conn) Handler) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	session, err := quic.DialAddr(ctx, address, tlsConfig(opts.TLS), quicConfig())
+	session, err := quic.DialAddr(ctx, address, dialTLS(opts), quicConfig())
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
--- /dev/null
+++ b/transport/verify.go
@@ -0,0 +1,79 @@
+package transport
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"oriolerelay/event"
+)
+
+// ErrCertificateExpired ends a connection whose peer's certificate has expired.
+var ErrCertificateExpired = errors.New("certificate of the peer has expired")
+
+// dialTLS returns the configuration for one outgoing connection.
+func dialTLS(opts Options) *tls.Config {
+	c := currentTLS(opts.TLS).Clone()
+	c.GetConfigForClient = nil
+	return withProtocol(c)
+}
+
+// listenTLS returns the configuration of a listener. Client certificates are
+// verified by verifyClient rather than by crypto/tls, which offers no hook to
+// log a refused peer.
+func listenTLS(opts Options) *tls.Config {
+	c := withProtocol(opts.TLS.Clone())
+	c.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		fresh := withProtocol(currentTLS(opts.TLS).Clone())
+		fresh.GetConfigForClient = nil
+		roots, remote := fresh.ClientCAs, hello.Conn.RemoteAddr()
+		fresh.ClientAuth = tls.RequestClientCert
+		fresh.VerifyConnection = func(s tls.ConnectionState) error {
+			err := verifyClient(s.PeerCertificates, roots, time.Now())
+			if err != nil {
+				logRefused(opts.Log, remote, err)
+			}
+			return err
+		}
+		return fresh, nil
+	}
+	return c
+}
+
+func withProtocol(c *tls.Config) *tls.Config {
+	c.NextProtos = []string{protocolName}
+	c.MinVersion = tls.VersionTLS13
+	return c
+}
+
+// verifyClient accepts a chain that leads from roots to a client certificate
+// which is valid at now.
+func verifyClient(chain []*x509.Certificate, roots *x509.CertPool, now time.Time) error {
+	if len(chain) == 0 {
+		return errors.New("peer has no certificate")
+	}
+	if roots == nil {
+		return errors.New("no authority is configured")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		CurrentTime:   now,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	if err != nil {
+		return fmt.Errorf("certificate of %q: %w", chain[0].Subject.CommonName, err)
+	}
+	return nil
+}
+
+func logRefused(l *event.Logger, remote net.Addr, err error) {
+	l.Log(event.PeerRefused, "address", remote, "error", err)
+}
