--- a/members/follower.go
+++ b/members/follower.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/errkind"
@@ -49,6 +50,8 @@
 	log     *event.Logger
 	records *follow.Follower[*State]
 
+	appends *prometheus.CounterVec
+
 	mu     sync.Mutex
 	self   Member // zero when this process is no member
 	upkeep upkeep
@@ -72,7 +75,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return &Follower{client: client, log: log, records: follow.New(client, Stream, machine{}, o)}
+	return &Follower{client: client, log: log, records: follow.New(client, Stream, machine{}, o), appends: newAppends()}
 }
 
 // Run follows the log and appends the records that are due, until ctx ends. It
@@ -127,6 +130,17 @@
 	return left
 }
 
+// HomeUntil returns the submission time until which a former member is the home
+// of caller-chosen ids. A draining entry serves new submissions up to that time.
+func (f *Follower) HomeUntil(node ids.Incarnation) (time.Time, bool) {
+	s, _, ok := f.State()
+	if !ok {
+		return time.Time{}, false
+	}
+	d, left := s.departed(node)
+	return time.UnixMilli(d.StampMS + LeadMS), left
+}
+
 // Addresses returns the members of the newest view.
 func (f *Follower) Addresses() []wire.EntryAddress {
 	s, _, ok := f.State()
@@ -204,8 +218,11 @@
 
 func (f *Follower) append(ctx context.Context, r record) error {
 	_, err := f.client.Append(ctx, Stream, r)
+	result := "ok"
 	if err != nil {
+		result = "failed"
 		f.log.Log(event.MemberAppendFail, "type", r.Type, "member", r.Member.Node, "err", err)
 	}
+	f.appends.WithLabelValues(r.Type, result).Inc()
 	return err
 }
--- a/ticket/follower.go
+++ b/ticket/follower.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/blackboard"
@@ -35,12 +36,13 @@
 	records *follow.Follower[Fold]
 	board   *blackboard.Board[*State]
 	changed atomic.Pointer[chan struct{}]
+	answers *prometheus.CounterVec
 }
 
 // NewFollower returns a follower that has no configuration yet; its State has
 // number 0. log may be nil.
 func NewFollower(client *platform.Client, log *event.Logger, opts ...Option) *Follower {
-	f := &Follower{client: client, log: log, board: blackboard.New(newState())}
+	f := &Follower{client: client, log: log, board: blackboard.New(newState()), answers: newAnswers()}
 	changed := make(chan struct{})
 	f.changed.Store(&changed)
 	o := follow.Options{Log: log, OnRead: f.onRead}
--- a/ticket/submit.go
+++ b/ticket/submit.go
@@ -25,13 +25,26 @@
 func (f *Follower) Submit(ctx context.Context, t *Ticket) (Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, SubmitTimeout)
 	defer cancel()
+	v, err := f.submit(ctx, t)
+	answer := string(StatusAccepted)
+	if err != nil {
+		answer = string(errkind.From(err).Kind)
+	}
+	f.answers.WithLabelValues(answer).Inc()
+	return v, err
+}
+
+func (f *Follower) submit(ctx context.Context, t *Ticket) (Verdict, error) {
 	if faults := Validate(t); len(faults) > 0 {
 		return f.conclude(ctx, t, Verdict{Status: StatusInvalid, Faults: faults})
 	}
 	if err := f.records.Poll(ctx); err != nil {
 		return Verdict{}, errkind.New(errkind.LogUnavailable, "the ticket was not sent: %w", err)
 	}
-	fold, _ := f.Fold()
+	fold, ok := f.Fold()
+	if !ok {
+		return Verdict{}, errkind.New(errkind.LogUnavailable, "the ticket was not sent: the log is not read completely")
+	}
 	if v := fold.Judge(t); v.Status != StatusAccepted || t.Number <= fold.State.Number {
 		return f.conclude(ctx, t, v) // nothing to append: faulty, lost or a resend
 	}
