--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -55,8 +55,8 @@
 	internal  []string
 }
 
-// certificateLife is longer than any test or load run.
-const certificateLife = 24 * time.Hour
+// certificateLife is far longer than any run, so that no process warns of its expiry.
+const certificateLife = 60 * 24 * time.Hour
 
 // NewCluster writes the settings of all processes below dir. bin holds the programs.
 func NewCluster(dir, bin string, spec Spec) (*Cluster, error) {
--- /dev/null
+++ b/load/experiment/experiment.go
@@ -0,0 +1,178 @@
+// Package experiment runs load against a cluster of separate processes on
+// loopback and compares policies on the same arrivals.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"oriolerelay/internal/proctest"
+	"oriolerelay/load"
+)
+
+// Options describe an experiment.
+type Options struct {
+	Name     string
+	Workload load.Workload
+	Policies []string
+	Loads    []float64
+	Entries  int
+	Speeds   []float64 // one worker each
+	Slots    int
+	Length   time.Duration // of one run
+	WarmUp   time.Duration // before each run, at the same load, not counted
+	Rounds   int
+	Seed     uint64
+	Declare  float64
+	Faults   []Fault
+	// Module is the directory of the module, which is built first.
+	Module string
+	// Out is the directory of result.json, result.md and ratio.svg.
+	Out string
+	// Progress gets one line for each run.
+	Progress io.Writer
+}
+
+// startLimit bounds the start of the processes and each change of policy.
+const startLimit = 30 * time.Second
+
+// measurement is the sum of all rounds of one policy at one load.
+type measurement struct {
+	recorder *load.Recorder
+	result   load.Result
+}
+
+// Run starts the processes, runs every policy at every load and writes the
+// results. The policies of a round take turns on the same arrivals.
+func Run(ctx context.Context, o Options) ([]load.Result, error) {
+	dir, err := os.MkdirTemp("", "oriole-load-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	if err := proctest.Build(ctx, o.Module, dir); err != nil {
+		return nil, err
+	}
+	spec := proctest.Spec{Entries: o.Entries}
+	for _, s := range o.Speeds {
+		spec.Workers = append(spec.Workers, proctest.Worker{Service: o.Workload.Service, Speed: s, Slots: o.Slots})
+	}
+	cluster, err := proctest.NewCluster(dir, dir, spec)
+	if err != nil {
+		return nil, err
+	}
+	defer cluster.Stop()
+	if err := start(ctx, cluster); err != nil {
+		return nil, err
+	}
+	results, err := o.measure(ctx, cluster)
+	if err != nil {
+		return results, err
+	}
+	return results, o.write(results)
+}
+
+func start(ctx context.Context, c *proctest.Cluster) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return c.Start(ctx)
+}
+
+func (o Options) measure(ctx context.Context, c *proctest.Cluster) ([]load.Result, error) {
+	var results []load.Result
+	for _, fraction := range o.Loads {
+		runs := map[string]*measurement{}
+		for _, policy := range o.Policies {
+			runs[policy] = &measurement{recorder: load.NewRecorder(), result: load.Result{
+				Name: o.Name, Workload: o.Workload.Name, Policy: policy, Load: fraction, Seed: o.Seed, Rounds: o.Rounds,
+				Declared: declared(o.Declare),
+			}}
+		}
+		for round := range o.Rounds {
+			for i := range o.Policies {
+				// The order alternates, so that no policy always runs first.
+				policy := o.Policies[(i+round)%len(o.Policies)]
+				if err := o.one(ctx, c, runs[policy], policy, fraction, uint64(round)); err != nil {
+					return results, err
+				}
+			}
+		}
+		for _, policy := range o.Policies {
+			results = append(results, runs[policy].result)
+		}
+	}
+	return results, nil
+}
+
+func declared(factor float64) string {
+	if factor == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("x%g", factor)
+}
+
+func (o Options) one(ctx context.Context, c *proctest.Cluster, m *measurement, policy string, fraction float64, round uint64) error {
+	ready, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := c.Configure(ready, policy, o.Workload); err != nil {
+		return fmt.Errorf("policy %s: %w", policy, err)
+	}
+	token := proctest.VeilsToken
+	if o.Workload.Team == "sleeves" {
+		token = proctest.SleevesToken
+	}
+	t := c.Target(token)
+	fleet := c.Fleet(o.Workload.Service)
+	plan := load.Plan{
+		Workload: o.Workload, Seed: o.Seed + round, Length: o.Length, Declare: o.Declare,
+		Rate: o.Workload.RateFor(fraction, fleet.Capacity()), Bursts: bursts(o.Faults),
+	}
+	if o.WarmUp > 0 {
+		warm := plan
+		warm.Seed, warm.Length, warm.Bursts = o.Seed+1_000_000+round, o.WarmUp, nil
+		t.Drive(ctx, warm)
+	}
+	ended := inject(ctx, c, o.Faults)
+	fleet = live(fleet, o.Faults, o.Length)
+	m.result.Fleet = fleet
+	for _, f := range o.Faults {
+		if round == 0 {
+			m.result.Faults = append(m.result.Faults, fmt.Sprintf("%+v", f))
+		}
+	}
+	outcomes, err := t.Measure(ctx, plan, fleet, m.recorder, &m.result)
+	if err != nil {
+		return err
+	}
+	if err := ended(); err != nil {
+		return fmt.Errorf("fault: %w", err)
+	}
+	fmt.Fprintf(o.Progress, "%s: load %.0f%%, round %d, %s: %d submissions, p50 %.2f, p99 %.2f so far\n",
+		o.Name, 100*fraction, round+1, policy, len(outcomes), m.result.Ratio.P50, m.result.Ratio.P99)
+	return nil
+}
+
+func (o Options) write(results []load.Result) error {
+	if err := os.MkdirAll(o.Out, 0o755); err != nil {
+		return err
+	}
+	for name, write := range map[string]func(io.Writer, []load.Result) error{
+		"result.json": load.WriteJSON, "result.md": load.WriteTable,
+	} {
+		f, err := os.Create(filepath.Join(o.Out, name))
+		if err != nil {
+			return err
+		}
+		if err := write(f, results); err != nil {
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+	}
+	return load.SavePlot(filepath.Join(o.Out, "ratio.svg"), results)
+}
--- /dev/null
+++ b/load/experiment/fault.go
@@ -0,0 +1,161 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"oriolerelay/internal/proctest"
+	"oriolerelay/load"
+)
+
+// Fault is one scheduled fault of a run.
+type Fault struct {
+	// Type is "straggler", "fail", "kill" or "burst".
+	Type string
+	// Endpoint is the number of the endpoint, from 0; kill ends its agent as well
+	// and starts both again at the end.
+	Endpoint int
+	// At and For are relative to the start of a run.
+	At, For time.Duration
+	// Factor multiplies run times (straggler) or the arrival rate (burst).
+	Factor float64
+}
+
+// ParseFault parses "type,key=value,...", for instance
+// "straggler,endpoint=2,at=2s,for=5s,factor=8".
+func ParseFault(text string) (Fault, error) {
+	parts := strings.Split(text, ",")
+	f := Fault{Type: parts[0], Factor: 1}
+	switch f.Type {
+	case "straggler", "fail", "kill", "burst":
+	default:
+		return f, fmt.Errorf("fault %q: type is not straggler, fail, kill or burst", text)
+	}
+	for _, part := range parts[1:] {
+		key, value, ok := strings.Cut(part, "=")
+		if !ok {
+			return f, fmt.Errorf("fault %q: %q is not key=value", text, part)
+		}
+		var err error
+		switch key {
+		case "endpoint":
+			f.Endpoint, err = strconv.Atoi(value)
+		case "at":
+			f.At, err = time.ParseDuration(value)
+		case "for":
+			f.For, err = time.ParseDuration(value)
+		case "factor":
+			f.Factor, err = strconv.ParseFloat(value, 64)
+		default:
+			err = fmt.Errorf("unknown key %q", key)
+		}
+		if err != nil {
+			return f, fmt.Errorf("fault %q: %w", text, err)
+		}
+	}
+	if f.For <= 0 || f.At < 0 || f.Endpoint < 0 || f.Factor <= 0 {
+		return f, fmt.Errorf("fault %q: for and factor must be positive, at and endpoint not negative", text)
+	}
+	return f, nil
+}
+
+// live returns the fleet that the ideal is computed for: an endpoint that fails
+// or is dead for the whole run counts as absent, a straggler as slower. A fault
+// that lasts only a part of the run leaves the fleet as it is, so the ratio then
+// includes the cost of the fault.
+func live(fleet load.Fleet, faults []Fault, length time.Duration) load.Fleet {
+	var out load.Fleet
+	for i, e := range fleet {
+		keep := true
+		for _, f := range faults {
+			if f.Type == "burst" || f.Endpoint != i || f.At > 0 || f.For < length {
+				continue
+			}
+			if f.Type == "straggler" {
+				e.Speed /= f.Factor
+			} else {
+				keep = false
+			}
+		}
+		if keep {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func bursts(faults []Fault) []load.Burst {
+	var out []load.Burst
+	for _, f := range faults {
+		if f.Type == "burst" {
+			out = append(out, load.Burst{At: f.At, Length: f.For, Factor: f.Factor})
+		}
+	}
+	return out
+}
+
+// inject runs the faults from now on and returns a function that waits for their end.
+func inject(ctx context.Context, c *proctest.Cluster, faults []Fault) func() error {
+	errs := make(chan error, len(faults))
+	for _, f := range faults {
+		go func() { errs <- f.run(ctx, c) }()
+	}
+	return func() error {
+		var first error
+		for range faults {
+			if err := <-errs; err != nil && first == nil {
+				first = err
+			}
+		}
+		return first
+	}
+}
+
+func (f Fault) run(ctx context.Context, c *proctest.Cluster) error {
+	if f.Type == "burst" {
+		return nil
+	}
+	if err := pause(ctx, f.At); err != nil {
+		return err
+	}
+	t := c.Target("")
+	set := func(on bool) error {
+		switch {
+		case f.Type == "kill" && on:
+			c.Agents[f.Endpoint].Kill()
+			c.Endpoints[f.Endpoint].Kill()
+			return nil
+		case f.Type == "kill":
+			if err := c.Agents[f.Endpoint].Start(); err != nil {
+				return err
+			}
+			return c.Endpoints[f.Endpoint].Start()
+		case !on:
+			return t.SetMode(ctx, f.Endpoint, false, 1)
+		case f.Type == "fail":
+			return t.SetMode(ctx, f.Endpoint, true, 1)
+		}
+		return t.SetMode(ctx, f.Endpoint, false, int(f.Factor))
+	}
+	if err := set(true); err != nil {
+		return err
+	}
+	if err := pause(ctx, f.For); err != nil {
+		return err
+	}
+	return set(false)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/load/experiment/slopes.go
@@ -0,0 +1,255 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/prometheus/procfs"
+	"gonum.org/v1/gonum/stat"
+
+	"oriolerelay/internal/proctest"
+	"oriolerelay/load"
+)
+
+// SlopeOptions describe a measurement of the cost of each role.
+type SlopeOptions struct {
+	Agents  []int // sizes, in rising order
+	Entries int
+	// Idle and Busy are the lengths of the two measured windows.
+	Idle, Busy time.Duration
+	// StartsPerSecond is the load of the busy window, in jobs of JobTasks tasks
+	// that take no time.
+	StartsPerSecond float64
+	JobTasks        int
+	Module          string
+	Out             io.Writer
+}
+
+// settleTime lets connections, announcements and the garbage collector come to
+// rest before a window.
+const settleTime = 5 * time.Second
+
+// usage is the cost of one role, as the mean over its processes.
+type usage struct {
+	cpu      float64 // seconds per second
+	rss      float64 // bytes
+	messages float64 // sent per second
+	bytes    float64 // sent per second, without transport headers
+}
+
+type slopeRow struct {
+	agents       int
+	entry, agent usage // idle
+	busyEntry    usage
+	busyAgent    usage
+	startsPerS   float64
+}
+
+// Slopes measures idle and busy processes at each size, prints a table and the
+// straight lines through the points.
+func Slopes(ctx context.Context, o SlopeOptions) error {
+	dir, err := os.MkdirTemp("", "oriole-slopes-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if err := proctest.Build(ctx, o.Module, dir); err != nil {
+		return err
+	}
+	var rows []slopeRow
+	fmt.Fprintln(o.Out, "| agents | role | window | starts/s | CPU % of a core | RSS MB | messages/s sent | bytes/s sent |")
+	fmt.Fprintln(o.Out, "|---|---|---|---|---|---|---|---|")
+	for _, n := range o.Agents {
+		row, err := o.size(ctx, dir, n)
+		if err != nil {
+			return fmt.Errorf("%d agents: %w", n, err)
+		}
+		rows = append(rows, row)
+		o.print(row)
+	}
+	fmt.Fprintln(o.Out)
+	o.fits(rows)
+	return nil
+}
+
+func (o SlopeOptions) print(r slopeRow) {
+	line := func(role, window string, starts float64, u usage) {
+		fmt.Fprintf(o.Out, "| %d | %s | %s | %.0f | %.2f | %.1f | %.1f | %.0f |\n",
+			r.agents, role, window, starts, 100*u.cpu, u.rss/1e6, u.messages, u.bytes)
+	}
+	line("entry", "idle", 0, r.entry)
+	line("agent", "idle", 0, r.agent)
+	line("entry", "busy", r.startsPerS, r.busyEntry)
+	line("agent", "busy", r.startsPerS, r.busyAgent)
+}
+
+// fits prints the least-squares lines of the idle cost over the number of agents.
+func (o SlopeOptions) fits(rows []slopeRow) {
+	fit := func(what, unit string, pick func(slopeRow) float64) {
+		var x, y []float64
+		for _, r := range rows {
+			x = append(x, float64(r.agents))
+			y = append(y, pick(r))
+		}
+		if len(x) < 2 {
+			return
+		}
+		a, b := stat.LinearRegression(x, y, nil, false)
+		fmt.Fprintf(o.Out, "- %s: %.4g %s + %.4g %s per agent (R² %.3f)\n", what, a, unit, b, unit, stat.RSquared(x, y, nil, a, b))
+	}
+	fit("idle entry, processor", "% of a core", func(r slopeRow) float64 { return 100 * r.entry.cpu })
+	fit("idle entry, memory", "MB", func(r slopeRow) float64 { return r.entry.rss / 1e6 })
+	fit("idle entry, messages sent", "1/s", func(r slopeRow) float64 { return r.entry.messages })
+	fit("idle entry, bytes sent", "B/s", func(r slopeRow) float64 { return r.entry.bytes })
+	fit("idle agent, processor", "% of a core", func(r slopeRow) float64 { return 100 * r.agent.cpu })
+	fit("idle agent, memory", "MB", func(r slopeRow) float64 { return r.agent.rss / 1e6 })
+	fit("idle agent, messages sent", "1/s", func(r slopeRow) float64 { return r.agent.messages })
+	fit("idle agent, bytes sent", "B/s", func(r slopeRow) float64 { return r.agent.bytes })
+	for _, r := range rows {
+		if r.startsPerS == 0 {
+			continue
+		}
+		entries := float64(o.Entries)
+		fmt.Fprintf(o.Out, "- %d agents, busy: %.1f µs of entry processor and %.1f µs of agent processor per start, over the idle cost\n", r.agents,
+			1e6*(r.busyEntry.cpu-r.entry.cpu)*entries/r.startsPerS,
+			1e6*(r.busyAgent.cpu-r.agent.cpu)*float64(r.agents)/r.startsPerS)
+	}
+}
+
+// trivial is a workload of jobs whose tasks take no time.
+func (o SlopeOptions) trivial() load.Workload {
+	return load.Workload{Name: "trivial", Service: "trivial", Team: "veils", Classes: []load.Class{{
+		Kind: "trivial", Weight: 1, MinTasks: o.JobTasks, MaxTasks: o.JobTasks,
+		Run: load.RunTimes{Min: time.Microsecond, Max: time.Microsecond}, Deadline: 5 * time.Second,
+	}}}
+}
+
+func (o SlopeOptions) size(ctx context.Context, bin string, n int) (slopeRow, error) {
+	row := slopeRow{agents: n}
+	dir, err := os.MkdirTemp("", "oriole-slopes-run-")
+	if err != nil {
+		return row, err
+	}
+	defer os.RemoveAll(dir)
+	w := o.trivial()
+	spec := proctest.Spec{Entries: o.Entries}
+	for range n {
+		spec.Workers = append(spec.Workers, proctest.Worker{Service: w.Service, Speed: 1, Slots: 8})
+	}
+	c, err := proctest.NewCluster(dir, bin, spec)
+	if err != nil {
+		return row, err
+	}
+	defer c.Stop()
+	if err := start(ctx, c); err != nil {
+		return row, err
+	}
+	ready, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := c.Configure(ready, "least_expected_finish", w); err != nil {
+		return row, err
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return row, err
+	}
+	row.entry, row.agent, err = o.window(ctx, c, func() error { return pause(ctx, o.Idle) })
+	if err != nil || o.StartsPerSecond == 0 {
+		return row, err
+	}
+	return row, o.busy(ctx, c, w, &row)
+}
+
+func (o SlopeOptions) busy(ctx context.Context, c *proctest.Cluster, w load.Workload, row *slopeRow) error {
+	plan := load.Plan{Workload: w, Seed: 1, Rate: o.StartsPerSecond / float64(o.JobTasks), Length: o.Busy}
+	var outcomes []load.Outcome
+	begin := time.Now()
+	var err error
+	row.busyEntry, row.busyAgent, err = o.window(ctx, c, func() error {
+		outcomes = c.Target(proctest.VeilsToken).Drive(ctx, plan)
+		return nil
+	})
+	seconds := time.Since(begin).Seconds()
+	tasks := 0
+	for _, out := range outcomes {
+		if out.Verdict == load.Complete {
+			tasks += len(out.Submission.Run)
+		}
+	}
+	row.startsPerS = float64(tasks) / seconds
+	return err
+}
+
+// window measures both roles while work runs.
+func (o SlopeOptions) window(ctx context.Context, c *proctest.Cluster, work func() error) (entry, agent usage, err error) {
+	before, err := sampleAll(ctx, c)
+	if err != nil {
+		return entry, agent, err
+	}
+	begin := time.Now()
+	if err := work(); err != nil {
+		return entry, agent, err
+	}
+	after, err := sampleAll(ctx, c)
+	if err != nil {
+		return entry, agent, err
+	}
+	seconds := time.Since(begin).Seconds()
+	return mean(before.entries, after.entries, seconds), mean(before.agents, after.agents, seconds), nil
+}
+
+type samples struct{ entries, agents []usage }
+
+func sampleAll(ctx context.Context, c *proctest.Cluster) (samples, error) {
+	var s samples
+	var err error
+	if s.entries, err = sampleRole(ctx, c.Entries, c.EntryHTTP); err != nil {
+		return s, err
+	}
+	s.agents, err = sampleRole(ctx, c.Agents, c.AgentHTTP)
+	return s, err
+}
+
+// sampleRole reads totals since the start of each process, and its memory now.
+func sampleRole(ctx context.Context, processes []*proctest.Process, urls []string) ([]usage, error) {
+	var list []usage
+	for i, p := range processes {
+		proc, err := procfs.NewProc(p.PID())
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", p.Name, err)
+		}
+		st, err := proc.Stat()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", p.Name, err)
+		}
+		u := usage{cpu: st.CPUTime(), rss: float64(st.ResidentMemory())}
+		m, err := load.ReadMetrics(ctx, http.DefaultClient, urls[i])
+		if err != nil {
+			return nil, err
+		}
+		for _, v := range m.BySentType("oriole_messages_total") {
+			u.messages += v
+		}
+		for _, v := range m.BySentType("oriole_message_bytes_total") {
+			u.bytes += v
+		}
+		list = append(list, u)
+	}
+	return list, nil
+}
+
+func mean(before, after []usage, seconds float64) usage {
+	var u usage
+	n := float64(len(after))
+	for i, a := range after {
+		b := before[i]
+		u.cpu += (a.cpu - b.cpu) / seconds / n
+		u.rss += a.rss / n
+		u.messages += (a.messages - b.messages) / seconds / n
+		u.bytes += (a.bytes - b.bytes) / seconds / n
+	}
+	return u
+}
--- a/load/result.go
+++ b/load/result.go
@@ -118,6 +118,7 @@
 type Result struct {
 	Name     string          `json:"name"`
 	Workload string          `json:"workload"`
+	Declared string          `json:"declared,omitempty"`
 	Policy   string          `json:"policy"`
 	Seed     uint64          `json:"seed"`
 	Load     float64         `json:"load"`
@@ -126,6 +127,7 @@
 	Faults   []string        `json:"faults,omitempty"`
 	Sent     int             `json:"sent"`
 	Tasks    int             `json:"tasks"` // tasks of complete answers
+	Rounds   int             `json:"rounds"`
 	Verdicts map[Verdict]int `json:"verdicts"`
 	Kinds    map[string]int  `json:"kinds"`
 	// Ratio is response/ideal; Response and Refusal are in milliseconds.
@@ -147,6 +149,7 @@
 	res.Ratio = summarise(r.ratio, ratioScale)
 	res.Response = summarise(r.response, 1000)
 	res.Refusal = summarise(r.refusalMicros, 1000)
+	res.Sent = 0
 	for _, n := range r.verdicts {
 		res.Sent += n
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,17 +45,21 @@
 }
 
 // Body returns the request body of s. nonce must be unique for each submission.
-func (s Submission) Body(service, nonce string) map[string]any {
+// Run times are declared multiplied by declare unless it is zero.
+func (s Submission) Body(service, nonce string, declare float64) map[string]any {
 	tasks := make([]map[string]any, len(s.Run))
 	for i, r := range s.Run {
 		tasks[i] = map[string]any{"payload": taskPayload{
 			MS: float64(r) / float64(time.Millisecond), Nonce: nonce + "/" + strconv.Itoa(i),
 			Pad: strings.Repeat("x", s.Class.PayloadBytes),
 		}}
+		if declare > 0 {
+			tasks[i]["expected_ms"] = max(int64(float64(r)*declare/float64(time.Millisecond)), 1)
+		}
 	}
 	body := map[string]any{"service": service, "kind": s.Class.Kind, "deadline_ms": s.Class.Deadline.Milliseconds()}
 	if s.Class.Request {
-		body["payload"] = tasks[0]["payload"]
+		maps.Copy(body, tasks[0])
 	} else {
 		body["tasks"] = tasks
 	}
@@ -163,7 +168,7 @@
 	o := Outcome{Submission: s, Entry: t.pick(i)}
 	ctx, cancel := context.WithTimeout(ctx, s.Class.Deadline+answerGrace)
 	defer cancel()
-	body := s.Body(p.Workload.Service, nonce)
+	body := s.Body(p.Workload.Service, nonce, p.Declare)
 	start := time.Now()
 	status, b, err := do(ctx, client, http.MethodPost, t.Entries[o.Entry]+s.path(), t.Token, body)
 	o.Response = time.Since(start)
@@ -186,8 +191,9 @@
 	}
 }
 
-// Measure drives p and summarises it. The fleet must be the live endpoints.
-func (t Target) Measure(ctx context.Context, p Plan, fleet Fleet, res *Result) ([]Outcome, error) {
+// Measure drives p, adds its answers to r and its figures to res, and brings the
+// summaries of res up to date. The fleet must be the live endpoints.
+func (t Target) Measure(ctx context.Context, p Plan, fleet Fleet, r *Recorder, res *Result) ([]Outcome, error) {
 	before, err := t.ReadTraffic(ctx)
 	if err != nil {
 		return nil, err
@@ -198,16 +204,14 @@
 	}
 	begin := time.Now()
 	outcomes := t.Drive(ctx, p)
-	res.Seconds = time.Since(begin).Seconds()
-	r := NewRecorder()
+	res.Seconds += time.Since(begin).Seconds()
 	for _, o := range outcomes {
 		r.Add(o.Submission, o.Verdict, o.Kind(), o.Response, fleet.Ideal(o.Submission))
 	}
 	r.Fill(res)
-	res.Workload, res.Seed, res.Fleet = p.Workload.Name, p.Seed, fleet
 	// A killed node no longer answers; its messages are missing from the sum.
 	after, _ := t.ReadTraffic(ctx)
-	res.Traffic = after.Minus(before)
+	res.Traffic = res.Traffic.Plus(after.Minus(before))
 	starts, err := t.CountStarts(ctx)
 	if err != nil {
 		return outcomes, err
@@ -236,7 +240,7 @@
 	for key, n := range after {
 		r.Starts += n - before[key]
 		id, _, _ := strings.Cut(key, "/")
-		if n > 1 && !idempotent[id] {
+		if n > 1 && n > before[key] && !idempotent[id] {
 			r.DoubleStarts++
 		}
 	}
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -82,7 +82,7 @@
 	target := load.Target{Entries: []string{srv.URL}, Nodes: []string{srv.URL}, Endpoints: []string{srv.URL}}
 	plan := load.Plan{Workload: load.Veils(), Seed: 1, Rate: 400, Length: 200 * time.Millisecond}
 	var res load.Result
-	outcomes, err := target.Measure(context.Background(), plan, load.Fleet{{Speed: 1, Slots: 1}}, &res)
+	outcomes, err := target.Measure(context.Background(), plan, load.Fleet{{Speed: 1, Slots: 1}}, load.NewRecorder(), &res)
 	c.Assert(err, qt.IsNil)
 	c.Check(len(outcomes), qt.Equals, len(plan.Schedule()))
 	c.Check(res.Verdicts, qt.DeepEquals, map[load.Verdict]int{load.Refused: len(outcomes)})
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -20,6 +20,9 @@
 	Rate   float64
 	Length time.Duration
 	Bursts []Burst
+	// Declare is the factor on the true run times that the caller declares; zero
+	// declares nothing.
+	Declare float64
 }
 
 // RateFor returns the submissions per second that load the given capacity
--- a/load/target.go
+++ b/load/target.go
@@ -100,6 +100,18 @@
 	return d
 }
 
+// Plus returns the sum of two differences.
+func (t Traffic) Plus(more Traffic) Traffic {
+	sum := Traffic{Messages: map[string]float64{}, Bytes: map[string]float64{}, Nodes: more.Nodes}
+	for _, part := range []Traffic{t, more} {
+		for name, v := range part.Messages {
+			sum.Messages[name] += v
+			sum.Bytes[name] += part.Bytes[name]
+		}
+	}
+	return sum
+}
+
 // Metrics holds the samples of one process by metric name.
 type Metrics map[string][]Sample
 
