--- a/entry/drain.go
+++ b/entry/drain.go
@@ -18,11 +18,8 @@
 type Leaver interface {
 	// Leave returns when the leave record was read back or ctx ends.
 	Leave(ctx context.Context) error
-}
-
-// homeTimer knows the submission time until which a former member is the home
-// of caller-chosen ids.
-type homeTimer interface {
+	// HomeUntil returns the submission time until which a former member is the home
+	// of caller-chosen ids.
 	HomeUntil(node ids.Incarnation) (time.Time, bool)
 }
 
@@ -74,14 +71,7 @@
 		d.log.Log(event.EntryLeaveFailed, "err", err)
 	}
 	pause(ctx, d.grace)
-	if h, ok := d.leaver.(homeTimer); ok {
-		d.awaitHome(h)
-	}
-}
-
-// awaitHome waits until submission times of now place nothing here.
-func (d *drainer) awaitHome(h homeTimer) {
-	until, left := h.HomeUntil(d.server.self)
+	until, left := d.leaver.HomeUntil(d.server.self)
 	if left {
 		wait := until.Add(d.server.tolerance).Sub(d.server.now())
 		pause(context.Background(), min(wait, d.grace))
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"oriolerelay/errkind"
+	"oriolerelay/ids"
 )
 
 // fakeLeaver reports the leave and lets the drain go on when the test says so.
@@ -26,6 +27,8 @@
 	return nil
 }
 
+func (l *fakeLeaver) HomeUntil(ids.Incarnation) (time.Time, bool) { return time.Time{}, false }
+
 // TestDrainKeepsRequestsInFlight guards against a planned stop that cuts a
 // request, and against a listener that closes before the load balancer knows.
 func TestDrainKeepsRequestsInFlight(t *testing.T) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -65,6 +65,9 @@
 		tickets:  ticket.NewFollower(client, log, ticket.WithRetention(retention)),
 		members:  members.NewFollower(client, log, members.WithRetention(retention)),
 	}
+	for _, c := range [][]prometheus.Collector{client.Collectors(), d.tickets.Collectors(), d.members.Collectors()} {
+		reg.MustRegister(c...)
+	}
 	d.disp = dispatch.New(dispatch.Config{
 		Self: self, State: d.tickets.Load, Entries: d.entries, Logger: log, Registerer: reg,
 	})
