knownred: print the number of passed, failed and skipped tests

Cause: the check printed one line a package, so a run in which no test executed looked like a good one. Change: a closing line with the counts.

--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -141,9 +141,21 @@
 	for _, n := range known {
 		fmt.Fprintf(w, "passed over (KNOWN-RED.txt): %s, result of this run: %s\n", n, results[n])
 	}
+	printCounts(w, results)
 	return ok
 }
 
+// printCounts prints the number of tests by result, without packages.
+func printCounts(w io.Writer, results map[testName]string) {
+	counts := map[string]int{}
+	for n, result := range results {
+		if n.test != "" {
+			counts[result]++
+		}
+	}
+	fmt.Fprintf(w, "%d passed, %d failed, %d skipped\n", counts["pass"], counts["fail"], counts["skip"])
+}
+
 // passedOver reports whether the failure of n is explained by listed tests
 // alone: n is listed, or n is the parent test or package of failed tests that
 // are all passed over.
