oriolectl: callers', operators' and offline commands

Cause: operators and callers need a command line; keys could only be made in code. Change: submit, request, fetch, cancel, ticket, state, endpoints, members, check and keys with google/subcommands. transport.Authority can be saved and loaded, so that nodes are added later under the same authority. Conclusion: the places of dev and load are marked in main.

--- a/client/submission.go
+++ b/client/submission.go
@@ -50,19 +50,19 @@
 	ID string `json:"id"`
 	// Status is "complete", "failed" or "running".
 	Status  string       `json:"status"`
-	Error   *Error       `json:"error"`
-	Started int          `json:"started"` // tasks that started, in a failed answer
-	Tasks   []TaskAnswer `json:"tasks"`
+	Error   *Error       `json:"error,omitempty"`
+	Started int          `json:"started,omitempty"` // tasks that started, in a failed answer
+	Tasks   []TaskAnswer `json:"tasks,omitempty"`
 }
 
 // TaskAnswer is the final state of one task.
 type TaskAnswer struct {
 	Index   int             `json:"index"`
 	Outcome errkind.Outcome `json:"outcome"`
-	Kind    errkind.Kind    `json:"kind"`
+	Kind    errkind.Kind    `json:"kind,omitempty"`
 	// Body is the result as JSON; BodyBase64 is one that is not JSON.
-	Body       json.RawMessage `json:"body"`
-	BodyBase64 []byte          `json:"body_base64"`
+	Body       json.RawMessage `json:"body,omitempty"`
+	BodyBase64 []byte          `json:"body_base64,omitempty"`
 }
 
 // Error is a refusal or failure as an entry states it.
--- /dev/null
+++ b/cmd/oriolectl/main.go
@@ -0,0 +1,53 @@
+// Command oriolectl is the command line of callers and operators.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+// Groups of commands in the help.
+const (
+	groupCallers   = "callers"
+	groupOperators = "operators"
+	groupOffline   = "offline"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, c := range commands() {
+		subcommands.Register(c.command, c.group)
+	}
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(int(subcommands.Execute(ctx)))
+}
+
+type grouped struct {
+	command subcommands.Command
+	group   string
+}
+
+// commands lists every command.
+func commands() []grouped {
+	return []grouped{
+		{&submitCommand{}, groupCallers},
+		{&submitCommand{single: true}, groupCallers},
+		{&inquiryCommand{}, groupCallers},
+		{&inquiryCommand{cancel: true}, groupCallers},
+		{newTicketCommand(), groupOperators},
+		{&viewCommand{view: stateView}, groupOperators},
+		{&viewCommand{view: endpointsView}, groupOperators},
+		{&viewCommand{view: membersView}, groupOperators},
+		{&checkCommand{}, groupOffline},
+		{&keysCommand{}, groupOffline},
+		// dev (package devstack) and load (package load) are added here.
+	}
+}
--- /dev/null
+++ b/cmd/oriolectl/oriolectl_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/transport"
+)
+
+// TestKeys guards against node certificates that do not belong together, and
+// against an authority that is lost when a node is added.
+func TestKeys(t *testing.T) {
+	c := qt.New(t)
+	k := &keysCommand{dir: t.TempDir(), valid: time.Hour}
+	c.Assert(k.run([]string{"entry-1"}), qt.IsNil)
+	authority, err := os.ReadFile(filepath.Join(k.dir, authorityFile))
+	c.Assert(err, qt.IsNil)
+	c.Assert(k.run([]string{"worker-1"}), qt.IsNil)
+	again, err := os.ReadFile(filepath.Join(k.dir, authorityFile))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(again), qt.Equals, string(authority))
+	for _, n := range []string{"entry-1", "worker-1"} {
+		f := transport.TLSFiles{
+			AuthorityFile: filepath.Join(k.dir, authorityFile),
+			CertFile:      filepath.Join(k.dir, n+".pem"), KeyFile: filepath.Join(k.dir, n+"-key.pem"),
+		}
+		_, err := f.Load()
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(k.run([]string{"entry-1"}), qt.ErrorMatches, "create key file: .*exists")
+	c.Assert(k.run([]string{"Entry 1"}), qt.ErrorMatches, `"Entry 1" cannot name a node`)
+}
+
+// TestCheck guards against faults that an offline check does not report.
+func TestCheck(t *testing.T) {
+	c := qt.New(t)
+	write := func(name, content string) string {
+		path := filepath.Join(t.TempDir(), name)
+		c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+		return path
+	}
+	good := write("good", `{"number":1,"author":"rhian","reason":"first","teams":{"veil":{"weight":1}}}`)
+	c.Assert(checkFiles([]string{"ticket", good}), qt.IsNil)
+	bad := write("bad", `{"number":1,"author":"","reason":"first","teams":{"veil":{"weight":-1}}}`)
+	err := checkFiles([]string{"ticket", good, bad})
+	c.Assert(err, qt.ErrorMatches, `(?s).*bad: .*author.*weight.*`)
+	entry := write("entry", `{"node":"entry-1","http_address":"localhost:1"}`)
+	c.Assert(checkFiles([]string{"entry", entry}), qt.ErrorMatches, `(?s).*region: .*http_address: .*platform_url: .*tls.cert_file: .*`)
+	c.Assert(checkFiles([]string{"entry"}), qt.Equals, errUsage)
+	c.Assert(checkFiles([]string{"order", entry}), qt.Equals, errUsage)
+}
+
+// TestPrintState guards against a table that loses the ticket or the reason of
+// an object.
+func TestPrintState(t *testing.T) {
+	c := qt.New(t)
+	var b strings.Builder
+	c.Assert(printState(&b, []byte(`{"number":7,"services":{"veil-desk":{}},"teams":{"veil":{"weight":2}},
+		"origins":{"service/veil-desk":{"number":3,"author":"rhian","reason":"new looms"},"team/veil":{"number":7,"author":"wyn","reason":"wedding season"}}}`)), qt.IsNil)
+	c.Assert(b.String(), qt.Contains, "ticket 7 is in force")
+	c.Assert(b.String(), qt.Contains, "service/veil-desk\t3\trhian\tnew looms\t")
+	c.Assert(b.String(), qt.Contains, "team/veil\t7\twyn\twedding season\t{\"weight\":2")
+}
+
+// TestCallErrors guards against a refusal that is printed as a success.
+func TestCallErrors(t *testing.T) {
+	c := qt.New(t)
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.Header.Get("Authorization"), qt.Equals, "Bearer operator-secret")
+		w.WriteHeader(409)
+		_, _ = io.WriteString(w, `{"error":{"kind":"ticket_lost","detail":"number 2 was taken"}}`)
+	}))
+	defer web.Close()
+	to := target{entry: web.URL, token: "operator-secret"}
+	_, err := to.call(context.Background(), "GET", "/v1/tickets", nil)
+	c.Assert(err, qt.ErrorMatches, "ticket_lost: number 2 was taken")
+}
--- a/transport/keys.go
+++ b/transport/keys.go
@@ -54,6 +54,33 @@
 // CertificatePEM returns the authority's certificate.
 func (a *Authority) CertificatePEM() []byte { return a.pem }
 
+// KeyPEM returns the authority's private key. Whoever holds it can add nodes.
+func (a *Authority) KeyPEM() ([]byte, error) {
+	der, err := x509.MarshalECPrivateKey(a.key)
+	if err != nil {
+		return nil, fmt.Errorf("encode authority key: %w", err)
+	}
+	return pemBlock("EC PRIVATE KEY", der), nil
+}
+
+// LoadAuthority returns the authority with a certificate and key that an
+// earlier one returned.
+func LoadAuthority(certPEM, keyPEM []byte) (*Authority, error) {
+	pair, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return nil, fmt.Errorf("authority certificate and key: %w", err)
+	}
+	cert, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		return nil, fmt.Errorf("parse authority certificate: %w", err)
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !cert.IsCA {
+		return nil, fmt.Errorf("the certificate is not one of an authority")
+	}
+	return &Authority{cert: cert, key: key, pem: certPEM}, nil
+}
+
 // Issue returns a PEM certificate and key for the named node.
 func (a *Authority) Issue(node string, valid time.Duration) (certPEM, keyPEM []byte, err error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
