Tracing: exporter chosen in settings, spans of submission and forward

Cause: a slow answer needs to be traced through the entries. Change: package tracing (none, stdout or otlp-http; a traceparent decides for its submission, else a sample ratio), spans at the entry that received a submission and around its forward, the trace context in the job at the home. Measured: a test follows one trace from the caller's header to the job. Conclusion: the agent has its own exporter settings; both can be joined later.

--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -34,6 +34,7 @@
 	result  func(t dispatch.Task) []byte // the answer of a task; nil returns its payload
 	// withdrawn receives the id of each job whose context ended, may be nil.
 	withdrawn chan string
+	parents   chan string     // receives the trace parent of each job, may be nil
 	pushed    chan wire.State // receives each pushed configuration, may be nil
 }
 
@@ -64,8 +65,11 @@
 	}
 	d.starts.add(job)
 	d.mu.Lock()
-	running, release, gate, result := d.running, d.release, d.gate, d.result
+	running, release, gate, result, parents := d.running, d.release, d.gate, d.result, d.parents
 	d.mu.Unlock()
+	if parents != nil {
+		parents <- job.TraceParent
+	}
 	if gate != nil {
 		gate()
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -8,6 +8,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/ids"
+	"oriolerelay/tracing"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -36,13 +37,17 @@
 	if err != nil {
 		return errorReply(err)
 	}
-	return s.askHome(ctx, home, s.replyTimeout(a.body), &wire.Forward{
+	ctx, span := s.startSpan(tracing.WithParent(ctx, a.traceParent), "forward", a)
+	defer span.End()
+	answer := s.askHome(ctx, home, s.replyTimeout(a.body), &wire.Forward{
 		Team:        a.team,
 		Body:        canonical,
 		Request:     a.request,
-		TraceParent: a.traceParent,
+		TraceParent: tracing.Parent(ctx),
 		Hops:        a.hops + 1,
 	})
+	endSpan(span, answer)
+	return answer
 }
 
 // replyTimeout returns how long the home of b may take to answer.
--- a/entry/run.go
+++ b/entry/run.go
@@ -19,6 +19,7 @@
 	"oriolerelay/members"
 	"oriolerelay/platform"
 	"oriolerelay/ticket"
+	"oriolerelay/tracing"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -37,6 +38,8 @@
 	internal *transport.Listener
 	public   net.Listener
 	profile  net.Listener // nil without a pprof address
+
+	closeTraces func()
 }
 
 // Run runs an entry with settings s until ctx ends, then drains it.
@@ -68,8 +71,15 @@
 	for _, c := range [][]prometheus.Collector{client.Collectors(), d.tickets.Collectors(), d.members.Collectors()} {
 		reg.MustRegister(c...)
 	}
+	traces, closeTraces, err := tracing.Open(s.Traces, "oriole-entry", self.String())
+	if err != nil {
+		return nil, err
+	}
+	d.closeTraces = closeTraces
+	tracer := traces.Tracer("oriolerelay/entry")
 	d.disp = dispatch.New(dispatch.Config{
 		Self: self, State: d.tickets.Load, Entries: d.entries, Logger: log, Registerer: reg,
+		Tracer: traces.Tracer("oriolerelay/dispatch"),
 	})
 	opts := transport.Options{TLS: tlsConf, Stats: transport.NewStats(reg)}
 	opts.Hello = func() wire.Hello { return d.server.hello() }
@@ -77,7 +87,7 @@
 		Self: self, Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack,
 		Dispatcher: d.disp, Tickets: d.tickets, Members: d.members,
 		Callers: s.Callers, Operators: s.Operators, Seeds: s.Seeds, Transport: opts,
-		Window: milliseconds(s.WindowMS), Tolerance: milliseconds(s.ToleranceMS), Logger: log, Registry: reg,
+		Window: milliseconds(s.WindowMS), Tolerance: milliseconds(s.ToleranceMS), Logger: log, Registry: reg, Tracer: tracer,
 	})
 	if err := d.listen(opts); err != nil {
 		d.close()
@@ -103,6 +113,7 @@
 }
 
 func (d *Daemon) close() {
+	d.closeTraces()
 	if d.internal != nil {
 		_ = d.internal.Close()
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/errkind"
@@ -43,6 +45,7 @@
 	Window, Tolerance time.Duration
 	Logger            *event.Logger
 	Registry          *prometheus.Registry // nil means a registry of its own
+	Tracer            trace.Tracer         // nil means no spans
 	// Now replaces the steady clock in tests.
 	Now func() time.Time
 }
@@ -58,6 +61,7 @@
 	log       *event.Logger
 	registry  *prometheus.Registry
 	metrics   *metrics
+	tracer    trace.Tracer
 	mux       *http.ServeMux
 	now       func() time.Time
 	window    time.Duration
@@ -92,6 +96,10 @@
 		now:       o.Now,
 		window:    orDefault(o.Window, defaultWindow),
 		tolerance: orDefault(o.Tolerance, defaultTolerance),
+		tracer:    o.Tracer,
+	}
+	if s.tracer == nil {
+		s.tracer = noop.NewTracerProvider().Tracer("")
 	}
 	if s.now == nil {
 		s.now = newSteadyClock().now
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 
 	"oriolerelay/ids"
 	"oriolerelay/settings"
+	"oriolerelay/tracing"
 	"oriolerelay/transport"
 )
 
@@ -38,6 +39,7 @@
 	// entry writes no snapshots.
 	LogRetentionMS int64 `json:"log_retention_ms"`
 
+	Traces    tracing.Settings   `json:"traces"`
 	TLS       transport.TLSFiles `json:"tls"`
 	Callers   []CallerToken      `json:"callers"`
 	Operators []OperatorToken    `json:"operators"`
@@ -77,6 +79,7 @@
 	if s.LogRetentionMS < 0 {
 		p.Add("log_retention_ms", "is %d, it must not be negative", s.LogRetentionMS)
 	}
+	s.Traces.Check(p, "traces")
 	s.TLS.Check(p, "tls")
 	s.checkTokens(p)
 	checkDuration(p, "window_ms", &s.WindowMS, defaultWindow)
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -11,6 +11,7 @@
 	"oriolerelay/ids"
 	"oriolerelay/submission"
 	"oriolerelay/ticket"
+	"oriolerelay/tracing"
 	"oriolerelay/wire"
 )
 
@@ -40,7 +41,12 @@
 		if err != nil {
 			return errorReply(err)
 		}
-		return s.submit(r.Context(), a)
+		ctx, span := s.startSpan(tracing.WithParent(r.Context(), r.Header.Get("traceparent")), "submission", a)
+		defer span.End()
+		a.traceParent = tracing.Parent(ctx)
+		answer := s.submit(ctx, a)
+		endSpan(span, answer)
+		return answer
 	}
 }
 
--- /dev/null
+++ b/entry/trace.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// startSpan starts a span about a submission below the span of ctx.
+func (s *Server) startSpan(ctx context.Context, name string, a *arrival) (context.Context, trace.Span) {
+	ctx, span := s.tracer.Start(ctx, name)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("oriole.team", a.team), attribute.String("oriole.submission", a.id.Raw),
+			attribute.String("oriole.service", a.body.Service), attribute.String("oriole.kind", a.body.Kind))
+	}
+	return ctx, span
+}
+
+// endSpan records how a submission was answered.
+func endSpan(span trace.Span, answer reply) {
+	if !span.IsRecording() {
+		return
+	}
+	span.SetAttributes(attribute.Int("http.response.status_code", answer.Status))
+	if answer.Status >= http.StatusInternalServerError {
+		span.SetStatus(codes.Error, http.StatusText(answer.Status))
+	}
+}
--- /dev/null
+++ b/tracing/tracing.go
@@ -0,0 +1,117 @@
+// Package tracing sets up OpenTelemetry traces for a daemon and carries the
+// trace context between processes in the W3C traceparent form.
+package tracing
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"oriolerelay/settings"
+)
+
+// Exporters.
+const (
+	None     = "none"
+	Stdout   = "stdout"
+	OTLPHTTP = "otlp-http"
+)
+
+// closeTimeout bounds the export of the last spans when a daemon stops.
+const closeTimeout = 2 * time.Second
+
+// Settings is the "traces" part of a daemon's settings.
+type Settings struct {
+	Exporter string `json:"exporter"` // "none" (the default), "stdout" or "otlp-http"
+	Address  string `json:"address"`  // ip:port of the collector, for otlp-http only
+	// SampleRatio is the part of the submissions without a traceparent that are
+	// traced, 0 to 1. A traceparent decides for its own submission.
+	SampleRatio float64 `json:"sample_ratio"`
+}
+
+// Check fills in the default and records faults below path.
+func (s *Settings) Check(p *settings.Problems, path string) {
+	switch s.Exporter {
+	case "":
+		s.Exporter = None
+	case None, Stdout, OTLPHTTP:
+	default:
+		p.Add(path+".exporter", "%q is not none, stdout or otlp-http", s.Exporter)
+	}
+	if s.Exporter == OTLPHTTP {
+		if _, err := netip.ParseAddrPort(s.Address); err != nil {
+			p.Add(path+".address", "%q is not ip:port", s.Address)
+		}
+	} else if s.Address != "" {
+		p.Add(path+".address", "is used with otlp-http only")
+	}
+	if !(s.SampleRatio >= 0 && s.SampleRatio <= 1) {
+		p.Add(path+".sample_ratio", "is %v, it must be 0 to 1", s.SampleRatio)
+	}
+}
+
+// Open returns a tracer provider for the named service and node, and a function
+// that exports the remaining spans and ends it.
+func Open(s Settings, service, node string) (trace.TracerProvider, func(), error) {
+	exporter, err := s.exporter()
+	if err != nil {
+		return nil, nil, fmt.Errorf("open trace exporter: %w", err)
+	}
+	if exporter == nil {
+		return noop.NewTracerProvider(), func() {}, nil
+	}
+	p := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.SampleRatio))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", service),
+			attribute.String("service.instance.id", node),
+		)),
+	)
+	return p, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		_ = p.Shutdown(ctx) // spans that cannot be exported are dropped
+	}, nil
+}
+
+// exporter returns nil for None.
+func (s Settings) exporter() (sdktrace.SpanExporter, error) {
+	switch s.Exporter {
+	case Stdout:
+		return stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
+	case OTLPHTTP:
+		return otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(s.Address), otlptracehttp.WithInsecure())
+	}
+	return nil, nil
+}
+
+// header is the name of the W3C trace context field.
+const header = "traceparent"
+
+// WithParent returns ctx with the remote parent that traceparent names. A value
+// that is empty or malformed changes nothing.
+func WithParent(ctx context.Context, traceparent string) context.Context {
+	if traceparent == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{header: traceparent})
+}
+
+// Parent returns the traceparent of the span in ctx, or "" without one.
+func Parent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[header]
+}
