--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -137,7 +137,7 @@
 	}
 }
 
-var testTokens = []CallerToken{{"veil-secret", "veil"}, {"lace-secret", "lace"}}
+var testTokens = []CallerToken{{"veil-secret", "veil"}, {"lace-secret", "lace"}, {"caller-secret", "veils"}}
 
 // fakeTickets holds a configuration that Offer replaces.
 type fakeTickets struct {
