Tickets: differential fold tests, operators' races, fuzz target, benchmark

Cause: the verdict of a ticket must be true under races, lost answers and restarts, and no test compared the fold with an independent version. Ruled out: a test of the order between publishing a state and waking its readers: it depends on the scheduler, a trial with the wrong order passed.

--- /dev/null
+++ b/ticket/fold_test.go
@@ -0,0 +1,271 @@
+package ticket
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"oriolerelay/platform"
+)
+
+// drawTicket draws a ticket that is near a conflict or a fault.
+func drawTicket(rt *rapid.T, last uint64) *Ticket {
+	number := uint64(max(0, int(last)+rapid.SampledFrom([]int{-2, -1, 0, 1, 1, 1, 1, 1, 2}).Draw(rt, "number")))
+	t := &Ticket{Number: number, Author: rapid.SampledFrom([]string{"fraser", "gwenllian"}).Draw(rt, "author"), Reason: "test"}
+	t.Services = map[string]*Service{}
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 2, rapid.ID[string]).Draw(rt, "services") {
+		t.Services[name] = nil
+		if rapid.IntRange(0, 3).Draw(rt, "set") > 0 {
+			t.Services[name] = validService()
+			t.Services[name].Endpoints.Buffer = rapid.IntRange(-1, 4).Draw(rt, "buffer")
+		}
+	}
+	if rapid.Bool().Draw(rt, "team") {
+		t.Teams = map[string]*Team{"lace": {Weight: float64(rapid.IntRange(0, 3).Draw(rt, "weight"))}}
+	}
+	return t
+}
+
+// naiveFold keeps all accepted tickets and computes everything else from them.
+type naiveFold struct{ accepted []*Ticket }
+
+func (n *naiveFold) objects() map[string]string {
+	objects := map[string]string{}
+	set := func(key string, v any, removed bool) {
+		delete(objects, key)
+		if !removed {
+			b, _ := json.Marshal(v)
+			objects[key] = string(b)
+		}
+	}
+	for _, t := range n.accepted {
+		for name, s := range t.Services {
+			set("service/"+name, s, s == nil)
+		}
+		for name, team := range t.Teams {
+			set("team/"+name, team, team == nil)
+		}
+	}
+	return objects
+}
+
+func (n *naiveFold) valid(t *Ticket) bool {
+	objects := n.objects()
+	for name, s := range t.Services {
+		if s == nil {
+			if _, ok := objects["service/"+name]; !ok {
+				return false
+			}
+		} else if s.Endpoints.Buffer < 0 {
+			return false
+		}
+	}
+	for _, team := range t.Teams {
+		if team.Weight <= 0 {
+			return false
+		}
+	}
+	return t.Number > 0 && len(t.Services)+len(t.Teams) > 0
+}
+
+func (n *naiveFold) apply(t *Ticket) Status {
+	last := uint64(len(n.accepted))
+	switch {
+	case t.Number > 0 && t.Number <= last:
+		a, _ := json.Marshal(n.accepted[t.Number-1])
+		b, _ := json.Marshal(t)
+		if string(a) == string(b) {
+			return StatusAccepted
+		}
+		return StatusLost
+	case t.Number != last+1 || !n.valid(t):
+		return StatusInvalid
+	}
+	n.accepted = append(n.accepted, t)
+	return StatusAccepted
+}
+
+func compareObjects(rt *rapid.T, f Fold, n *naiveFold) {
+	want := n.objects()
+	got := map[string]string{}
+	for name, s := range f.State.Services {
+		b, _ := json.Marshal(s)
+		got["service/"+name] = string(b)
+	}
+	for name, team := range f.State.Teams {
+		b, _ := json.Marshal(team)
+		got["team/"+name] = string(b)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) || f.State.Number != uint64(len(n.accepted)) {
+		rt.Fatalf("state %d %v, want %d %v", f.State.Number, got, len(n.accepted), want)
+	}
+	for key, o := range f.State.Origins {
+		if _, ok := want[key]; !ok || o.Author != n.accepted[o.Number-1].Author {
+			rt.Fatalf("origin of %s is ticket %d of %s", key, o.Number, o.Author)
+		}
+	}
+	if len(f.State.Origins) != len(want) {
+		rt.Fatalf("%d origins for %d objects", len(f.State.Origins), len(want))
+	}
+	if b, _ := json.Marshal(f.State); len(b) > f.bytes {
+		rt.Fatalf("state of %d bytes is counted as %d", len(b), f.bytes)
+	}
+}
+
+func drawRecord(rt *rapid.T, offset uint64, t *Ticket) platform.Record {
+	value, err := json.Marshal(record{Type: recordType, Ticket: t})
+	if err != nil {
+		rt.Fatal(err)
+	}
+	return platform.Record{Offset: offset, TimeMS: int64(offset), Value: value}
+}
+
+// Guards against a wrong winner, a resend that counts twice, a state that keeps
+// or loses an object, and a snapshot that changes the fold.
+func TestFoldEqualsTheNaiveFold(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f, naive := EmptyFold(), &naiveFold{}
+		var sent []*Ticket
+		for offset := range uint64(rapid.IntRange(1, 40).Draw(rt, "records")) {
+			ticket := drawTicket(rt, f.State.Number)
+			if len(sent) > 0 && rapid.IntRange(0, 4).Draw(rt, "resend") == 0 {
+				ticket = rapid.SampledFrom(sent).Draw(rt, "sent")
+			}
+			sent = append(sent, ticket)
+			before, beforeJSON := f, mustEncode(rt, f)
+			next, verdict := f.Apply(drawRecord(rt, offset, ticket))
+			if want := naive.apply(ticket); verdict.Status != want {
+				rt.Fatalf("verdict %s for %+v, want %s", verdict.Status, ticket, want)
+			}
+			if verdict.Status == StatusLost && verdict.Ticket.Author != naive.accepted[ticket.Number-1].Author {
+				rt.Fatalf("winner is %s", verdict.Ticket.Author)
+			}
+			nextJSON := mustEncode(rt, next)
+			_ = before.Judge(serviceTicket(before.State.Number+1, "other"))
+			if mustEncode(rt, before) != beforeJSON || mustEncode(rt, next) != nextJSON {
+				rt.Fatal("a published fold was changed")
+			}
+			f = next
+			compareObjects(rt, f, naive)
+			if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
+				restored, err := machine{}.Decode(json.RawMessage(mustEncode(rt, f)))
+				if err != nil {
+					rt.Fatal(err)
+				}
+				f = restored
+			}
+		}
+	})
+}
+
+func mustEncode(rt *rapid.T, f Fold) string {
+	b, err := machine{}.Encode(f)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	return string(b)
+}
+
+// Guards against faults that are hidden by the first one, and against paths that
+// do not lead the operator to the value.
+func TestValidateListsEveryFault(t *testing.T) {
+	c := qt.New(t)
+	s := &Service{Kinds: map[string]Kind{"Bad Name": {ExpectedMS: -1, MaxAttempts: 3, QueueLimit: -1}},
+		Endpoints: EndpointRules{Policy: "best", Buffer: -1, MessagesOverResponse: 2}}
+	ticket := &Ticket{Author: strings.Repeat("x", 81), Services: map[string]*Service{"desk": s}, Teams: map[string]*Team{"lace": {MaxInFlight: -1}}}
+	var paths []string
+	for _, p := range Validate(ticket) {
+		paths = append(paths, p.Path)
+	}
+	kind, endpoints := "services.desk.kinds.Bad Name", "services.desk.endpoints"
+	c.Assert(paths, qt.DeepEquals, []string{"number", "author", "reason", kind, kind + ".deadline_ms",
+		kind + ".expected_ms", kind + ".max_attempts", kind + ".queue_limit", endpoints + ".policy", endpoints + ".buffer",
+		endpoints + ".eject_after_failures", endpoints + ".eject_ms", endpoints + ".messages_over_response",
+		"teams.lace.weight", "teams.lace.max_in_flight"})
+}
+
+// Guards against a configuration that no longer fits a push to an agent.
+func TestStateIsBounded(t *testing.T) {
+	c := qt.New(t)
+	f := EmptyFold()
+	for i := range 2000 {
+		ticket := &Ticket{Number: f.State.Number + 1, Author: "fraser", Reason: strings.Repeat("r", MaxReasonBytes),
+			Services: map[string]*Service{fmt.Sprintf("service-%d", i): validService()}}
+		v, next := f.apply(ticket, platform.Record{})
+		if v.Status == StatusInvalid {
+			c.Assert(v.Faults[0].Message, qt.Contains, "the limit is 65536")
+			b, err := json.Marshal(f.State)
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(b) <= MaxStateBytes, qt.IsTrue)
+			return
+		}
+		f = next
+	}
+	c.Fatal("the state grew without a bound")
+}
+
+// Guards against a false "lost" for an accepted ticket that is older than the
+// history, and against a history that grows without a bound.
+func TestForgottenTicketIsNotCalledLost(t *testing.T) {
+	c := qt.New(t)
+	f := EmptyFold()
+	for range HistoryTickets + 2 {
+		_, f = f.apply(serviceTicket(f.State.Number+1, "fraser"), platform.Record{})
+	}
+	c.Assert(f.Judge(serviceTicket(1, "fraser")).Status, qt.Equals, StatusForgotten)
+	c.Assert(f.Judge(serviceTicket(3, "fraser")).Status, qt.Equals, StatusAccepted)
+	c.Assert(f.History, qt.HasLen, HistoryTickets)
+}
+
+// Guards against an unknown field that is silently dropped from a ticket.
+func TestDecodeRefusesUnknownFields(t *testing.T) {
+	c := qt.New(t)
+	for _, body := range []string{`{"number":1,"autor":"x"}`, `{} {}`, `[]`, ``, strings.Repeat(" ", MaxTicketBytes+1)} {
+		_, err := Decode([]byte(body))
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%.40s", body))
+	}
+}
+
+// FuzzRecord guards against a crash of the fold on any record, and against a
+// fold that its own snapshot does not restore.
+func FuzzRecord(f *testing.F) {
+	f.Fuzz(func(t *testing.T, value []byte) {
+		fold, _ := EmptyFold().Apply(platform.Record{Value: value})
+		b, err := machine{}.Encode(fold)
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored, err := machine{}.Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, _ := (machine{}).Encode(restored); string(again) != string(b) {
+			t.Fatalf("restored as %s, was %s", again, b)
+		}
+		_, _ = machine{}.Decode(value) // must not panic
+	})
+}
+
+// BenchmarkApply measures one accepted ticket on a full history and 40 services.
+func BenchmarkApply(b *testing.B) {
+	f := EmptyFold()
+	for i := range HistoryTickets {
+		t := serviceTicket(f.State.Number+1, "fraser")
+		t.Services = map[string]*Service{fmt.Sprintf("service-%d", i%40): validService()}
+		_, f = f.apply(t, platform.Record{})
+	}
+	value, err := json.Marshal(record{Type: recordType, Ticket: serviceTicket(f.State.Number+1, "fraser")})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, v := f.Apply(platform.Record{Value: value}); v.Status != StatusAccepted {
+			b.Fatal(v)
+		}
+	}
+}
--- a/ticket/follower_test.go
+++ b/ticket/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,3 +93,80 @@
 		c.Assert(v.Status, qt.Equals, StatusAccepted)
 	})
 }
+
+// Guards against an old state of a peer that replaces a newer one, also when both
+// arrive before either is published, and against a reader that is not woken.
+func TestOfferNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		server := standin.New()
+		server.SetFaults(standin.Faults{Down: true})
+		f := NewFollower(platform.NewClient("http://platform", platform.WithTransport(server.Transport())), nil)
+		changed := f.Changed()
+		c.Assert(f.Offer([]byte(`{"number":2,"teams":{"lace":{"weight":1}}}`)), qt.IsNil)
+		c.Assert(f.Offer([]byte(`{"number":1}`)), qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		<-changed
+		c.Assert(f.Load().Number, qt.Equals, uint64(2))
+		synctest.Wait()
+		c.Assert(f.Load().Number, qt.Equals, uint64(2))
+		c.Assert(f.Offer([]byte(`{"number":1}`)), qt.IsNil)
+		c.Assert(f.Offer([]byte(`{"number":2}`)), qt.ErrorMatches, "configuration of a peer differs.*")
+		c.Assert(f.Offer([]byte(`{`)), qt.IsNotNil)
+		synctest.Wait()
+		c.Assert(f.Load().Teams, qt.HasLen, 1)
+		_, encoded, err := f.Encoded()
+		c.Assert(err, qt.IsNil)
+		c.Assert(f.Offer(encoded), qt.IsNil)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a process that is stuck with a peer's state when the log returns.
+func TestLogContinuesAPeersState(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		first := start()
+		_, err := first.Submit(c.Context(), serviceTicket(1, "fraser"))
+		c.Assert(err, qt.IsNil)
+		server.SetFaults(standin.Faults{Down: true})
+		second := start()
+		_, encoded, err := first.Encoded()
+		c.Assert(err, qt.IsNil)
+		c.Assert(second.Offer(encoded), qt.IsNil)
+		synctest.Wait()
+		c.Assert(second.Load().Number, qt.Equals, uint64(1))
+		server.SetFaults(standin.Faults{})
+		_, err = second.Submit(c.Context(), serviceTicket(2, "gwenllian"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(first.Load(), qt.DeepEquals, second.Load())
+	})
+}
+
+// brokenWrites breaks the connection of every write before it takes effect.
+type brokenWrites struct{ http.RoundTripper }
+
+func (b brokenWrites) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method != http.MethodGet {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return b.RoundTripper.RoundTrip(r)
+}
+
+// Guards against "accepted" for a ticket whose append broke and that the log does
+// not show, and against "not sent" for it, since it may still appear.
+func TestBrokenAppendIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		transport := brokenWrites{standin.New().Transport()}
+		f := NewFollower(platform.NewClient("http://platform", platform.WithTransport(transport)), nil)
+		go func() { _ = f.Run(ctx) }()
+		_, err := f.Submit(ctx, serviceTicket(1, "fraser"))
+		c.Assert(errkind.Is(err, errkind.TicketUnknown), qt.IsTrue, qt.Commentf("%v", err))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/ticket/machine.go
+++ b/ticket/machine.go
@@ -39,7 +39,7 @@
 	if j.State == nil || len(j.History) > HistoryTickets {
 		return Fold{}, errors.New("snapshot without a state or with too long a history")
 	}
-	if n := len(j.History); n > 0 && j.History[n-1].Number != j.State.Number {
+	if n := len(j.History); (n == 0) != (j.State.Number == 0) || n > 0 && j.History[n-1].Number != j.State.Number {
 		return Fold{}, errors.New("snapshot whose history ends at another ticket")
 	}
 	f := Fold{State: normalise(j.State), History: j.History, bytes: stateOverheadBytes}
--- /dev/null
+++ b/ticket/race_test.go
@@ -0,0 +1,177 @@
+package ticket
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oriolerelay/errkind"
+	"oriolerelay/platform"
+	"oriolerelay/platform/standin"
+)
+
+// raceStep is one step of a plan that is drawn before the fake clock starts.
+type raceStep struct {
+	Pause     time.Duration
+	Faults    *standin.Faults // changes the faults
+	Operators int             // submit at the same time, each at another follower
+	Resend    bool            // send every ticket of unknown fate again
+	Late      bool            // start one more follower
+}
+
+func drawPlan(rt *rapid.T) []raceStep {
+	faults := []standin.Faults{{}, {}, {Down: true}, {LoseAnswers: true}, {DelayMS: 300}, {DelayMS: 2500}}
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) raceStep {
+		s := raceStep{Pause: time.Duration(rapid.IntRange(0, 1500).Draw(rt, "pause ms")) * time.Millisecond}
+		switch rapid.IntRange(0, 7).Draw(rt, "step") {
+		case 0, 1:
+			f := rapid.SampledFrom(faults).Draw(rt, "faults")
+			s.Faults = &f
+		case 2:
+			s.Resend = true
+		case 3:
+			s.Late = true
+		default:
+			s.Operators = rapid.IntRange(1, 3).Draw(rt, "operators")
+		}
+		return s
+	}), 1, 25).Draw(rt, "plan")
+}
+
+// race runs a plan and collects what the operators were told.
+type race struct {
+	ctx       context.Context
+	server    *standin.Server
+	mu        sync.Mutex
+	wg        sync.WaitGroup
+	followers []*Follower
+	told      map[*Ticket]errkind.Kind // empty for accepted
+	problems  []string
+	sent      int
+}
+
+func (r *race) start() {
+	client := platform.NewClient("http://platform", platform.WithTransport(r.server.Transport()))
+	f := NewFollower(client, nil)
+	r.followers = append(r.followers, f)
+	go func() { _ = f.Run(r.ctx) }()
+	go func() { // configuration must never go back
+		for last := uint64(0); r.ctx.Err() == nil; {
+			changed := f.Changed()
+			if n := f.Load().Number; n < last {
+				r.problem("a follower went from ticket %d to %d", last, n)
+			} else {
+				last = n
+			}
+			select {
+			case <-changed:
+			case <-r.ctx.Done():
+			}
+		}
+	}()
+}
+
+func (r *race) problem(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.problems = append(r.problems, fmt.Sprintf(format, args...))
+}
+
+func (r *race) submit(f *Follower, t *Ticket) {
+	r.wg.Go(func() {
+		v, err := f.Submit(r.ctx, t)
+		kind := errkind.Kind("")
+		if err != nil {
+			kind = errkind.From(err).Kind
+		}
+		if err == nil && (v.Status != StatusAccepted || f.Load().Number < t.Number) {
+			r.problem("ticket %d was accepted but is not in force at ticket %d", t.Number, f.Load().Number)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.told[t] = kind
+	})
+}
+
+func (r *race) step(s raceStep) {
+	time.Sleep(s.Pause)
+	switch {
+	case s.Faults != nil:
+		r.server.SetFaults(*s.Faults)
+	case s.Late:
+		r.start()
+	case s.Resend:
+		r.resend()
+	}
+	for i := range s.Operators {
+		f := r.followers[i%len(r.followers)]
+		r.sent++
+		r.submit(f, serviceTicket(f.Load().Number+1, fmt.Sprintf("operator-%d", r.sent)))
+	}
+}
+
+func (r *race) resend() {
+	r.wg.Wait()
+	r.mu.Lock()
+	told := maps.Clone(r.told)
+	r.mu.Unlock()
+	for t, kind := range told {
+		if kind == errkind.TicketUnknown {
+			r.submit(r.followers[0], t)
+		}
+	}
+}
+
+// check compares what the operators were told with the log.
+func (r *race) check() {
+	r.wg.Wait()
+	r.server.SetFaults(standin.Faults{})
+	time.Sleep(time.Minute) // delayed appends take effect
+	r.resend()
+	r.wg.Wait()
+	final, _ := r.followers[0].Fold()
+	for i, f := range r.followers {
+		fold, ok := f.Fold()
+		if !ok || fmt.Sprint(fold.History) != fmt.Sprint(final.History) || f.Load().Number != final.State.Number {
+			r.problem("follower %d has another fold", i)
+		}
+	}
+	for t, kind := range r.told {
+		a, ok := final.Find(t.Number)
+		accepted := ok && a.Hash == t.Hash()
+		if accepted != (kind == "") || kind == errkind.TicketUnknown {
+			r.problem("ticket %d of %s was answered %q, accepted is %v", t.Number, t.Author, kind, accepted)
+		}
+	}
+}
+
+// Guards against an operator who is told something false, a resend with another
+// verdict, followers that differ and a configuration that goes back, while
+// operators race and the log is down, slow or loses answers.
+func TestOperatorsRace(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt)
+		var r *race
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			r = &race{ctx: ctx, server: standin.New(), told: map[*Ticket]errkind.Kind{}}
+			r.start()
+			r.start()
+			for _, s := range plan {
+				r.step(s)
+			}
+			r.check()
+			cancel()
+			synctest.Wait()
+		})
+		if len(r.problems) > 0 {
+			rt.Fatalf("%v", r.problems)
+		}
+	})
+}
