--- a/entry/submit.go
+++ b/entry/submit.go
@@ -11,6 +11,7 @@
 	"oriolerelay/ids"
 	"oriolerelay/submission"
 	"oriolerelay/ticket"
+	"oriolerelay/tracing"
 	"oriolerelay/wire"
 )
 
@@ -40,7 +41,12 @@
 		if err != nil {
 			return errorReply(err)
 		}
-		return s.submit(r.Context(), a)
+		ctx, span := s.startSpan(tracing.WithParent(r.Context(), r.Header.Get("traceparent")), "submission", a)
+		defer span.End()
+		a.traceParent = tracing.Parent(ctx)
+		answer := s.submit(ctx, a)
+		endSpan(span, answer)
+		return answer
 	}
 }
 
@@ -129,8 +135,8 @@
 }
 
 // start runs job for a new record. The age is checked again after the record
-// exists: an earlier record of the same submission may have expired since the
-// first check when this process was paused in between.
+// exists: when this process was paused after submitHere found a record, that one
+// may have expired, and job was not built.
 func (s *Server) start(a *arrival, job dispatch.Job, entry *submission.Entry) {
 	if err := s.checkAge(a); err != nil {
 		entry.Finish(submission.Answer(errorReply(err)))
