Process failure tests and devstack

Cause: the parts were developed apart; failures of processes need real ones. Change: tests/ starts platform, two entries, three agents and endpoints as separate processes and kills, pauses, terminates and restarts them; devstack runs all roles in one process.

--- /dev/null
+++ b/devstack/devstack.go
@@ -0,0 +1,191 @@
+// Package devstack runs every role of the system in one process on loopback: the
+// fake platform, two entries and three agents with sample endpoints of different
+// speeds. It is for the quick start and for trying out tickets by hand.
+package devstack
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"oriolerelay/agent"
+	"oriolerelay/endpoint"
+	"oriolerelay/entry"
+	"oriolerelay/event"
+	"oriolerelay/internal/proctest"
+	"oriolerelay/load"
+	"oriolerelay/platform/standin"
+	"oriolerelay/settings"
+	"oriolerelay/transport"
+)
+
+// Options configure Run.
+type Options struct {
+	// Once ends the stack after the sample jobs.
+	Once bool
+	// Out gets the answers and the addresses.
+	Out io.Writer
+	// Log gets the log events of all roles.
+	Log io.Writer
+}
+
+// startLimit bounds the time until every entry sees every endpoint.
+const startLimit = 20 * time.Second
+
+// drainGrace is short because no load balancer stands before the stack.
+const drainGrace = 50 * time.Millisecond
+
+func spec() proctest.Spec {
+	service := load.Veils().Service
+	return proctest.Spec{
+		Entries: 2,
+		Workers: []proctest.Worker{{Service: service, Speed: 1, Slots: 8}, {Service: service, Speed: 2, Slots: 8}, {Service: service, Speed: 4, Slots: 8}},
+		Entry:   map[string]any{"drain_grace_ms": drainGrace.Milliseconds()},
+	}
+}
+
+// Run starts the stack, puts a ticket in force and runs the sample jobs. With
+// Once it then stops everything; otherwise it serves until ctx ends. The error
+// is nil only when every sample job was answered in full.
+func Run(ctx context.Context, o Options) error {
+	dir, err := os.MkdirTemp("", "oriole-dev-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	cluster, err := proctest.NewCluster(dir, "", spec())
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	s := &stack{cluster: cluster, log: log.NewSyncWriter(o.Log)}
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve(ctx) }()
+	tried := make(chan error, 1)
+	go func() { tried <- try(ctx, cluster, o) }()
+	select {
+	case err = <-ended:
+		return errors.Join(errors.New("a role ended early"), err)
+	case err = <-tried:
+	}
+	if err == nil && !o.Once {
+		describe(o.Out, cluster)
+		select {
+		case err = <-ended:
+			return err
+		case <-ctx.Done():
+		}
+	}
+	stop()
+	return errors.Join(err, <-ended)
+}
+
+// stack runs the roles of one cluster inside this process.
+type stack struct {
+	cluster *proctest.Cluster
+	log     io.Writer
+}
+
+// serve runs until ctx ends. Roles stop in the order that lets the requests in
+// flight finish: entries, endpoints and agents, platform.
+func (s *stack) serve(ctx context.Context) error {
+	inner, stopInner := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopInner()
+	platform, stopPlatform := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPlatform()
+	var outer, middle, last errgroup.Group
+	outerCtx, abort := context.WithCancel(ctx)
+	defer abort()
+	run := func(g *errgroup.Group, name string, role func() error) {
+		g.Go(func() error {
+			defer abort() // the stack ends with its first role
+			if err := role(); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			return nil
+		})
+	}
+	run(&last, "platform", func() error { return s.platform(platform) })
+	for _, p := range s.cluster.Agents {
+		run(&middle, p.Name, func() error { return s.agent(inner, p) })
+	}
+	for _, p := range s.cluster.Endpoints {
+		run(&middle, p.Name, func() error { return s.endpoint(inner, p) })
+	}
+	for _, p := range s.cluster.Entries {
+		run(&outer, p.Name, func() error { return s.entry(outerCtx, p) })
+	}
+	err := outer.Wait()
+	stopInner()
+	err = errors.Join(err, middle.Wait())
+	stopPlatform()
+	return errors.Join(err, last.Wait())
+}
+
+func (s *stack) platform(ctx context.Context) error {
+	srv := &http.Server{Addr: strings.TrimPrefix(s.cluster.PlatformHTTP, "http://"), Handler: standin.New(), ReadHeaderTimeout: time.Second}
+	go func() {
+		<-ctx.Done()
+		_ = srv.Close() // only the stack itself uses it
+	}()
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (s *stack) entry(ctx context.Context, p *proctest.Process) error {
+	var conf entry.Settings
+	if err := settings.Load(p.Settings, &conf); err != nil {
+		return err
+	}
+	return entry.Run(ctx, conf, event.NewLogger(s.log, p.Name))
+}
+
+func (s *stack) agent(ctx context.Context, p *proctest.Process) error {
+	var conf agent.Settings
+	if err := settings.Load(p.Settings, &conf); err != nil {
+		return err
+	}
+	tls, err := conf.TLS.Load()
+	if err != nil {
+		return err
+	}
+	reg := prometheus.NewRegistry()
+	c := conf.Config()
+	c.TLS, c.Log, c.Stats = tls, event.NewLogger(s.log, p.Name), transport.NewStats(reg)
+	c.Metrics, c.Gatherer = reg, reg
+	a, err := agent.New(c)
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
+
+func (s *stack) endpoint(ctx context.Context, p *proctest.Process) error {
+	var conf endpoint.Settings
+	if err := settings.Load(p.Settings, &conf); err != nil {
+		return err
+	}
+	c, sample := conf.Build()
+	e, err := endpoint.New(c, sample)
+	if err != nil {
+		return err
+	}
+	sample.Register(e)
+	// The agent may stop first, and then nobody takes the notice of leaving.
+	if err := e.Run(ctx); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/tests/resubmit_test.go
@@ -0,0 +1,162 @@
+package tests
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/load"
+)
+
+// placeLimit allows for the lead of membership records (3 s) and their reading.
+const placeLimit = 10 * time.Second
+
+// waitPlaced waits until both entries are members in force, so that caller-chosen
+// ids are spread over both. An id whose home is the other entry is forwarded.
+func (s *system) waitPlaced() {
+	s.c.Helper()
+	seen := map[int]bool{}
+	try := 0
+	s.eventually(placeLimit, "caller-chosen ids are placed on both entries", func() error {
+		try++
+		sub := submission{id: fmt.Sprintf("warm-%d", try), submittedAt: time.Now(), kind: "stock-check", request: true, ms: []int{1}}
+		before := s.forwards(0)
+		a := s.submit(0, sub)
+		if a.err != nil || a.Status != "complete" {
+			return fmt.Errorf("answer %d %s %w", a.status, a.text, a.err)
+		}
+		if s.forwards(0) > before {
+			seen[1] = true
+		} else {
+			seen[0] = true
+		}
+		if len(seen) < 2 {
+			return fmt.Errorf("homes seen: %v", seen)
+		}
+		return nil
+	})
+}
+
+// forwards returns the submissions that an entry has sent to other homes.
+func (s *system) forwards(entry int) float64 {
+	s.c.Helper()
+	m, err := load.ReadMetrics(s.ctx, http.DefaultClient, s.EntryHTTP[entry])
+	s.c.Assert(err, qt.IsNil)
+	return m.BySentType("oriole_messages_total")["forward"]
+}
+
+// startWithHome submits jobs to an entry until one has the wanted home and runs.
+// It returns that submission and its pending answer.
+func (s *system) startWithHome(entry, home int, ms []int) (submission, <-chan answer) {
+	s.c.Helper()
+	for try := range 20 {
+		sub := submission{
+			id: fmt.Sprintf("job-%d-%d-%d", entry, home, try), submittedAt: time.Now(), kind: "layout-render", ms: ms,
+		}
+		before := s.forwards(entry)
+		got := make(chan answer, 1)
+		go func() { got <- s.submit(entry, sub) }()
+		s.waitStarted(sub.id)
+		if forwarded := s.forwards(entry) > before; forwarded == (entry != home) {
+			return sub, got
+		}
+		s.call(http.MethodDelete, fmt.Sprintf("%s/v1/jobs/%s?submitted_at=%d", s.EntryHTTP[entry], sub.id, sub.submittedAt.UnixMilli()), "token-veils", nil)
+	}
+	s.c.Fatal("no submission had the wanted home")
+	return submission{}, nil
+}
+
+var fourLong = []int{1500, 1500, 1500, 1500}
+
+// A resubmission while the job runs must join it, not start it again.
+func TestResubmitToOtherEntryWhileRunning(t *testing.T) {
+	s := newSystem(t, spec())
+	s.waitPlaced()
+	for home := range s.Entries {
+		sub, first := s.startWithHome(0, home, fourLong)
+		second := s.submit(1, sub)
+		a := <-first
+		s.mustComplete(a)
+		s.mustComplete(second)
+		s.c.Check(second.text, qt.Equals, a.text)
+		// A resubmission after the end gets the recorded answer.
+		third := s.submit(1, sub)
+		s.c.Check(third.text, qt.Equals, a.text)
+	}
+	s.assertNoDoubleStart()
+}
+
+// The same id with another body must be refused and must not disturb the first.
+func TestResubmitWithAnotherBody(t *testing.T) {
+	s := newSystem(t, spec())
+	s.waitPlaced()
+	for home := range s.Entries {
+		sub, first := s.startWithHome(0, home, fourLong)
+		changed := sub
+		changed.ms = []int{1, 1}
+		for entry := range s.Entries {
+			a := s.submit(entry, changed)
+			s.c.Check(a.kind(), qt.Equals, "id_conflict", qt.Commentf("%s", a.text))
+		}
+		s.mustComplete(<-first)
+	}
+	s.assertNoDoubleStart()
+}
+
+// The home continues when only the entry that received the job has died.
+func TestResubmitAfterReceivingEntryDied(t *testing.T) {
+	s := newSystem(t, spec())
+	s.waitPlaced()
+	sub, first := s.startWithHome(0, 1, fourLong)
+	s.Entries[0].Kill()
+	s.c.Check((<-first).err, qt.IsNotNil)
+	s.mustComplete(s.submit(1, sub))
+	s.c.Check(s.starts(sub.id), qt.HasLen, len(sub.ms))
+	s.assertNoDoubleStart()
+}
+
+// When the home has died nobody knows what has run, so nothing may start again:
+// neither while its death is undetected nor after it has left, nor when a new
+// incarnation has the same name.
+func TestResubmitAfterHomeDied(t *testing.T) {
+	s := newSystem(t, spec())
+	s.waitPlaced()
+	sub, _ := s.startWithHome(1, 0, fourLong)
+	s.Entries[0].Kill()
+	lost := func(a answer) error {
+		if a.err != nil {
+			return a.err
+		}
+		s.c.Assert(a.Error, qt.IsNotNil, qt.Commentf("%s", a.text))
+		s.c.Assert(a.Error.Outcome, qt.Equals, "may_have_run", qt.Commentf("%s", a.text))
+		if a.kind() != "home_lost" {
+			return fmt.Errorf("answer %s", a.text)
+		}
+		return nil
+	}
+	s.eventually(placeLimit, "the home is known to be lost", func() error { return lost(s.submit(1, sub)) })
+	s.c.Assert(s.Entries[0].Start(), qt.IsNil)
+	s.c.Assert(s.Entries[0].WaitReady(s.ctx), qt.IsNil)
+	for entry := range s.Entries {
+		s.eventually(placeLimit, "the old home stays lost", func() error { return lost(s.submit(entry, sub)) })
+	}
+	s.assertNoDoubleStart()
+	s.waitAccepted()
+}
+
+// waitAccepted waits until new caller-chosen ids are accepted again.
+func (s *system) waitAccepted() {
+	s.c.Helper()
+	try := 0
+	s.eventually(placeLimit, "new caller-chosen ids are accepted", func() error {
+		try++
+		a := s.submit(1, submission{id: fmt.Sprintf("after-%d", try), submittedAt: time.Now(), kind: "stock-check", request: true, ms: []int{1}})
+		if a.err != nil || a.Status != "complete" {
+			return fmt.Errorf("answer %d %s %w", a.status, a.text, a.err)
+		}
+		return nil
+	})
+}
