oriolectl dev and load; ratio by kind in the load report

Cause: the quick start and the experiments need one command each. Change: two subcommands in cmd/oriolectl, registered in its main; the load report splits response/ideal by kind of request and lists error kinds. Seen: bin/oriolectl dev -once answers 17 submissions in full and exits 0 in 9 s, of which 5 s are the stop of the sample endpoints: net/http Shutdown treats a connection without a request as busy for 5 s, and the agent leaves such connections open. Conclusion: go test ./load/... ./cmd/oriolectl ./devstack passes.

--- a/cmd/oriolectl/main.go
+++ b/cmd/oriolectl/main.go
@@ -13,9 +13,10 @@
 
 // Groups of commands in the help.
 const (
-	groupCallers   = "callers"
-	groupOperators = "operators"
-	groupOffline   = "offline"
+	groupCallers     = "callers"
+	groupOperators   = "operators"
+	groupOffline     = "offline"
+	groupDevelopment = "development"
 )
 
 func main() {
@@ -48,6 +49,7 @@
 		{&viewCommand{view: membersView}, groupOperators},
 		{&checkCommand{}, groupOffline},
 		{&keysCommand{}, groupOffline},
-		// dev (package devstack) and load (package load) are added here.
+		{&devCommand{}, groupDevelopment},
+		{&loadCommand{}, groupDevelopment},
 	}
 }
--- a/devstack/devstack.go
+++ b/devstack/devstack.go
@@ -41,8 +41,9 @@
 // startLimit bounds the time until every entry sees every endpoint.
 const startLimit = 20 * time.Second
 
-// drainGrace is short because no load balancer stands before the stack.
-const drainGrace = 50 * time.Millisecond
+// drainGrace is short because no load balancer stands before the stack; the leave
+// records are still appended in that time.
+const drainGrace = 300 * time.Millisecond
 
 func spec() proctest.Spec {
 	service := load.Veils().Service
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -139,7 +139,7 @@
 	var results []load.Result
 	for _, l := range []float64{0.5, 0.9} {
 		r := load.NewRecorder()
-		s := load.Submission{Run: make([]time.Duration, 3)}
+		s := load.Submission{Class: &load.Class{Kind: "k"}, Run: make([]time.Duration, 3)}
 		for i := range 100 {
 			r.Add(s, load.Complete, "", time.Duration(100+i)*time.Millisecond, 100*time.Millisecond)
 		}
--- a/load/result.go
+++ b/load/result.go
@@ -57,6 +57,7 @@
 	kinds           map[string]int
 	tasks           int
 	refusalMicros   *hdrhistogram.Histogram
+	byClass         map[string]*hdrhistogram.Histogram // ratio by kind of request
 }
 
 // NewRecorder returns an empty recorder.
@@ -67,6 +68,7 @@
 		refusalMicros: hdrhistogram.New(1, maxMicros, significantly),
 		verdicts:      map[Verdict]int{},
 		kinds:         map[string]int{},
+		byClass:       map[string]*hdrhistogram.Histogram{},
 	}
 }
 
@@ -81,13 +83,27 @@
 		r.tasks += len(s.Run)
 		record(r.response, response.Microseconds(), maxMicros)
 		if ideal > 0 {
-			record(r.ratio, int64(float64(response)/float64(ideal)*ratioScale), maxRatio)
+			ratio := int64(float64(response) / float64(ideal) * ratioScale)
+			record(r.ratio, ratio, maxRatio)
+			r.addClass(s, ratio)
 		}
 	case Refused:
 		record(r.refusalMicros, response.Microseconds(), maxMicros)
 	}
 }
 
+func (r *Recorder) addClass(s Submission, ratio int64) {
+	if s.Class == nil {
+		return
+	}
+	h := r.byClass[s.Class.Kind]
+	if h == nil {
+		h = hdrhistogram.New(1, maxRatio, significantly)
+		r.byClass[s.Class.Kind] = h
+	}
+	record(h, ratio, maxRatio)
+}
+
 // record clamps v, because the histogram refuses values above its bound.
 func record(h *hdrhistogram.Histogram, v, highest int64) { _ = h.RecordValue(min(max(v, 1), highest)) }
 
@@ -131,10 +147,12 @@
 	Verdicts map[Verdict]int `json:"verdicts"`
 	Kinds    map[string]int  `json:"kinds"`
 	// Ratio is response/ideal; Response and Refusal are in milliseconds.
-	Ratio    Stat    `json:"ratio"`
-	Response Stat    `json:"response_ms"`
-	Refusal  Stat    `json:"refusal_ms"`
-	Traffic  Traffic `json:"traffic"`
+	Ratio Stat `json:"ratio"`
+	// RatioByKind splits Ratio by the kind of request.
+	RatioByKind map[string]Stat `json:"ratio_by_kind,omitempty"`
+	Response    Stat            `json:"response_ms"`
+	Refusal     Stat            `json:"refusal_ms"`
+	Traffic     Traffic         `json:"traffic"`
 	// WastedPerTask is wasted messages for each started task.
 	WastedPerTask float64 `json:"wasted_per_task"`
 	// ControlBytesPerNode is bytes per second of wasted messages that a process sent.
@@ -150,6 +168,10 @@
 	res.Response = summarise(r.response, 1000)
 	res.Refusal = summarise(r.refusalMicros, 1000)
 	res.Sent = 0
+	res.RatioByKind = map[string]Stat{}
+	for kind, h := range r.byClass {
+		res.RatioByKind[kind] = summarise(h, ratioScale)
+	}
 	for _, n := range r.verdicts {
 		res.Sent += n
 	}
@@ -173,19 +195,40 @@
 			r.Verdicts[DeadlineMissed], r.Verdicts[NoAnswer], r.Ratio.P50, r.Ratio.P90, r.Ratio.P99, r.Ratio.Mean,
 			r.WastedPerTask, r.ControlBytesPerNode, r.DoubleStarts)
 	}
-	b.WriteString("\nMessages sent per started task by type:\n\n")
+	b.WriteString("\nBy run: messages sent per started task by type; ratio p50/p99 by kind; error kinds.\n\n")
 	for _, r := range results {
-		names := make([]string, 0, len(r.Traffic.Messages))
-		for name := range r.Traffic.Messages {
-			names = append(names, name)
+		perTask := map[string]string{}
+		for name, n := range r.Traffic.Messages {
+			perTask[name] = fmt.Sprintf("%.3f", n/float64(max(r.Starts, 1)))
+		}
+		ratios := map[string]string{}
+		for kind, s := range r.RatioByKind {
+			ratios[kind] = fmt.Sprintf("%.2f/%.2f", s.P50, s.P99)
 		}
-		sort.Strings(names)
-		fmt.Fprintf(&b, "- %s, %s:", r.Name, r.Policy)
-		for _, name := range names {
-			fmt.Fprintf(&b, " %s %.3f", name, r.Traffic.Messages[name]/float64(max(r.Starts, 1)))
+		errors := map[string]string{}
+		for kind, n := range r.Kinds {
+			errors[kind] = fmt.Sprint(n)
 		}
-		b.WriteString("\n")
+		fmt.Fprintf(&b, "- %s, %s, %.0f%%: messages%s; ratio%s; errors%s\n", r.Name, r.Policy, 100*r.Load,
+			list(perTask), list(ratios), list(errors))
 	}
 	_, err := io.WriteString(w, b.String())
 	return err
 }
+
+// list renders m in the order of its keys.
+func list(m map[string]string) string {
+	if len(m) == 0 {
+		return " none"
+	}
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	var b strings.Builder
+	for _, k := range keys {
+		b.WriteString(" " + k + " " + m[k])
+	}
+	return b.String()
+}
