--- a/entry/fetch.go
+++ b/entry/fetch.go
@@ -140,8 +140,8 @@
 	if err != nil {
 		return errorReply(err)
 	}
-	if s.refusing.Load() {
-		return errorReply(errDraining())
+	if s.draining.Load() {
+		return errorReply(errDraining()) // the ids would soon lose their home
 	}
 	return jsonReply(http.StatusOK, map[string][]string{"ids": s.issued.issue(n)})
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,11 +1,17 @@
 package entry
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // metrics counts the work of the entry itself. Messages are counted by transport.
 type metrics struct {
 	forwardsLost prometheus.Counter
 	answers      *prometheus.CounterVec
+	seconds      *prometheus.HistogramVec
 }
 
 func newMetrics(s *Server) *metrics {
@@ -18,11 +24,16 @@
 			Name: "oriole_http_answers_total",
 			Help: "HTTP answers by path and status.",
 		}, []string{"path", "status"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "oriole_http_answer_seconds",
+			Help:    "Time from the headers of an HTTP request to its answer, by path.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16), // 1 ms to 33 s
+		}, []string{"path"}),
 	}
 	size := func(pick func(entries int, bytes int64) float64) func() float64 {
 		return func() float64 { return pick(s.record.Size()) }
 	}
-	s.registry.MustRegister(m.forwardsLost, m.answers,
+	s.registry.MustRegister(m.forwardsLost, m.answers, m.seconds,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "oriole_record_submissions",
 			Help: "Submissions in the record of this home.",
@@ -37,3 +48,8 @@
 		}, func() float64 { return float64(len(s.peers.connectedTo())) }))
 	return m
 }
+
+func (m *metrics) observe(path string, status int, d time.Duration) {
+	m.answers.WithLabelValues(path, strconv.Itoa(status)).Inc()
+	m.seconds.WithLabelValues(path).Observe(d.Seconds())
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"runtime/debug"
-	"strconv"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -172,6 +174,9 @@
 // Handler returns the HTTP handler of all APIs.
 func (s *Server) Handler() http.Handler { return s.recovered(s.mux) }
 
+// bodyTimeout bounds the time in which a caller sends its body of at most 1 MiB.
+const bodyTimeout = 10 * time.Second
+
 // handlerFunc serves one request and returns its answer.
 type handlerFunc func(r *http.Request) reply
 
@@ -179,26 +184,60 @@
 type methods map[string]handlerFunc
 
 func (s *Server) handle(path string, m methods) {
+	allowed := strings.Join(slices.Sorted(maps.Keys(m)), ", ")
 	s.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 		h, ok := m[r.Method]
+		if r.Method == http.MethodHead {
+			h, ok = m[http.MethodGet] // the body of the answer is left out by net/http
+		}
 		if !ok {
+			w.Header().Set("Allow", allowed)
 			errorReply(errMethod(r.Method, path)).write(w)
 			return
 		}
+		start := time.Now()
+		limitBodyTime(w, r)
 		answer := h(r)
+		s.metrics.observe(path, answer.Status, time.Since(start))
 		if s.draining.Load() {
 			// The next request of this caller should reach another entry.
 			w.Header().Set("Connection", "close")
 		}
-		s.metrics.answers.WithLabelValues(path, strconv.Itoa(answer.Status)).Inc()
 		answer.write(w)
 	})
 }
 
+// limitBodyTime bounds the time in which a caller sends its body. The timeouts
+// of http.Server would also end the wait for a job's answer.
+func limitBodyTime(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	if r.Body == nil || control.SetReadDeadline(time.Now().Add(bodyTimeout)) != nil {
+		return // no body, or a test without a connection
+	}
+	r.Body = &timedBody{ReadCloser: r.Body, control: control}
+}
+
+// timedBody ends the read deadline with the body. After any other error the
+// deadline stays, since net/http reads on before it answers.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // handleRaw serves GET on path by an existing handler.
 func (s *Server) handleRaw(path string, h http.Handler) {
 	s.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodGet {
+			w.Header().Set("Allow", http.MethodGet)
 			errorReply(errMethod(r.Method, path)).write(w)
 			return
 		}
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -1,9 +1,15 @@
 package entry
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -64,6 +70,7 @@
 			c := qt.New(t)
 			status, header, body := call(h, test.method, test.path, test.token, test.body)
 			want := errkind.Table[test.kind]
+			c.Assert(header.Get("Allow") != "", qt.Equals, test.kind == errkind.MethodNotAllowed)
 			a := decodeAnswer(t, body)
 			c.Assert(a.Error, qt.IsNotNil)
 			c.Assert(a.Error.Kind, qt.Equals, test.kind)
@@ -100,3 +107,56 @@
 	status, _, _ = call(h, "GET", "/healthz", "", "")
 	c.Assert(status, qt.Equals, http.StatusOK)
 }
+
+// TestSlowBody guards against a caller that holds a request, and with it a
+// drain, by never finishing its body, and against a limit that also ends the
+// wait for an answer.
+func TestSlowBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		disp := &fakeDispatcher{starts: &starts{}, release: make(chan struct{}), running: make(chan struct{}, 1), withdrawn: make(chan string, 1)}
+		client, server := net.Pipe()
+		web := &http.Server{Handler: testServer(disp).Handler()}
+		go func() { _ = web.Serve(&oneConn{conn: server, closed: make(chan struct{})}) }()
+		defer web.Close()
+		answers := bufio.NewReader(client)
+		head := "POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer veil-secret\r\nContent-Length: %d\r\n\r\n"
+		fmt.Fprintf(client, head+"%s", len(previewBody), previewBody)
+		<-disp.running
+		time.Sleep(10 * bodyTimeout) // the answer takes longer than a body may
+		close(disp.release)
+		resp, err := http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, 200)
+		_, _ = io.Copy(io.Discard, resp.Body)
+
+		fmt.Fprintf(client, head+"{", len(previewBody))
+		start := time.Now()
+		resp, err = http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, 400)
+		c.Assert(time.Since(start), qt.Equals, bodyTimeout)
+	})
+}
+
+// oneConn is a listener that accepts one connection.
+type oneConn struct {
+	conn   net.Conn
+	closed chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
