Entry: run the tests with clusters in parallel

Cause: the package's tests took 50 s, most of it waiting for timeouts. Change: t.Parallel in tests with clusters or daemons of their own.

--- a/entry/apidoc_test.go
+++ b/entry/apidoc_test.go
@@ -103,6 +103,7 @@
 
 // TestCurlLines guards against lines of docs/api.md that do not work as written.
 func TestCurlLines(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	keys, err := transport.NewAuthority(time.Hour)
 	c.Assert(err, qt.IsNil)
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -113,6 +113,7 @@
 // TestDaemonTickets guards against a ticket that is told as accepted without
 // being in force, and against one that does not reach the other entries in 4 s.
 func TestDaemonTickets(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	keys, err := transport.NewAuthority(time.Hour)
 	c.Assert(err, qt.IsNil)
@@ -162,6 +163,7 @@
 // TestStartDuringOutage guards against an entry that cannot serve because the
 // log is down when it starts.
 func TestStartDuringOutage(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	keys, err := transport.NewAuthority(time.Hour)
 	c.Assert(err, qt.IsNil)
@@ -190,6 +192,7 @@
 // TestDrainServesUntilViewsMove guards against a drain that cuts requests, or
 // that leaves its name in the membership.
 func TestDrainServesUntilViewsMove(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	keys, err := transport.NewAuthority(time.Hour)
 	c.Assert(err, qt.IsNil)
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -22,6 +22,7 @@
 // TestReceivingEntryDies guards against a job that ends, or starts again, when
 // the entry that received it dies while it runs at its home.
 func TestReceivingEntryDies(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 3)
 	home := cl.nodes[2]
@@ -43,6 +44,7 @@
 // TestHomeDies guards against a second start of a submission whose home is
 // gone, and against answers that promise more than is known.
 func TestHomeDies(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 3)
 	home := cl.nodes[2]
@@ -82,6 +84,7 @@
 // TestInterleavedAnswers guards against an answer that reaches another caller
 // when many forwarded submissions finish in another order than they came.
 func TestInterleavedAnswers(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 3)
 	home := cl.nodes[2]
@@ -119,6 +122,7 @@
 // TestLostForward guards against a submission that is given up, or started
 // twice, when the connection to its home breaks after the forward arrived.
 func TestLostForward(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	home := cl.nodes[1]
@@ -139,6 +143,7 @@
 // TestSilentHome guards against a forward that waits for ever when the home
 // accepts it and never replies on that connection.
 func TestSilentHome(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 1)
 	mute := cl.muteEntry(ids.Incarnation{Name: "entry-9", Number: 1}, 1)
@@ -218,6 +223,7 @@
 // TestViewsDiffer guards against a submission that runs at two homes, or loops
 // between entries, when an entry with an old view forwards to a former home.
 func TestViewsDiffer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 3)
 	lagging, former, home := cl.nodes[0], cl.nodes[1], cl.nodes[2]
@@ -253,6 +259,7 @@
 // TestLargeAnswer guards against a forwarded answer that is cut, or refused, at
 // the size of one frame.
 func TestLargeAnswer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	home := cl.nodes[1]
@@ -277,6 +284,7 @@
 // TestStateFromPeer guards against an entry without the log that stays without
 // configuration, and against an older state that replaces a newer one.
 func TestStateFromPeer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	next := testState()
--- a/entry/home_test.go
+++ b/entry/home_test.go
@@ -19,6 +19,7 @@
 // submission is sent again to its home and to another entry, and against
 // answers that differ.
 func TestResubmittedWhileRunning(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 3)
 	home := cl.nodes[2]
@@ -43,6 +44,7 @@
 
 // TestResubmittedWithIssuedID guards the same for an id that names its home.
 func TestResubmittedWithIssuedID(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	id := cl.nodes[1].issue(t)
@@ -56,6 +58,7 @@
 // TestOtherBodyConflicts guards against a resubmission with another body that
 // receives, or disturbs, the first attempt's answer.
 func TestOtherBodyConflicts(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	home := cl.nodes[1]
@@ -77,6 +80,7 @@
 // TestTeamsAreSeparate guards against a caller that reads, cancels or joins the
 // submission of another team with the same id.
 func TestTeamsAreSeparate(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	home := cl.nodes[1]
@@ -103,6 +107,7 @@
 // TestFetchAndCancel guards against an answer or a cancel that only the home
 // itself can serve.
 func TestFetchAndCancel(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	home, other := cl.nodes[1], cl.nodes[0]
--- a/entry/stack_test.go
+++ b/entry/stack_test.go
@@ -49,6 +49,7 @@
 // caller-chosen ids are sent through every entry at once, one entry drains
 // meanwhile, and each task must start once at the real endpoints.
 func TestWholeStack(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	keys, err := transport.NewAuthority(time.Hour)
 	c.Assert(err, qt.IsNil)
--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -15,6 +15,7 @@
 // TestSpans guards against a trace that breaks between the caller, the entry
 // that received the submission and its home.
 func TestSpans(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 2)
 	home := cl.nodes[1]
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -18,6 +18,7 @@
 // TestSilentMember guards against a dead member that is never reported, and
 // against a live one that is.
 func TestSilentMember(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 3)
 	reported := make(chan struct{})
@@ -52,6 +53,7 @@
 // TestAgentsLearnView guards against agents that never connect to an entry that
 // joined later.
 func TestAgentsLearnView(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	cl := newCluster(t, 1)
 	agent := &agentEnd{lists: make(chan []wire.EntryAddress, 8)}
