agent, transport: failure tests; Send fails once Finish was called

Cause: Send could succeed on a connection that had ended, because a select with a free queue and a closed connection chooses either (TestFinishDeliversQueuedFrames failed on one of two runs).

Change: Send looks at the end of the connection first.

--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -43,6 +43,7 @@
 // fakeEntry accepts agents and hands their messages to the test.
 type fakeEntry struct {
 	node     ids.Incarnation
+	members  []wire.EntryAddress // sent in Hello; set before an agent connects
 	listener *transport.Listener
 	conns    chan *transport.Conn
 	messages chan received
@@ -58,7 +59,7 @@
 	}
 	l, err := transport.Listen("127.0.0.1:0", transport.Options{
 		TLS:   nodeTLS(t, a, name),
-		Hello: func() wire.Hello { return wire.Hello{Node: e.node, Role: wire.RoleEntry} },
+		Hello: func() wire.Hello { return wire.Hello{Node: e.node, Role: wire.RoleEntry, Entries: e.members} },
 	})
 	qt.Assert(t, err, qt.IsNil)
 	e.listener = l
@@ -80,7 +81,12 @@
 }
 
 // Handle implements transport.Handler.
-func (e *fakeEntry) Handle(c *transport.Conn, f wire.Frame) { e.messages <- received{c, f.Body} }
+func (e *fakeEntry) Handle(c *transport.Conn, f wire.Frame) {
+	if f.CallID != 0 {
+		_ = c.Reply(context.Background(), f.CallID, &wire.Ack{})
+	}
+	e.messages <- received{c, f.Body}
+}
 
 // Closed implements transport.Handler.
 func (e *fakeEntry) Closed(c *transport.Conn, _ error) { e.closed <- c }
--- /dev/null
+++ b/agent/live_test.go
@@ -0,0 +1,119 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/errkind"
+	"oriolerelay/internal/udprelay"
+	"oriolerelay/wire"
+)
+
+// Guards against a result that is lost, or a task that runs twice, when the
+// connection goes silent while the task runs.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	auth := testAuthority(t)
+	e := startEntry(t, auth, "entry-1")
+	relay, err := udprelay.New(e.listener.Address())
+	c.Assert(err, qt.IsNil)
+	defer relay.Close()
+	ag, _ := runAgent(t, auth, func(cfg *Config) { cfg.Seeds = []string{relay.Address()} })
+	sample, _, _ := runEndpoint(t, ag, 2)
+	conn := next(t, e.conns)
+	e.announcedSlots(t, 2)
+	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(1, waitLimit, `{"ms":100}`)}})
+	for sample.Starts("order-17", 1) == 0 {
+		<-time.After(time.Millisecond)
+	}
+	relay.Silence()
+	again := next(t, e.conns)
+	r := nextMessage[*wire.Result](t, e)
+	c.Assert(r.Tasks[0].Ref, qt.Equals, uint64(1))
+	c.Assert(r.Tasks[0].Outcome, qt.Equals, errkind.Done)
+	reply, err := again.Call(t.Context(), &wire.Settle{Refs: []uint64{1, 2}})
+	c.Assert(err, qt.IsNil)
+	settled := reply.(*wire.Settled).Tasks
+	c.Assert(settled[0].State, qt.Equals, wire.TaskFinished)
+	c.Assert(settled[1].State, qt.Equals, wire.TaskNeverSeen)
+	c.Assert(sample.Starts("order-17", 1), qt.Equals, 1)
+}
+
+// Guards against a drain that loses the last results, or that leaves a task
+// unanswered which was on its way when the agent began to drain.
+func TestDrainOverConnection(t *testing.T) {
+	c := qt.New(t)
+	auth := testAuthority(t)
+	e := startEntry(t, auth, "entry-1")
+	ag, stop := runAgent(t, auth, nil, e)
+	runEndpoint(t, ag, 2)
+	conn := next(t, e.conns)
+	e.announcedSlots(t, 2)
+	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(1, waitLimit, `{"ms":300}`)}})
+	for ag.Load().Running == 0 {
+		<-time.After(time.Millisecond)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	nextMessage[*wire.Drain](t, e)
+	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(2, waitLimit, `{}`)}})
+	c.Assert(nextMessage[*wire.Refused](t, e).Refs, qt.DeepEquals, []uint64{2})
+	c.Assert(nextMessage[*wire.Result](t, e).Tasks[0].Outcome, qt.Equals, errkind.Done)
+	c.Assert(next(t, ended), qt.IsNil)
+	next(t, e.closed)
+}
+
+// Guards against an endpoint that breaks off its tasks when it stops, and
+// against an agent that still offers it.
+func TestEndpointDrains(t *testing.T) {
+	c := qt.New(t)
+	auth := testAuthority(t)
+	e := startEntry(t, auth, "entry-1")
+	ag, _ := runAgent(t, auth, nil, e)
+	_, _, stop := runEndpoint(t, ag, 2)
+	conn := next(t, e.conns)
+	e.announcedSlots(t, 2)
+	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(1, waitLimit, `{"ms":200}`)}})
+	for ag.Load().Running == 0 {
+		<-time.After(time.Millisecond)
+	}
+	c.Assert(stop(), qt.IsNil)
+	e.announcedSlots(t, 0)
+	c.Assert(nextMessage[*wire.Result](t, e).Tasks[0].Outcome, qt.Equals, errkind.Done)
+}
+
+// Guards against an agent that knows only its seeds, and that stays with an
+// entry which is gone.
+func TestEntriesAreLearnedAndReplaced(t *testing.T) {
+	auth := testAuthority(t)
+	first, second := startEntry(t, auth, "entry-1"), startEntry(t, auth, "entry-2")
+	first.members = []wire.EntryAddress{{Node: second.node, Address: second.listener.Address()}}
+	runAgent(t, auth, nil, first)
+	next(t, second.conns)
+	qt.Assert(t, next(t, first.conns).Close(), qt.IsNil)
+	next(t, first.conns)
+}
+
+// Guards against connections to more than maxEntries entries, against a choice
+// that changes without need, and against places held by entries that are down.
+func TestChooseEntries(t *testing.T) {
+	var all []string
+	for i := range 24 {
+		all = append(all, fmt.Sprintf("10.0.0.%d:7100", i))
+	}
+	want := chooseEntries("agent-1", all, nil)
+	qt.Assert(t, want, qt.HasLen, maxEntries)
+	qt.Check(t, chooseEntries("agent-1", append(all[7:], all[:7]...), nil), qt.DeepEquals, want)
+	qt.Check(t, chooseEntries("agent-2", all, nil), qt.Not(qt.DeepEquals), want)
+	down := map[string]bool{want[0]: true, want[5]: true}
+	more := chooseEntries("agent-1", all, down)
+	qt.Check(t, more, qt.HasLen, maxEntries+2)
+	qt.Check(t, more[:maxEntries], qt.DeepEquals, want)
+	for _, a := range all {
+		down[a] = true
+	}
+	qt.Check(t, chooseEntries("agent-1", all, down), qt.HasLen, 2*maxEntries)
+}
--- /dev/null
+++ b/internal/udprelay/udprelay.go
@@ -0,0 +1,113 @@
+// Package udprelay forwards UDP packets for tests and can make the flows that
+// are open go silent while new ones work.
+package udprelay
+
+import (
+	"net"
+	"sync"
+)
+
+// maxPacketBytes bounds a forwarded packet.
+const maxPacketBytes = 64 << 10
+
+// Relay forwards between clients and one server. Each client address is a flow.
+type Relay struct {
+	front  *net.UDPConn
+	server *net.UDPAddr
+
+	mu    sync.Mutex
+	flows map[string]*flow
+	wg    sync.WaitGroup
+}
+
+type flow struct {
+	back   *net.UDPConn
+	silent bool
+}
+
+// New starts a relay on a free loopback port in front of server (ip:port).
+func New(server string) (*Relay, error) {
+	addr, err := net.ResolveUDPAddr("udp", server)
+	if err != nil {
+		return nil, err
+	}
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{front: front, server: addr, flows: make(map[string]*flow)}
+	r.wg.Go(r.forward)
+	return r, nil
+}
+
+// Address returns the address for clients as ip:port.
+func (r *Relay) Address() string { return r.front.LocalAddr().String() }
+
+// Silence drops all later packets of the flows that are open, both ways.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		f.silent = true
+	}
+}
+
+// Close stops the relay.
+func (r *Relay) Close() {
+	_ = r.front.Close()
+	r.mu.Lock()
+	for _, f := range r.flows {
+		_ = f.back.Close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+func (r *Relay) forward() {
+	b := make([]byte, maxPacketBytes)
+	for {
+		n, client, err := r.front.ReadFromUDP(b)
+		if err != nil {
+			return
+		}
+		if f := r.flow(client); f != nil {
+			_, _ = f.back.Write(b[:n]) // a lost packet is sent again by QUIC
+		}
+	}
+}
+
+// flow returns the flow of client, or nil when it is silent.
+func (r *Relay) flow(client *net.UDPAddr) *flow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.flows[client.String()]
+	if f == nil {
+		back, err := net.DialUDP("udp", nil, r.server)
+		if err != nil {
+			return nil
+		}
+		f = &flow{back: back}
+		r.flows[client.String()] = f
+		r.wg.Go(func() { r.answer(f, client) })
+	}
+	if f.silent {
+		return nil
+	}
+	return f
+}
+
+func (r *Relay) answer(f *flow, client *net.UDPAddr) {
+	b := make([]byte, maxPacketBytes)
+	for {
+		n, err := f.back.Read(b)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		silent := f.silent
+		r.mu.Unlock()
+		if !silent {
+			_, _ = r.front.WriteToUDP(b[:n], client)
+		}
+	}
+}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -121,7 +121,7 @@
 // Finish ends the connection gracefully: frames that were queued before are
 // written, the sending side is closed, and Finish waits until the peer has
 // handled them and closed the connection, or until ctx ends. Frames that are
-// sent after Finish fail with ErrClosed or are lost.
+// sent after Finish fail; those that are sent at the same time may be lost.
 func (c *Conn) Finish(ctx context.Context) error {
 	c.finishOnce.Do(func() { close(c.finish) })
 	defer c.fail(ErrClosed)
@@ -162,6 +162,13 @@
 		return err
 	}
 	select {
+	case <-c.done:
+		return c.closedError()
+	case <-c.finish:
+		return ErrClosed
+	default:
+	}
+	select {
 	case c.out <- b:
 		c.stats.sent(f.Body.MessageType(), len(b))
 		return nil
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -211,7 +211,8 @@
 	Refs []uint64 `cbor:"1,keyasint"`
 }
 
-// Drain says that the sender takes no new work.
+// Drain says that the sender takes no new work. An agent sends it as a call: the
+// Ack tells it that the tasks which the entry sent before have arrived.
 type Drain struct{}
 
 // Forward hands a submission to its home. Body is the JSON of the request.
