--- /dev/null
+++ b/agent/core.go
@@ -0,0 +1,211 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oriolerelay/errkind"
+	"oriolerelay/event"
+	"oriolerelay/wire"
+)
+
+// task is an admitted task that has not ended.
+type task struct {
+	entry    *entry
+	spec     wire.StartTask
+	arrived  time.Time
+	deadline time.Time
+	order    uint64 // of admission; decides between equal deadlines
+	position int    // in the queue, -1 when it is not queued
+}
+
+// core is the state of an agent: endpoint, queue, record and load. Its methods
+// may be called from any goroutine and never block on a peer.
+type core struct {
+	cfg     Config
+	metrics *metrics
+
+	mu       sync.Mutex
+	endpoint runner    // nil while none is announced
+	renewed  time.Time // of the endpoint's announcement
+	held     bool      // the worker's lease allows new tasks
+	revision uint64    // of the announcement
+	rules    rules
+	queue    taskQueue
+	running  int
+	orders   uint64
+	record   *record
+	links    map[*link]struct{}
+	draining bool
+	drained  chan struct{} // closed when draining and nothing is left
+	expiry   *time.Timer   // fires at the earliest deadline in the queue
+}
+
+// runner runs tasks on one announced endpoint.
+type runner interface {
+	announcement() Announcement
+	// slots is the number of tasks that may run at once.
+	slots() int
+	// call runs t within its deadline. It reports whether the endpoint could
+	// not be reached at all, which withdraws it.
+	call(t *task) (result wire.TaskResult, unreachable bool)
+	// close releases resources; calls in progress go on.
+	close()
+}
+
+func newCore(cfg Config) *core {
+	c := &core{
+		cfg:     cfg,
+		held:    true,
+		record:  newRecord(cfg),
+		links:   make(map[*link]struct{}),
+		drained: make(chan struct{}),
+	}
+	c.metrics = newMetrics(cfg.Metrics, c)
+	c.expiry = time.AfterFunc(time.Hour, c.dropExpired)
+	c.expiry.Stop()
+	return c
+}
+
+func (c *core) load() wire.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loadLocked()
+}
+
+func (c *core) loadLocked() wire.Load {
+	return wire.Load{Running: uint32(c.running), Queued: uint32(c.queue.len())}
+}
+
+// dispatch starts queued tasks while slots are free. Without an endpoint it
+// refuses them, so that their homes can choose another agent.
+func (c *core) dispatch(now time.Time) {
+	for c.queue.len() > 0 && (c.endpoint == nil || c.running < c.endpoint.slots()) {
+		t := c.queue.pop()
+		switch {
+		case !now.Before(t.deadline):
+			c.refusePending(t, errkind.DeadlinePassed)
+		case c.endpoint == nil:
+			c.refusePending(t, errkind.NoEndpoint)
+		default:
+			c.running++
+			go c.run(t, c.endpoint)
+		}
+	}
+	if h := c.queue.head(); h != nil {
+		c.expiry.Reset(h.deadline.Sub(now))
+	}
+	c.checkDrained()
+}
+
+func (c *core) refusePending(t *task, kind errkind.Kind) {
+	c.record.refuse(t.entry, kind)
+	c.metrics.refused(kind)
+	c.report(t.entry)
+}
+
+// dropExpired refuses queued tasks whose deadline has passed.
+func (c *core) dropExpired() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for h := c.queue.head(); h != nil && !now.Before(h.deadline); h = c.queue.head() {
+		c.refusePending(c.queue.pop(), errkind.DeadlinePassed)
+	}
+	c.dispatch(now)
+}
+
+// run calls the endpoint for t and reports the end.
+func (c *core) run(t *task, r runner) {
+	begin := time.Now()
+	result, unreachable := r.call(t)
+	end := time.Now()
+	result.Ref = t.spec.Ref
+	result.QueueMicros = begin.Sub(t.arrived).Microseconds()
+	result.RunMicros = end.Sub(begin).Microseconds()
+	c.metrics.finished(&result)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running--
+	c.record.finish(t.entry, &result)
+	c.report(t.entry)
+	if unreachable && c.endpoint == r {
+		m := r.announcement()
+		c.cfg.Log.Log(event.EndpointUnreachable, "service", m.Service, "address", m.Address, "detail", result.Detail)
+		c.setEndpoint(nil)
+	}
+	c.dispatch(end)
+}
+
+// report hands the end of a task to the newest connection of its home, or keeps
+// it for the next one.
+func (c *core) report(e *entry) {
+	h := e.home
+	if h.link == nil {
+		h.undelivered = append(h.undelivered, e)
+		return
+	}
+	h.link.out = append(h.link.out, e)
+	h.link.signal()
+}
+
+// setEndpoint replaces the endpoint and announces that. The caller dispatches.
+func (c *core) setEndpoint(r runner) {
+	if c.endpoint != nil {
+		c.endpoint.close()
+	}
+	c.endpoint = r
+	c.announceAll()
+}
+
+// announceAll queues a new announcement on every connection.
+func (c *core) announceAll() {
+	c.revision++
+	for l := range c.links {
+		l.announce = true
+		l.signal()
+	}
+}
+
+// announcement describes the endpoint to entries; it has no slots while the
+// agent may take no tasks.
+func (c *core) announcement() *wire.Announce {
+	m := &wire.Announce{Revision: c.revision}
+	if c.endpoint != nil && c.held {
+		a := c.endpoint.announcement()
+		m.Service, m.Slots, m.Capacity = a.Service, uint32(c.endpoint.slots()), a.Capacity
+		m.Buffer = uint32(c.buffer(a.Service))
+	}
+	return m
+}
+
+// watch withdraws an endpoint that has stopped renewing, releases answers and
+// expires records until ctx ends.
+func (c *core) watch(ctx context.Context) {
+	tick := time.NewTicker(watchPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			c.sweep(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *core) sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.endpoint != nil && now.Sub(c.renewed) >= renewalsMissed*RenewalPeriod {
+		m := c.endpoint.announcement()
+		c.cfg.Log.Log(event.EndpointWithdrawn, "service", m.Service, "address", m.Address)
+		c.setEndpoint(nil)
+		c.dispatch(now)
+	}
+	for l := range c.links {
+		c.release(l, now)
+	}
+	c.record.expire(now)
+}
