Scheduler places tasks by a heap of the open endpoints

Cause: the choice was linear in the endpoints for each task. Change: balance.Plan gives the choices of Choose for many tasks of one pass in logarithmic time; a rapid test compares the two. The estimate on admission reuses its buffer.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -106,3 +106,32 @@
 	later := k.Expect(&e, 0, 0, now.Add(5*time.Minute))
 	c.Assert(later < slow/10, qt.IsTrue, qt.Commentf("%v of %v", later, slow))
 }
+
+// TestPlanAgainstChoose compares a plan with repeated calls of Choose. It guards
+// against a plan that loses or overfills endpoints, or chooses a later finish.
+func TestPlanAgainstChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t, LeastExpectedFinish)
+		random := rapid.Uint64().Draw(t, "random")
+		mine := s
+		mine.Endpoints = append([]Endpoint(nil), s.Endpoints...)
+		var p Plan
+		p.Reset(mine, random)
+		for s.Waiting > 0 {
+			want, ok := Choose(s, random)
+			got, gotOK := p.Next(s.Waiting, random)
+			if ok != gotOK {
+				t.Fatalf("choose %v, plan %v", ok, gotOK)
+			}
+			if !ok {
+				return
+			}
+			if a, b := &s.Endpoints[want], &s.Endpoints[got]; less(a, b) || less(b, a) {
+				t.Fatalf("choose %d %+v, plan %d %+v", want, *a, got, *b)
+			}
+			p.Place(got)
+			s.Endpoints[got].Busy++
+			s.Waiting--
+		}
+	})
+}
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -22,3 +22,28 @@
 		}
 	}
 }
+
+// BenchmarkPlan places 150 tasks, as for a job of the largest size.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{11, 256} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			endpoints := make([]Endpoint, n)
+			var p Plan
+			b.ReportAllocs()
+			for i := range b.N {
+				for k := range endpoints {
+					endpoints[k] = Endpoint{Slots: 8, Limit: 9, Busy: k % 3, Run: time.Duration(100+k) * time.Millisecond}
+				}
+				p.Reset(Snapshot{Endpoints: endpoints}, uint64(i))
+				for waiting := 150; waiting > 0; waiting-- {
+					e, ok := p.Next(waiting, 0)
+					if !ok {
+						break
+					}
+					p.Place(e)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/150, "ns/task")
+		})
+	}
+}
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -145,13 +145,14 @@
 // times, the open places and the tasks that are served before it.
 func (s *service) prospect(j *job, now time.Time) prospect {
 	longest := j.declared(j.peek()) // the first task to start is the longest
-	var places []limit.Place
+	places := s.places[:0]
 	for _, a := range s.agents {
 		if a.live() {
 			run := j.kind.times.Expect(a.timesOf(j.kind), longest, a.waiting(now), now)
 			places = append(places, limit.Place{Slots: int(a.announce.Slots), Busy: a.busy(now, 0), Run: run})
 		}
 	}
+	s.places = places
 	total, own := s.queue.ActiveWeight(j.item)
 	p := prospect{learned: j.kind.times.Learned()}
 	for _, x := range places {
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -32,6 +32,7 @@
 	endpoints []balance.Endpoint
 	limited   bool // false for the naive policy
 	open      int  // endpoints below their limit, whether or not they suit the task
+	plan      balance.Plan
 }
 
 type viewKey struct {
@@ -60,13 +61,11 @@
 			aside = append(aside, item)
 			continue
 		}
-		s.look(t, rules, now)
+		s.look(t, rules, now, d.random.Uint64())
 		if s.view.open == 0 {
 			break
 		}
-		i, ok := balance.Choose(balance.Snapshot{
-			Policy: balance.Policy(rules.Policy), Endpoints: s.view.endpoints, Waiting: s.queued,
-		}, d.random.Uint64())
+		i, ok := s.view.plan.Next(s.queued, d.random.Uint64())
 		if !ok {
 			if t.avoid == nil {
 				held = j.kind
@@ -85,7 +84,7 @@
 }
 
 // look makes the view valid for t.
-func (s *service) look(t *task, rules ticket.EndpointRules, now time.Time) {
+func (s *service) look(t *task, rules ticket.EndpointRules, now time.Time, random uint64) {
 	j := t.job
 	key := viewKey{kind: j.kind, demand: j.Tasks[t.index].Demand, avoid: t.avoid}
 	if s.view.key == key {
@@ -114,6 +113,7 @@
 		}
 		s.view.endpoints = append(s.view.endpoints, e)
 	}
+	s.view.plan.Reset(balance.Snapshot{Policy: balance.Policy(rules.Policy), Endpoints: s.view.endpoints}, random)
 }
 
 // only reports whether a is the only agent that can be given tasks.
@@ -143,7 +143,7 @@
 	}
 	d.assign(t, a)
 	s.queue.Charge(item, float64(j.kind.times.Typical(j.declared(t))))
-	e.Busy++
+	s.view.plan.Place(i)
 	if e.Busy == e.Limit {
 		s.view.open--
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -24,7 +24,8 @@
 	health        *limit.HealthGroup
 	retries       limit.RetryBudget
 	unservedSince time.Time
-	view          view // reused by the scheduler
+	view          view          // reused by the scheduler
+	places        []limit.Place // reused by prospect
 }
 
 // kind is one kind of request of a service.
