Remember the load of other homes for 10 s; smaller caution

The reported load of other homes faded within 2 s, so full agents looked free. Change: it fades within 10 s; agents refresh it with each result and a heartbeat every second. messages_over_response 1 counts 25% more of it instead of 100%. Ruled out: placing at most half of the free slots per pass; see docs/decisions.md.

--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -21,14 +21,20 @@
 	// agent whose connections fail again before they settle anything.
 	settleLimit = 4 * time.Second
 	// loadMemory is the age at which the load that an agent reported for other
-	// homes is no longer counted.
-	loadMemory = 2 * time.Second
+	// homes is no longer counted. An agent reports it with each result, and with
+	// its heartbeat every second otherwise, so that it is rarely that old.
+	loadMemory = 10 * time.Second
 	// minBackoff and maxBackoffDoublings bound the pause after refusals by an
 	// agent, which would otherwise be offered the task again at once.
 	minBackoff          = 5 * time.Millisecond
 	maxBackoffDoublings = 6
 )
 
+// cautionShare is the part of the reported load of other homes that is counted
+// in addition at messages_over_response 1. Twice the load made a home with
+// others beside it find no free slot at 95% load.
+const cautionShare = 0.25
+
 // agent is one incarnation of an agent. The dispatcher's lock guards it.
 type agent struct {
 	id       ids.Incarnation
@@ -64,14 +70,14 @@
 }
 
 // busy returns the tasks at the agent, including those of other homes. The
-// latter are known as of the last message only; caution, from 0 to 1, counts up
-// to twice of them, so that fewer tasks are refused and more slots stay idle.
+// latter are known as of the last message only; caution, from 0 to 1, counts more
+// of them, so that fewer tasks are refused and more slots stay idle.
 func (a *agent) busy(now time.Time, caution float64) int {
 	age := now.Sub(a.loadAt)
 	if a.otherLoad == 0 || age >= loadMemory {
 		return a.inFlight
 	}
-	return a.inFlight + int((1+min(caution, 1))*float64(a.otherLoad)*float64(loadMemory-age)/float64(loadMemory)+0.5)
+	return a.inFlight + int((1+cautionShare*min(caution, 1))*float64(a.otherLoad)*float64(loadMemory-age)/float64(loadMemory)+0.5)
 }
 
 func (a *agent) learnLoad(l wire.Load, now time.Time) {
--- a/dispatch/decisions_test.go
+++ b/dispatch/decisions_test.go
@@ -26,23 +26,36 @@
 
 // modelAgent is a queueing model of an endpoint behind a link without faults.
 type modelAgent struct {
-	session *session
-	ready   chan struct{}
-	m       *model
-	slots   int
-	limit   int
-	speed   float64 // 1 is the fastest
-	fails   bool
+	id    ids.Incarnation
+	m     *model
+	slots int
+	limit int
+	speed float64 // 1 is the fastest
+	fails bool
 
 	mu      sync.Mutex
 	running int
-	queue   []wire.StartTask
+	queue   []modelTask
+}
+
+// modelTask is a task and the connection on which its result goes back.
+type modelTask struct {
+	wire.StartTask
+	link *modelLink
+}
+
+// modelLink is a connection of an agent to one entry.
+type modelLink struct {
+	*modelAgent
+	session *session
+	ready   chan struct{}
 }
 
 // model is one run: the dispatcher, its endpoints and what the callers saw.
 type model struct {
-	d      *Dispatcher
-	agents []*modelAgent
+	entries []*Dispatcher
+	agents  []*modelAgent
+	links   []*modelLink
 
 	mu       sync.Mutex
 	base     map[string]time.Duration // run time on the fastest endpoint
@@ -56,25 +69,25 @@
 	modelBuffer = 2
 )
 
-func (a *modelAgent) Send(_ context.Context, m wire.Message) error {
+func (l *modelLink) Send(_ context.Context, m wire.Message) error {
 	if s, ok := m.(*wire.Start); ok {
-		time.AfterFunc(modelDelay, func() { a.start(s.Tasks) })
+		time.AfterFunc(modelDelay, func() { l.start(s.Tasks) })
 	} else {
-		a.m.count(m)
+		l.m.count(m)
 	}
 	return nil
 }
 
-func (a *modelAgent) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
-	a.m.count(m)
+func (l *modelLink) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
+	l.m.count(m)
 	r := &wire.Settled{}
 	for _, ref := range m.(*wire.Settle).Refs {
 		r.Tasks = append(r.Tasks, wire.SettledTask{Ref: ref, State: wire.TaskPending})
 	}
 	return r, ctx.Err()
 }
-func (a *modelAgent) Reply(context.Context, uint64, wire.Message) error { return nil }
-func (a *modelAgent) Close() error                                      { return nil }
+func (l *modelLink) Reply(context.Context, uint64, wire.Message) error { return nil }
+func (l *modelLink) Close() error                                      { return nil }
 
 func (m *model) count(msg wire.Message) {
 	if msg.MessageType() == wire.TypeHeartbeat {
@@ -85,16 +98,17 @@
 	m.messages++
 }
 
-func (a *modelAgent) start(tasks []wire.StartTask) {
+func (l *modelLink) start(tasks []wire.StartTask) {
+	a := l.modelAgent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, t := range tasks {
 		if a.running+len(a.queue) >= a.limit {
 			a.m.count(&wire.Refused{})
-			a.reply(&wire.Refused{Refs: []uint64{t.Ref}, Kind: errkind.QueueFull, Load: a.load()})
+			l.reply(&wire.Refused{Refs: []uint64{t.Ref}, Kind: errkind.QueueFull, Load: a.load()})
 			continue
 		}
-		a.queue = append(a.queue, t)
+		a.queue = append(a.queue, modelTask{t, l})
 	}
 	a.next()
 }
@@ -121,16 +135,16 @@
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.running--
-			a.reply(&wire.Result{Tasks: []wire.TaskResult{r}, Load: a.load()})
+			t.link.reply(&wire.Result{Tasks: []wire.TaskResult{r}, Load: a.load()})
 			a.next()
 		})
 	}
 }
 
-func (a *modelAgent) reply(m wire.Message) {
+func (l *modelLink) reply(m wire.Message) {
 	time.AfterFunc(modelDelay, func() {
-		<-a.ready
-		a.session.handle(wire.Frame{Body: m})
+		<-l.ready
+		l.session.handle(wire.Frame{Body: m})
 	})
 }
 
@@ -142,6 +156,8 @@
 	straggler bool    // one endpoint is 20 times slower than the fastest
 	failing   bool    // one endpoint fails everything at once
 	jobTasks  int
+	entries   int     // that share the endpoints; 0 means 1
+	caution   float64 // messages_over_response
 }
 
 // outcome is the result of a run.
@@ -164,14 +180,17 @@
 		state := testState()
 		state.Services["veil-desk"] = ticket.Service{
 			Kinds:     map[string]ticket.Kind{"preview": {Idempotent: true, MaxAttempts: 3, QueueLimit: 4000}},
-			Endpoints: ticket.EndpointRules{Policy: policy},
+			Endpoints: ticket.EndpointRules{Policy: policy, MessagesOverResponse: sc.caution},
 		}
 		m := &model{base: map[string]time.Duration{}}
-		m.d = New(Config{Self: ids.Incarnation{Name: "entry-1", Number: 1}, State: func() *ticket.State { return state }})
-		m.d.random = rand.New(rand.NewPCG(seed, 8))
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		go func() { _ = m.d.Run(ctx) }()
+		for i := range max(sc.entries, 1) {
+			d := New(Config{Self: ids.Incarnation{Name: fmt.Sprint("entry-", i), Number: 1}, State: func() *ticket.State { return state }})
+			d.random = rand.New(rand.NewPCG(seed, uint64(8+i)))
+			m.entries = append(m.entries, d)
+			go func() { _ = d.Run(ctx) }()
+		}
 		capacity := sc.connect(m, policy)
 		const meanRun = 200 * time.Millisecond
 		var wg sync.WaitGroup
@@ -185,7 +204,7 @@
 			j, ideal, total := sc.submission(m, rnd, n, capacity)
 			began := time.Now()
 			wg.Go(func() {
-				a := m.d.Do(context.Background(), j)
+				a := m.entries[n%len(m.entries)].Do(context.Background(), j)
 				m.mu.Lock()
 				defer m.mu.Unlock()
 				if began.Before(warm) {
@@ -206,8 +225,8 @@
 		}
 		wg.Wait()
 		<-time.After(10 * time.Minute) // queues at the endpoints run empty
-		for _, a := range m.agents {
-			a.session.stop()
+		for _, l := range m.links {
+			l.session.stop()
 		}
 		o.p50, o.p99 = float64(hist.ValueAtQuantile(50))/1000, float64(hist.ValueAtQuantile(99))/1000
 		o.goodput = work / capacity / float64(end.Sub(warm))
@@ -221,7 +240,7 @@
 func (sc scenario) connect(m *model, policy string) (capacity float64) {
 	const n = 11
 	for i := range n {
-		a := &modelAgent{m: m, ready: make(chan struct{}), slots: modelSlots, limit: modelSlots + modelBuffer, speed: 1}
+		a := &modelAgent{m: m, id: ids.Incarnation{Name: fmt.Sprint("agent-", i), Number: 1}, slots: modelSlots, limit: modelSlots + modelBuffer, speed: 1}
 		if policy == "naive" {
 			a.limit = math.MaxInt
 		}
@@ -234,10 +253,14 @@
 		default:
 			capacity += a.speed * modelSlots
 		}
-		a.session = m.d.attach(a, wire.Hello{Node: ids.Incarnation{Name: fmt.Sprint("agent-", i), Number: 1}})
-		close(a.ready)
-		a.session.handle(wire.Frame{Body: &wire.Announce{Service: "veil-desk", Slots: modelSlots, Buffer: modelBuffer, Revision: 1}})
 		m.agents = append(m.agents, a)
+		for _, d := range m.entries {
+			l := &modelLink{modelAgent: a, ready: make(chan struct{})}
+			m.links = append(m.links, l)
+			l.session = d.attach(l, wire.Hello{Node: a.id})
+			close(l.ready)
+			l.session.handle(wire.Frame{Body: &wire.Announce{Service: "veil-desk", Slots: modelSlots, Buffer: modelBuffer, Revision: 1}})
+		}
 	}
 	return capacity
 }
@@ -270,6 +293,11 @@
 	{name: "2x overload, 4x spread", load: 2, spread: 4, jobTasks: 1},
 	{name: "70% load, jobs of 30", load: 0.7, spread: 4, jobTasks: 30},
 	{name: "2x overload, jobs of 30", load: 2, spread: 4, jobTasks: 30},
+	{name: "70% load, 4x spread, 3 entries", load: 0.7, spread: 4, jobTasks: 1, entries: 3},
+	{name: "95% load, 4x spread, 3 entries", load: 0.95, spread: 4, jobTasks: 1, entries: 3},
+	{name: "70% load, jobs of 30, 3 entries", load: 0.7, spread: 4, jobTasks: 30, entries: 3},
+	{name: "95% load, 4x spread, 3 entries, messages 1", load: 0.95, spread: 4, jobTasks: 1, entries: 3, caution: 1},
+	{name: "70% load, jobs of 30, 3 entries, messages 1", load: 0.7, spread: 4, jobTasks: 30, entries: 3, caution: 1},
 }
 
 // TestDecisions compares the policies in a queueing model in virtual time. It
