Admission: a team's share of the rate, and the slowest task of a job

The estimate ignored that other teams keep taking their share, and took the last task to run for the mean time. Change: while more tasks wait than there are slots, a job's tasks are expected at its team's share of the rate. KindTimes learns the variance of run times, and the finish includes the expected excess of the slowest of n tasks.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -135,3 +136,31 @@
 		}
 	})
 }
+
+// TestExcess compares the expected excess of the slowest of n tasks with drawn
+// ones. It guards against jobs that are accepted for their mean run time.
+func TestExcess(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1000, 0)
+	var k KindTimes
+	var e EndpointTimes
+	draw := func() float64 { return 100 + 20*rnd.NormFloat64() }
+	for range 1000 {
+		k.Learn(&e, time.Duration(draw()*float64(time.Millisecond)), now)
+	}
+	c.Assert(k.Excess(1), qt.Equals, time.Duration(0))
+	for _, n := range []int{10, 30, 150} {
+		const rounds = 300
+		var sum float64
+		for range rounds {
+			slowest := 0.0
+			for range n {
+				slowest = max(slowest, draw())
+			}
+			sum += slowest - 100
+		}
+		drawn, excess := sum/rounds, k.Excess(n).Seconds()*1000
+		c.Assert(excess > 0.8*drawn && excess < 1.6*drawn, qt.IsTrue, qt.Commentf("n %d: %v, drawn %v", n, excess, drawn))
+	}
+}
--- a/balance/times.go
+++ b/balance/times.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Learning of run times.
 const (
@@ -26,8 +29,9 @@
 
 // KindTimes learns the run times of one kind over all endpoints.
 type KindTimes struct {
-	mean average
-	slow float64 // decayed slowest run time in ns
+	mean     average
+	variance float64 // moving average of squared deviations, ns²
+	slow     float64 // decayed slowest run time in ns
 }
 
 // EndpointTimes learns the run times of one kind at one endpoint.
@@ -56,7 +60,11 @@
 // Learn records the run time of a completed task.
 func (k *KindTimes) Learn(e *EndpointTimes, run time.Duration, now time.Time) {
 	x := float64(max(run, time.Microsecond))
+	deviation := x - k.mean.value
 	k.mean.add(x)
+	if k.mean.n > 1 {
+		k.variance += (deviation*deviation - k.variance) * max(slowWeight, 1/float64(k.mean.n))
+	}
 	k.slow = max(x, k.slow*slowDecay)
 	e.mean.add(x)
 	e.last = now
@@ -70,6 +78,16 @@
 	e.last = now
 }
 
+// Excess returns by how much the slowest of n tasks is expected to exceed the
+// mean run time. It is the expected maximum of n normal deviates, an upper
+// estimate for the bounded run times of a kind.
+func (k *KindTimes) Excess(n int) time.Duration {
+	if n < 2 || !k.Learned() {
+		return 0
+	}
+	return time.Duration(math.Sqrt(2 * math.Log(float64(n)) * k.variance))
+}
+
 // Learned reports whether enough samples replace the declared run time.
 func (k *KindTimes) Learned() bool { return k.mean.n >= minSamples }
 
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"oriolerelay/balance"
@@ -155,13 +156,23 @@
 	s.places = places
 	total, own := s.queue.ActiveWeight(j.item)
 	p := prospect{learned: j.kind.times.Learned()}
+	slots := 0
 	for _, x := range places {
+		slots += x.Slots
 		p.free += max(x.Slots-x.Busy, 0)
 	}
 	mine := 0
 	s.queue.EachBefore(j.item, func(o *job) { mine += len(o.pending) })
-	ahead := min(float64(s.queued), float64(mine)*total/own)
-	p.wait, p.finish = limit.Expect(places, ahead, len(j.Tasks))
+	ahead := float64(mine) * total / own
+	upTo := float64(mine+len(j.Tasks)) * total / own
+	if s.queued < slots {
+		// The queue runs empty within one round of the slots. A longer one is
+		// taken to last, so that other teams take their share all the time.
+		ahead = min(ahead, float64(s.queued))
+		upTo = min(upTo, float64(s.queued+len(j.Tasks)))
+	}
+	p.wait, p.finish = limit.Expect(places, ahead, upTo)
+	p.finish += min(j.kind.times.Excess(len(j.Tasks)), math.MaxInt64-p.finish)
 	if s.queued == 0 && len(j.Tasks) <= p.free {
 		p.wait, p.finish = 0, min(p.finish, limit.Fastest(places))
 	}
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -28,9 +28,11 @@
 	return any
 }
 
-// Expect estimates, for n tasks with ahead tasks before them, when the first
-// starts and when the last ends. Without places both are the longest duration.
-func Expect(places []Place, ahead float64, n int) (start, finish time.Duration) {
+// Expect estimates when the first task of a job starts and when its last task
+// ends. ahead is the number of tasks that start before the first, and upTo the
+// number that start until the last has, which is included. Without places both
+// are the longest duration.
+func Expect(places []Place, ahead, upTo float64) (start, finish time.Duration) {
 	var rate, slots, free, fastest, work float64
 	fastest = math.MaxFloat64
 	for _, p := range places {
@@ -50,7 +52,7 @@
 	if ahead+work < free {
 		first = 0
 	}
-	last := max(ahead+work+float64(n)-free, 0) / rate
+	last := max(upTo+work-free, 0) / rate
 	// The last tasks of a large job start wherever a slot becomes free, so they
 	// run for the mean time; a job that fits into the free slots runs on the
 	// fastest.
