entry: a new entry is ready only when its services have endpoints

Cause: /readyz answered 200 as soon as the configuration was known. Ruled out: submissions lost during the drain of the old process. Change: until each configured service has an endpoint, and for at most 10 s, a new entry is not ready. The wait ends once and doesn't come back when agents are lost later. TestStartDuringOutage waits for the same point as before, which is now reported as no_endpoint because that test has no agents.

--- a/entry/server.go
+++ b/entry/server.go
@@ -80,6 +80,7 @@
 	place   wire.Hello             // Self and where it runs
 	address atomic.Pointer[string] // internal address, nil while unknown
 
+	agents   agentWait
 	draining atomic.Bool // readyz fails
 	refusing atomic.Bool // new submissions are refused
 }
@@ -295,7 +296,7 @@
 	if _, ok := s.tickets.Fold(); !ok && s.tickets.Load().Number == 0 {
 		return errkind.New(errkind.NoConfiguration, "no configuration is known yet")
 	}
-	return nil
+	return s.agents.notReady(s)
 }
 
 func errDraining() error { return errkind.New(errkind.Draining, "this entry is draining") }
