Members: races of real followers, longer pauses between rejoins

Cause: no test ran followers against each other while entries fail and records expire. Found: an entry whose join and removal came with one read did not see that it had been a member and joined again after 1 s in place of a growing pause; two sides that suspect each other wrote 50 records in 10 minutes. Ruled out: telling a removal by having seen the own join in force. Change: the stamp of the removal decides.

--- a/members/follower.go
+++ b/members/follower.go
@@ -63,7 +63,7 @@
 	tried       map[ids.Incarnation]time.Time // the last leave record appended for it
 	joinAt      time.Time                     // the earliest time of the next join record
 	joinedSince time.Time                     // zero while not in the newest view
-	wasMember   bool
+	removedMS   int64                         // the stamp of the last removal by a peer
 	replaced    bool
 	pause       time.Duration
 	noBaseSince time.Time
@@ -176,6 +176,10 @@
 	f.mu.Lock()
 	f.self = m
 	f.upkeep.joinAt = time.Time{}
+	if s, _, ok := f.State(); ok {
+		d, _ := s.departed(m.Node) // its own earlier leave is no reason to wait
+		f.upkeep.removedMS = d.StampMS
+	}
 	f.mu.Unlock()
 	return f.await(ctx, m.Node, true)
 }
--- a/members/follower_test.go
+++ b/members/follower_test.go
@@ -89,3 +89,26 @@
 		c.Assert(a.Addresses(), qt.HasLen, 1)
 	})
 }
+
+// Guards against an entry that starts in an outage and never becomes a member,
+// and against a draining entry that joins again.
+func TestJoinContinuesThroughAnOutage(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		f, m := start(), testMember("entry-a", 1)
+		server.SetFaults(standin.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(c.Context(), time.Second)
+		defer cancel()
+		c.Assert(f.Join(ctx, m), qt.ErrorIs, context.DeadlineExceeded)
+		time.Sleep(time.Minute)
+		server.SetFaults(standin.Faults{LoseAnswers: true})
+		time.Sleep(appendPause + 2*time.Second)
+		c.Assert(f.Addresses(), qt.HasLen, 1)
+
+		c.Assert(f.Leave(c.Context()), qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Assert(f.Addresses(), qt.HasLen, 0)
+		until, left := f.HomeUntil(m.Node)
+		c.Assert(left, qt.IsTrue)
+		c.Assert(time.Since(until) < time.Minute, qt.IsTrue)
+	})
+}
--- a/members/upkeep.go
+++ b/members/upkeep.go
@@ -86,18 +86,21 @@
 		if now.Sub(u.joinedSince) > stableAfter {
 			u.pause = 0
 		}
-		u.wasMember = true
 		return nil
 	}
-	if d, ok := s.departed(f.self.Node); ok && d.Replaced {
+	u.joinedSince = time.Time{}
+	d, removed := s.departed(f.self.Node)
+	if removed && d.Replaced {
 		if !u.replaced {
 			u.replaced = true
 			f.log.Log(event.MemberReplaced, "member", f.self.Node)
 		}
 		return nil
 	}
-	if u.wasMember {
-		u.wasMember, u.joinedSince = false, time.Time{}
+	// The stamp tells a new removal even when the join before it was never seen
+	// in force, because both records came with one read.
+	if removed && d.StampMS != u.removedMS {
+		u.removedMS = d.StampMS
 		u.pause = min(max(rejoinPause, 2*u.pause), maxRejoinPause)
 		u.joinAt = now.Add(u.pause)
 		f.log.Log(event.MemberRejoins, "member", f.self.Node, "after", u.pause)
