--- /dev/null
+++ b/event/agent.go
@@ -0,0 +1,25 @@
+package event
+
+// Events of agents and endpoints, codes 200 to 299.
+var (
+	EndpointAnnounced   = define(200, Info, "endpoint announced")
+	EndpointWithdrawn   = define(201, Warn, "endpoint withdrawn after missed renewals")
+	EndpointLeaving     = define(202, Info, "endpoint is leaving")
+	EndpointFailing     = define(203, Warn, "endpoint call failed after a success")
+	EndpointRecovered   = define(204, Info, "endpoint call succeeded after a failure")
+	AnnounceRefused     = define(205, Warn, "announcement refused")
+	EndpointUnreachable = define(206, Warn, "endpoint withdrawn, it cannot be reached")
+	EntryConnected      = define(210, Info, "connected to entry")
+	EntryLost           = define(211, Warn, "connection to entry ended")
+	EntryUnreachable    = define(212, Warn, "entry cannot be reached")
+	EntryRefused        = define(213, Warn, "entry and agent do not accept each other's certificate")
+	AgentDrained        = define(220, Info, "agent drained, no task in flight")
+	StateApplied        = define(221, Info, "configuration in force changed")
+	StateRefused        = define(222, Warn, "configuration from an entry cannot be read")
+	LeaseHeldByOther    = define(223, Error, "lease of the worker is held by another, draining")
+	LeaseNotRenewed     = define(224, Warn, "lease of the worker cannot be renewed now")
+	LeaseRenewed        = define(225, Info, "lease of the worker is renewed")
+	PeerRefused         = define(230, Warn, "peer refused, its certificate is not accepted")
+	KeysExpireSoon      = define(231, Warn, "certificate expires soon")
+	KeysUnreadable      = define(232, Error, "certificate or key file cannot be used, the last good keys stay in use")
+)
