--- a/members/machine.go
+++ b/members/machine.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
 )
 
 // machine folds the member stream for the follow package.
@@ -21,12 +22,12 @@
 
 func (machine) Apply(s *State, r platform.Record) *State { return s.Apply(r) }
 
-func (machine) Restart(r platform.Record) (*State, bool) {
+func (machine) Restart(r platform.Record) (*State, follow.RestartKind) {
 	rec, err := decodeRecord(r.Value)
 	if err != nil || rec.Type != typeReset {
-		return nil, false
+		return nil, follow.NoRestart
 	}
-	return resetState(r), true
+	return resetState(r), follow.RestartAll
 }
 
 func (machine) Encode(s *State) (json.RawMessage, error) {
--- a/members/views_test.go
+++ b/members/views_test.go
@@ -12,6 +12,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/ids"
 	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
 )
 
 // naiveView folds the whole history from the beginning for one submission time.
@@ -83,7 +84,7 @@
 	for _, r := range history {
 		s = s.Apply(r)
 		keptFrom = max(keptFrom, r.TimeMS-keepMS)
-		if _, reset := (machine{}).Restart(r); reset {
+		if _, kind := (machine{}).Restart(r); kind == follow.RestartAll {
 			keptFrom = r.TimeMS
 		}
 		if rapid.IntRange(0, 4).Draw(rt, "restart") == 0 {
--- a/ticket/fold.go
+++ b/ticket/fold.go
@@ -102,7 +102,15 @@
 	case t.Number > last+1:
 		fault := settings.Problem{Path: "number", Message: fmt.Sprintf("must be %d, is %d", last+1, t.Number)}
 		return Verdict{Status: StatusInvalid, Faults: append([]settings.Problem{fault}, Validate(t)...)}, f
+	case t.Restart:
+		fault := settings.Problem{Path: "restart", Message: "is allowed only when all earlier tickets are lost"}
+		return Verdict{Status: StatusInvalid, Faults: []settings.Problem{fault}}, f
 	}
+	return f.accept(t, r)
+}
+
+// accept applies a ticket with the next number when it has no faults.
+func (f Fold) accept(t *Ticket, r platform.Record) (Verdict, Fold) {
 	faults := append(Validate(t), f.checkRemovals(t)...)
 	if len(faults) > 0 {
 		return Verdict{Status: StatusInvalid, Faults: faults}, f
--- a/ticket/follower_test.go
+++ b/ticket/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -170,3 +171,51 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a system that never takes a ticket again after all tickets
+// expired while nothing ran, and against two configurations after that.
+func TestRestartAfterAllTicketsWereLost(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		for range 3 {
+			server.Append(Stream, []byte("{}"))
+		}
+		server.SetFaults(standin.Faults{ExpireBefore: map[string]uint64{Stream: 2}})
+		followers := []*Follower{start(), start()}
+		_, err := followers[0].Submit(c.Context(), serviceTicket(1, "fraser"))
+		c.Assert(errkind.Is(err, errkind.LogUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+
+		answers := make(chan error, len(followers))
+		for i, f := range followers {
+			go func() {
+				ticket := serviceTicket(uint64(40+i), fmt.Sprintf("operator-%d", i))
+				ticket.Restart = true
+				_, err := f.Submit(c.Context(), ticket)
+				answers <- err
+			}()
+		}
+		first, second := <-answers, <-answers
+		c.Assert((first == nil) != (second == nil), qt.IsTrue, qt.Commentf("%v and %v", first, second))
+
+		late := start()
+		last := late.Load().Number
+		c.Assert(last >= 40, qt.IsTrue)
+		_, err = late.Submit(c.Context(), serviceTicket(last+1, "fraser"))
+		c.Assert(err, qt.IsNil)
+		again := serviceTicket(last+2, "gwenllian")
+		again.Restart = true
+		_, err = late.Submit(c.Context(), again)
+		c.Assert(errkind.Is(err, errkind.TicketInvalid), qt.IsTrue, qt.Commentf("%v", err))
+		server.Append(Stream, encodeTicket(c, again)) // past the check of Submit
+		time.Sleep(time.Second)
+		for _, f := range append(followers, late, start()) {
+			c.Assert(f.Load(), qt.DeepEquals, late.Load())
+			c.Assert(f.Load().Number, qt.Equals, last+1)
+		}
+	})
+}
+
+func encodeTicket(c *qt.C, t *Ticket) []byte {
+	b, err := json.Marshal(record{Type: recordType, Ticket: t})
+	c.Assert(err, qt.IsNil)
+	return b
+}
--- a/ticket/machine.go
+++ b/ticket/machine.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
 )
 
 // machine folds the ticket stream for the follow package.
@@ -23,9 +24,28 @@
 	return next
 }
 
-// Restart reports false: accepted tickets stay in force, so no single record may
-// replace them.
-func (machine) Restart(platform.Record) (Fold, bool) { return Fold{}, false }
+// Restart returns the configuration of a valid restart ticket. Accepted tickets
+// stay in force, so it serves only readers that have none.
+func (machine) Restart(r platform.Record) (Fold, follow.RestartKind) {
+	t, err := decodeRecord(r.Value)
+	if err != nil || !t.Restart {
+		return Fold{}, follow.NoRestart
+	}
+	v, f := restart(t, r)
+	if v.Status != StatusAccepted {
+		return Fold{}, follow.NoRestart
+	}
+	return f, follow.RestartLost
+}
+
+// restart applies a restart ticket to a lost configuration.
+func restart(t *Ticket, r platform.Record) (Verdict, Fold) {
+	lost := EmptyFold()
+	if t.Number > 0 {
+		lost.State.Number = t.Number - 1
+	}
+	return lost.accept(t, r)
+}
 
 func (machine) Encode(f Fold) (json.RawMessage, error) {
 	return json.Marshal(foldJSON{State: f.State, History: f.History})
--- a/ticket/submit.go
+++ b/ticket/submit.go
@@ -10,6 +10,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
 	"oriolerelay/settings"
 )
 
@@ -19,9 +20,10 @@
 
 // Submit appends t to the log and returns its verdict after it was read back.
 // Run must be running. The errors are of kind TicketInvalid, TicketLost,
-// LogUnavailable (this call did not send the ticket, an earlier one may have) and TicketUnknown (the ticket may be
-// or become accepted; the same ticket may be sent again). The verdict is set for
-// an accepted, lost or invalid ticket. Submit appends at most once.
+// LogUnavailable (this call did not send the ticket, an earlier one may have) and
+// TicketUnknown (the ticket may be or become accepted; the same ticket may be sent
+// again). The verdict is set for an accepted, lost or invalid ticket. Submit
+// appends at most once.
 func (f *Follower) Submit(ctx context.Context, t *Ticket) (Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, SubmitTimeout)
 	defer cancel()
@@ -38,7 +40,11 @@
 	if faults := Validate(t); len(faults) > 0 {
 		return f.conclude(ctx, t, Verdict{Status: StatusInvalid, Faults: faults})
 	}
-	if err := f.records.Poll(ctx); err != nil {
+	err := f.records.Poll(ctx)
+	if errors.Is(err, follow.ErrNoBase) && t.Restart {
+		return f.submitRestart(ctx, t)
+	}
+	if err != nil {
 		return Verdict{}, errkind.New(errkind.LogUnavailable, "this call did not send the ticket: %w", err)
 	}
 	fold, ok := f.Fold()
@@ -48,6 +54,24 @@
 	if v := fold.Judge(t); v.Status != StatusAccepted || t.Number <= fold.State.Number {
 		return f.conclude(ctx, t, v) // nothing to append: faulty, lost or a resend
 	}
+	return f.append(ctx, t)
+}
+
+// submitRestart appends a restart ticket to a log whose tickets are lost. A
+// configuration in force came from a peer that still has the tickets and that
+// will write a snapshot.
+func (f *Follower) submitRestart(ctx context.Context, t *Ticket) (Verdict, error) {
+	if n := f.Load().Number; n > 0 {
+		return Verdict{}, errkind.New(errkind.LogUnavailable,
+			"this call did not send the ticket: ticket %d is in force; wait for a snapshot of an entry that has read it", n)
+	}
+	if v, _ := restart(t, platform.Record{}); v.Status != StatusAccepted {
+		return f.conclude(ctx, t, v)
+	}
+	return f.append(ctx, t)
+}
+
+func (f *Follower) append(ctx context.Context, t *Ticket) (Verdict, error) {
 	pos, err := f.client.Append(ctx, Stream, record{Type: recordType, Ticket: t})
 	if platform.IsNotApplied(err) {
 		return Verdict{}, errkind.New(errkind.LogUnavailable, "this call did not send the ticket: %w", err)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -19,9 +19,12 @@
 // given whole; a nil object is removed.
 type Ticket struct {
 	// Number is the last accepted number plus one.
-	Number   uint64              `json:"number"`
-	Author   string              `json:"author"`
-	Reason   string              `json:"reason"`
+	Number uint64 `json:"number"`
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+	// Restart marks a ticket that holds the whole configuration after all earlier
+	// tickets expired without a snapshot. It may have any number.
+	Restart  bool                `json:"restart,omitempty"`
 	Services map[string]*Service `json:"services,omitempty"`
 	Teams    map[string]*Team    `json:"teams,omitempty"`
 }
