--- a/entry/fetch.go
+++ b/entry/fetch.go
@@ -140,22 +140,16 @@
 	if err != nil {
 		return errorReply(err)
 	}
-	if s.refusing.Load() {
-		return errorReply(errDraining())
+	if s.draining.Load() {
+		return errorReply(errDraining()) // the ids would soon lose their home
 	}
 	return jsonReply(http.StatusOK, map[string][]string{"ids": s.issued.issue(n)})
 }
 
 func decodeCount(raw []byte) (int, error) {
-	fields, err := objectFields(raw, "", []string{"count"})
-	if err != nil {
-		return 0, err
-	}
 	var m issueRequest
-	for _, f := range fields {
-		if err := decodeValue(f, "", &m.Count); err != nil {
-			return 0, err
-		}
+	if err := decodeObject(raw, &m, checkCountNames); err != nil {
+		return 0, err
 	}
 	if m.Count < 1 || m.Count > MaxIssuedIDs {
 		return 0, invalid("count is %d, it must be 1 to %d", m.Count, MaxIssuedIDs)
