Entry: readiness waits for the agents, with a bound

TestStartDuringOutage used readyz for 'has the configuration within 4 s'; it now asks for the state itself within the same 4 s, and for readyz within the bound. Measured: go test -race ./entry ./event passes.

--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -176,6 +176,10 @@
 	log.SetFaults(standin.Faults{Down: true})
 	b := startDaemon(t, keys, "entry-2", platform, a.InternalAddress())
 	eventually(t, 4*time.Second, "the new entry has the configuration", func() bool {
+		_, body := b.call(t, "GET", "/v1/state", "operator-secret", "")
+		return strings.Contains(body, `"number":1`)
+	})
+	eventually(t, 2*readyLimit, "the new entry is ready without endpoints", func() bool {
 		status, _ := b.call(t, "GET", "/readyz", "", "")
 		return status == 200
 	})
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -34,8 +34,9 @@
 	result  func(t dispatch.Task) []byte // the answer of a task; nil returns its payload
 	// withdrawn receives the id of each job whose context ended, may be nil.
 	withdrawn chan string
-	parents   chan string     // receives the trace parent of each job, may be nil
-	pushed    chan wire.State // receives each pushed configuration, may be nil
+	endpoints func() []dispatch.EndpointStatus // nil means one endpoint of veil-desk
+	parents   chan string                      // receives the trace parent of each job, may be nil
+	pushed    chan wire.State                  // receives each pushed configuration, may be nil
 }
 
 // starts counts the tasks that each team and submission started.
@@ -119,6 +120,9 @@
 }
 
 func (d *fakeDispatcher) Endpoints() []dispatch.EndpointStatus {
+	if d.endpoints != nil {
+		return d.endpoints()
+	}
 	return []dispatch.EndpointStatus{{Service: "veil-desk"}}
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -80,6 +80,7 @@
 	place   wire.Hello             // Self and where it runs
 	address atomic.Pointer[string] // internal address, nil while unknown
 
+	ready    atomic.Bool // set once by watchReadiness
 	draining atomic.Bool // readyz fails
 	refusing atomic.Bool // new submissions are refused
 }
@@ -141,6 +142,7 @@
 	g.Go(func() error { return s.peers.run(ctx) })
 	g.Go(func() error { return s.pushStates(ctx) })
 	g.Go(func() error { return s.watchView(ctx) })
+	g.Go(func() error { return s.watchReadiness(ctx) })
 	return g.Wait()
 }
 
@@ -288,14 +290,4 @@
 	return jsonReply(http.StatusOK, map[string]string{"status": "ready"})
 }
 
-func (s *Server) notReady() error {
-	if s.draining.Load() {
-		return errDraining()
-	}
-	if _, ok := s.tickets.Fold(); !ok && s.tickets.Load().Number == 0 {
-		return errkind.New(errkind.NoConfiguration, "no configuration is known yet")
-	}
-	return nil
-}
-
 func errDraining() error { return errkind.New(errkind.Draining, "this entry is draining") }
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -93,6 +93,7 @@
 	c := qt.New(t)
 	counts := &starts{}
 	s := testServer(&fakeDispatcher{starts: counts})
+	s.ready.Store(true)
 	h := s.Handler()
 	status, _, _ := call(h, "GET", "/readyz", "", "")
 	c.Assert(status, qt.Equals, http.StatusOK)
--- a/event/entry.go
+++ b/event/entry.go
@@ -16,6 +16,7 @@
 	EntryStateFromPeer   = define(411, Info, "configuration fetched from a peer")
 	EntryStateInvalid    = define(412, Warn, "configuration from a peer was refused")
 	EntryMemberSilent    = define(413, Warn, "member entry is silent")
+	EntryReady           = define(416, Info, "entry is ready")
 	EntryReplyLost       = define(415, Warn, "answer was not sent to the peer")
 	EntryLeaveFailed     = define(414, Warn, "leave record was not appended")
 )
