--- a/entry/ready.go
+++ b/entry/ready.go
@@ -1,82 +1,51 @@
 package entry
 
 import (
-	"context"
+	"sync/atomic"
 	"time"
 
 	"oriolerelay/errkind"
-	"oriolerelay/event"
 )
 
-const (
-	// readyLimit bounds the wait for agents after the start, so that a service
-	// without endpoints does not keep an entry out of use. An agent redials within
-	// 2 s and a dial that began before the start may take 2 s more.
-	readyLimit = 5 * time.Second
-	// readySettle is the time without a new endpoint after which the agents count
-	// as connected.
-	readySettle = 500 * time.Millisecond
-	readyPoll   = 100 * time.Millisecond
-)
+// agentWaitLimit bounds how long a new entry reports that it is not ready
+// because a service has no endpoint. Agents dial a restarted entry again within
+// their backoff; a service that has no endpoint anywhere must not keep the
+// entry out of the load balancer for longer.
+const agentWaitLimit = 10 * time.Second
 
-// watchReadiness sets ready once, when the configuration is known and the agents
-// have connected. An entry that is ready too early refuses submissions as
-// no_endpoint although the endpoints are there.
-func (s *Server) watchReadiness(ctx context.Context) error {
-	ticker := time.NewTicker(readyPoll)
-	defer ticker.Stop()
-	start := time.Now()
-	known, changed := 0, start
-	for {
-		n, covered := s.endpoints()
-		if now := time.Now(); n != known {
-			known, changed = n, now
-		} else if s.configured() && (covered && now.Sub(changed) >= readySettle || now.Sub(start) >= readyLimit) {
-			s.ready.Store(true)
-			s.log.Log(event.EntryReady, "endpoints", n)
-			return nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
+// agentWait holds back the readiness of a new entry until its agents have
+// connected. It ends once: agents that are lost later leave the entry ready, since
+// its peers have most likely lost them too.
+type agentWait struct {
+	since atomic.Pointer[time.Time]
+	over  atomic.Bool
+}
+
+func (w *agentWait) notReady(s *Server) error {
+	if w.over.Load() {
+		return nil
+	}
+	now := s.now()
+	w.since.CompareAndSwap(nil, &now)
+	service := s.unservedService()
+	if service != "" && now.Sub(*w.since.Load()) < agentWaitLimit {
+		return errkind.New(errkind.NoEndpoint, "no endpoint of service %s has connected yet", service)
 	}
+	w.over.Store(true)
+	return nil
 }
 
-// endpoints returns the number of usable endpoints and whether each configured
-// service has one.
-func (s *Server) endpoints() (n int, covered bool) {
-	services := make(map[string]bool)
+// unservedService returns a configured service without an endpoint at this
+// entry, or an empty string.
+func (s *Server) unservedService() string {
+	served := map[string]bool{}
 	for _, e := range s.disp.Endpoints() {
-		if e.Slots > 0 && !e.Draining {
-			n++
-			services[e.Service] = true
-		}
+		served[e.Service] = served[e.Service] || !e.Draining
 	}
 	for name := range s.tickets.Load().Services {
-		if !services[name] {
-			return n, false
+		if !served[name] {
+			return name
 		}
 	}
-	return n, true
-}
-
-// configured reports whether a configuration is known, which is empty before
-// the first ticket.
-func (s *Server) configured() bool {
-	_, ok := s.tickets.Fold()
-	return ok || s.tickets.Load().Number > 0
-}
-
-func (s *Server) notReady() error {
-	switch {
-	case s.draining.Load():
-		return errDraining()
-	case s.ready.Load():
-		return nil
-	case !s.configured():
-		return errkind.New(errkind.NoConfiguration, "no configuration is known yet")
-	}
-	return errkind.New(errkind.NoEndpoint, "waiting for agents to connect, at most %s from the start", readyLimit)
+	return ""
 }
