balance: endpoints without samples are tried

Cause: an endpoint without samples was assumed to take the typical time. Ruled out: ejection and slot limits; all endpoints were open. Change: for the choice, not for admission, an endpoint with fewer than three samples counts with half of the typical time. TestUntriedEndpointsAreTried fails without the change.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -106,3 +106,29 @@
 	later := k.Expect(&e, 0, 0, now.Add(5*time.Minute))
 	c.Assert(later < slow/10, qt.IsTrue, qt.Commentf("%v of %v", later, slow))
 }
+
+// Guards against a choice that stays with the first endpoint because it is
+// faster than the declared time, while faster endpoints are never tried.
+func TestUntriedEndpointsAreTried(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	runs := []time.Duration{20 * time.Millisecond, 10 * time.Millisecond, 5 * time.Millisecond}
+	for first := range runs {
+		var k KindTimes
+		times := make([]EndpointTimes, len(runs))
+		last := first
+		for i := range 30 {
+			if i > 0 {
+				s := Snapshot{Waiting: 1, Endpoints: make([]Endpoint, len(runs))}
+				for j := range runs {
+					s.Endpoints[j] = Endpoint{Slots: 8, Limit: 10, Run: k.ExpectForChoice(&times[j], 35*time.Millisecond, 0, now)}
+				}
+				var ok bool
+				last, ok = Choose(s, uint64(i))
+				c.Assert(ok, qt.IsTrue)
+			}
+			k.Learn(&times[last], runs[last], now)
+		}
+		c.Assert(last, qt.Equals, 2, qt.Commentf("first endpoint %d", first))
+	}
+}
--- a/balance/times.go
+++ b/balance/times.go
@@ -20,6 +20,10 @@
 	// staleAfter is the age of the last sample from which the estimate of a slow
 	// endpoint returns towards the kind's mean, so that it is tried again.
 	staleAfter = 10 * time.Second
+	// untriedShare of the typical run time is assumed for the choice of an endpoint
+	// without enough samples. With the typical time itself, an endpoint that is
+	// faster than the declaration would be chosen for ever and the others never tried.
+	untriedShare = 0.5
 	// unknownRun is assumed when nothing was declared or learned.
 	unknownRun = 100 * time.Millisecond
 )
@@ -105,3 +109,13 @@
 	}
 	return max(run, time.Microsecond)
 }
+
+// ExpectForChoice returns the run time by which endpoints are compared. It is
+// that of Expect, but optimistic for an endpoint that has not been tried.
+func (k *KindTimes) ExpectForChoice(e *EndpointTimes, declared, waiting time.Duration, now time.Time) time.Duration {
+	run := k.Expect(e, declared, waiting, now)
+	if e.mean.n < minSamples && waiting < run {
+		return max(time.Duration(untriedShare*float64(run)), time.Microsecond)
+	}
+	return run
+}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -105,7 +105,7 @@
 			e.Limit = 0
 		}
 		e.Skip = !a.fits(key.demand) || a == key.avoid && !only
-		e.Run = j.kind.times.Expect(a.timesOf(j.kind), j.declared(t), a.waiting(now), now)
+		e.Run = j.kind.times.ExpectForChoice(a.timesOf(j.kind), j.declared(t), a.waiting(now), now)
 		if e.Run >= bufferedRun*time.Duration(e.Slots) && s.view.limited {
 			e.Limit = min(e.Limit, e.Slots)
 		}
