--- a/members/follower.go
+++ b/members/follower.go
@@ -26,6 +26,9 @@
 	// appendPause is the shortest time between two appends of one record. It covers
 	// a read, which shows a record whose answer was lost.
 	appendPause = time.Second
+	// staleAfter is the age of the newest read after which no records are appended.
+	// It covers a read that takes the longest time that the client allows.
+	staleAfter = follow.ReadInterval + platform.DefaultTimeout
 	// rejoinPause and maxRejoinPause bound the pause before an entry that peers
 	// removed joins again; it doubles on repetition, so that two sides of a partition
 	// do not write membership records all the time.
--- a/members/follower_test.go
+++ b/members/follower_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"oriolerelay/errkind"
 	"oriolerelay/ids"
@@ -90,8 +91,8 @@
 	})
 }
 
-// Guards against an entry that starts in an outage and never becomes a member,
-// and against a draining entry that joins again.
+// Guards against an entry that starts in an outage and never becomes a member, or
+// that calls the log all the time, and against a draining entry that joins again.
 func TestJoinContinuesThroughAnOutage(t *testing.T) {
 	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
 		f, m := start(), testMember("entry-a", 1)
@@ -100,6 +101,8 @@
 		defer cancel()
 		c.Assert(f.Join(ctx, m), qt.ErrorIs, context.DeadlineExceeded)
 		time.Sleep(time.Minute)
+		failed := testutil.ToFloat64(f.appends.WithLabelValues(typeJoin, "failed"))
+		c.Assert(failed <= 1+staleAfter.Seconds()/appendPause.Seconds(), qt.IsTrue, qt.Commentf("%v appends failed", failed))
 		server.SetFaults(standin.Faults{LoseAnswers: true})
 		time.Sleep(appendPause + 2*time.Second)
 		c.Assert(f.Addresses(), qt.HasLen, 1)
--- a/members/upkeep.go
+++ b/members/upkeep.go
@@ -48,6 +48,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.records.Position()
+	if now.Sub(p.ReadAt) > staleAfter {
+		return nil // the log is down, or what it holds is unknown
+	}
 	if !p.Folding {
 		return f.dueReset(p.NoBase, now)
 	}
