--- /dev/null
+++ b/cmd/oriole-platform/main_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/settings"
+)
+
+// Guards against a settings fault that shows only when the process runs.
+func TestSettingsAreChecked(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(settings.Parse([]byte(`{"listen":"127.0.0.1:0","retention_ms":1000}`), &config{}), qt.IsNil)
+	err := settings.Parse([]byte(`{"listen":"nowhere","retention_ms":-1}`), &config{})
+	c.Assert(err, qt.ErrorMatches, `(?s)listen: .*retention_ms: .*`)
+	c.Assert(settings.Parse([]byte(`{"listen":"127.0.0.1:0","retention":1}`), &config{}), qt.ErrorMatches, "retention: unknown key")
+	c.Assert(run("", true), qt.IsNotNil)
+}
