agent: a home may number its tasks from zero; tests of late tasks during a drain

Cause: ref 0 counted as expired from the record, so it was refused (TestDrainOverConnection, which starts refs 0 to 3, waited for ever).

Change: the bound of forgotten refs is exclusive. Tests cover a Start that arrives between the last task and the Ack of the drain, answers above the flow-control window, answers without end and redirects.

--- a/agent/admit.go
+++ b/agent/admit.go
@@ -53,7 +53,7 @@
 		return errkind.DeadlinePassed
 	case spec.BudgetMicros > maxBudget.Microseconds():
 		return errkind.InvalidRequest
-	case spec.Ref <= l.home.forgotten:
+	case spec.Ref < l.home.forgotten:
 		// The key may have been recorded and run before, so it must not run now.
 		return errkind.Cancelled
 	case !c.held || c.endpoint == nil || c.endpoint.announcement().Service != spec.Service:
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -127,11 +127,10 @@
 		qt.Check(t, lastAnnounce(conn), qt.Equals, wire.Announce{})
 		qt.Check(t, b.heartbeat().Ticket, qt.Equals, uint64(7))
 		qt.Check(t, b.record.age, qt.Equals, time.Minute+settleTime)
-		for range 3 { // only the first is answered
+		for i, want := range []int{1, 0} { // offered once
 			l.handle(wire.Frame{Body: &wire.Heartbeat{Ticket: 6}})
+			qt.Check(t, messages[*wire.State](conn), qt.HasLen, want, qt.Commentf("heartbeat %d", i))
 		}
-		l.handle(wire.Frame{Body: &wire.Heartbeat{Ticket: 7}})
-		qt.Check(t, messages[*wire.State](conn), qt.HasLen, 1)
 		_, fresh, endFresh := b.connect(testHome) // its Hello has no ticket
 		defer endFresh()
 		qt.Check(t, messages[*wire.State](fresh), qt.HasLen, 1)
--- a/agent/backend_test.go
+++ b/agent/backend_test.go
@@ -56,7 +56,12 @@
 		{"503 without the header", answer(503, "", ""), errkind.MayHaveRun, errkind.TaskFailed},
 		{"header without 503", answer(500, "true", ""), errkind.MayHaveRun, errkind.TaskFailed},
 		{"created is not done", answer(201, "", ""), errkind.MayHaveRun, errkind.TaskFailed},
-		{"redirect is not followed", answer(307, "", ""), errkind.MayHaveRun, errkind.TaskFailed},
+		{"redirect is not followed", http.RedirectHandler("/other", 307).ServeHTTP, errkind.MayHaveRun, errkind.TaskFailed},
+		{"answer without end", func(w http.ResponseWriter, _ *http.Request) {
+			for err := error(nil); err == nil; {
+				_, err = w.Write(make([]byte, 32<<10))
+			}
+		}, errkind.MayHaveRun, errkind.AnswerTooLarge},
 		{"dies during the call", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, errkind.MayHaveRun, errkind.EndpointLost},
 		{"dies during the answer", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "10")
@@ -64,7 +69,12 @@
 		}, errkind.MayHaveRun, errkind.EndpointLost},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			r, unreachable := callServer(t, waitLimit, test.handler)
+			r, unreachable := callServer(t, time.Second, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/run" {
+					t.Errorf("request for %s", r.URL.Path)
+				}
+				test.handler(w, r)
+			})
 			qt.Check(t, r.Outcome, qt.Equals, test.outcome, qt.Commentf("%s", r.Detail))
 			qt.Check(t, r.Kind, qt.Equals, test.kind)
 			qt.Check(t, unreachable, qt.IsFalse)
--- a/agent/core_test.go
+++ b/agent/core_test.go
@@ -208,7 +208,7 @@
 		qt.Check(t, settleOne(b, l, 3).State, qt.Equals, wire.TaskPending)
 		_, newer, endNewer := b.connect(testHome) // the older one has gone silent
 		time.Sleep(time.Second)
-		qt.Check(t, ends(newer)[3], qt.Equals, "done")
+		qt.Check(t, ends(newer), qt.DeepEquals, map[uint64]string{1: "done", 2: "done", 3: "done"})
 		end()
 		endNewer()
 		qt.Check(t, b.runner.started(), qt.DeepEquals, []uint64{1, 2, 3})
@@ -277,6 +277,8 @@
 		l, conn, end = b.connect(testHome)
 		defer end()
 		qt.Check(t, len(ends(conn)), qt.Equals, 3)
+		b.sweep(time.Now())
+		qt.Check(t, settleOne(b, l, 1).Result.Outcome, qt.Equals, errkind.Done)
 		time.Sleep(deliveredAfter)
 		b.sweep(time.Now())
 		qt.Check(t, b.record.bytes, qt.Equals, int64(0))
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -44,6 +44,7 @@
 type fakeEntry struct {
 	node     ids.Incarnation
 	members  []wire.EntryAddress // sent in Hello; set before an agent connects
+	late     *wire.Start         // sent when a Drain arrives, before its Ack
 	listener *transport.Listener
 	conns    chan *transport.Conn
 	messages chan received
@@ -82,6 +83,9 @@
 
 // Handle implements transport.Handler.
 func (e *fakeEntry) Handle(c *transport.Conn, f wire.Frame) {
+	if _, ok := f.Body.(*wire.Drain); ok && e.late != nil {
+		_ = c.Send(context.Background(), e.late)
+	}
 	if f.CallID != 0 {
 		_ = c.Reply(context.Background(), f.CallID, &wire.Ack{})
 	}
@@ -103,6 +107,21 @@
 	panic("unreachable")
 }
 
+// eventually waits until cond is true.
+func eventually(t testing.TB, cond func() bool) {
+	t.Helper()
+	limit := time.After(waitLimit)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-tick.C:
+		case <-limit:
+			t.Fatal("condition did not become true in time")
+		}
+	}
+}
+
 // nextMessage waits for the next message of type M and drops others.
 func nextMessage[M wire.Message](t testing.TB, e *fakeEntry) M {
 	t.Helper()
--- a/agent/live_test.go
+++ b/agent/live_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -26,9 +26,7 @@
 	conn := next(t, e.conns)
 	e.announcedSlots(t, 2)
 	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(1, waitLimit, `{"ms":100}`)}})
-	for sample.Starts("order-17", 1) == 0 {
-		<-time.After(time.Millisecond)
-	}
+	eventually(t, func() bool { return sample.Starts("order-17", 1) > 0 })
 	relay.Silence()
 	again := next(t, e.conns)
 	r := nextMessage[*wire.Result](t, e)
@@ -48,22 +46,38 @@
 	c := qt.New(t)
 	auth := testAuthority(t)
 	e := startEntry(t, auth, "entry-1")
+	e.late = &wire.Start{Tasks: []wire.StartTask{startTask(9, waitLimit, `{}`)}}
 	ag, stop := runAgent(t, auth, nil, e)
-	runEndpoint(t, ag, 2)
+	runEndpoint(t, ag, 4)
 	conn := next(t, e.conns)
-	e.announcedSlots(t, 2)
-	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(1, waitLimit, `{"ms":300}`)}})
-	for ag.Load().Running == 0 {
-		<-time.After(time.Millisecond)
+	e.announcedSlots(t, 4)
+	// The answers exceed the flow-control window, so an abrupt end loses some.
+	payload := fmt.Sprintf(`{"ms":300,"pad":%q}`, strings.Repeat("x", 60<<10))
+	for ref := range uint64(4) {
+		send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(ref, waitLimit, payload)}})
+	}
+	eventually(t, func() bool { return ag.Load().Running == 4 })
+	c.Assert(stop(), qt.IsNil)
+	c.Assert(nextMessage[*wire.Refused](t, e).Refs, qt.DeepEquals, []uint64{9})
+	for done := 0; done < 4; {
+		for _, r := range nextMessage[*wire.Result](t, e).Tasks {
+			c.Assert(r.Outcome, qt.Equals, errkind.Done)
+			done++
+		}
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- stop() }()
-	nextMessage[*wire.Drain](t, e)
-	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(2, waitLimit, `{}`)}})
-	c.Assert(nextMessage[*wire.Refused](t, e).Refs, qt.DeepEquals, []uint64{2})
-	c.Assert(nextMessage[*wire.Result](t, e).Tasks[0].Outcome, qt.Equals, errkind.Done)
-	c.Assert(next(t, ended), qt.IsNil)
-	next(t, e.closed)
+}
+
+// Guards against a task that arrives between the end of the last one and the
+// end of the connection staying unanswered.
+func TestIdleDrainRefusesLateStart(t *testing.T) {
+	auth := testAuthority(t)
+	e := startEntry(t, auth, "entry-1")
+	e.late = &wire.Start{Tasks: []wire.StartTask{startTask(9, waitLimit, `{}`)}}
+	_, stop := runAgent(t, auth, nil, e)
+	next(t, e.conns)
+	nextMessage[*wire.Announce](t, e)
+	qt.Assert(t, stop(), qt.IsNil)
+	qt.Assert(t, nextMessage[*wire.Refused](t, e).Refs, qt.DeepEquals, []uint64{9})
 }
 
 // Guards against an endpoint that breaks off its tasks when it stops, and
@@ -77,9 +91,7 @@
 	conn := next(t, e.conns)
 	e.announcedSlots(t, 2)
 	send(t, conn, &wire.Start{Tasks: []wire.StartTask{startTask(1, waitLimit, `{"ms":200}`)}})
-	for ag.Load().Running == 0 {
-		<-time.After(time.Millisecond)
-	}
+	eventually(t, func() bool { return ag.Load().Running > 0 })
 	c.Assert(stop(), qt.IsNil)
 	e.announcedSlots(t, 0)
 	c.Assert(nextMessage[*wire.Result](t, e).Tasks[0].Outcome, qt.Equals, errkind.Done)
--- a/agent/record.go
+++ b/agent/record.go
@@ -40,8 +40,8 @@
 	pending int // tasks that have not ended
 	// undelivered are finished or refused tasks to report on the next connection.
 	undelivered []*entry
-	// forgotten is the highest ref whose entry has expired; what became of refs
-	// up to it is no longer known.
+	// forgotten is one above the highest ref whose entry has expired; what became
+	// of refs below it is no longer known.
 	forgotten uint64
 	lastUsed  time.Time
 }
@@ -165,7 +165,7 @@
 	h := e.home
 	r.release(e)
 	delete(h.entries, e.ref)
-	h.forgotten = max(h.forgotten, e.ref)
+	h.forgotten = max(h.forgotten, e.ref+1)
 	if e.tombstone {
 		r.tombstones--
 	} else {
--- a/agent/settle.go
+++ b/agent/settle.go
@@ -32,7 +32,7 @@
 func (c *core) settleRef(h *home, ref uint64, now time.Time) wire.SettledTask {
 	e := h.entries[ref]
 	switch {
-	case e == nil && (ref <= h.forgotten || c.record.tombstonesFull()):
+	case e == nil && (ref < h.forgotten || c.record.tombstonesFull()):
 		// The past of the key is not known, or a late Start could not be kept
 		// from running, so never_seen could be false.
 		return settled(wire.TaskResult{Ref: ref, Outcome: errkind.MayHaveRun, Kind: errkind.AgentLost, Detail: "no record of the task is kept"})
