--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -68,24 +68,24 @@
 		},
 	}
 	before := later(previewBody)
-	<-disp.running
+	receive(t, disp.running)
 	go func() {
 		defer close(drained)
 		d.run()
 	}()
-	<-leaver.left
+	receive(t, leaver.left)
 	status, _, _ := call(s.Handler(), "GET", "/readyz", "", "")
 	c.Assert(status, qt.Equals, 503)
 	during := later(chosen("order-17", time.Now(), `1`))
-	<-disp.running
+	receive(t, disp.running)
 	close(leaver.proceed)
-	<-quiesce
+	receive(t, quiesce)
 	refused := post(previewBody)
 	c.Assert(refused.Status, qt.Equals, 503)
 	c.Assert(errorKind(t, refused.Body), qt.Equals, errkind.Draining)
 	close(disp.release)
-	c.Assert((<-before).Status, qt.Equals, 200)
-	c.Assert((<-during).Status, qt.Equals, 200)
-	<-drained
-	c.Assert(<-served, qt.Equals, http.ErrServerClosed)
+	c.Assert(receive(t, before).Status, qt.Equals, 200)
+	c.Assert(receive(t, during).Status, qt.Equals, 200)
+	receive(t, drained)
+	c.Assert(receive(t, served), qt.Equals, http.ErrServerClosed)
 }
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -30,12 +30,12 @@
 	release := home.hold()
 	body := chosen("order-17", time.Now(), `"rose"`)
 	cut := cl.nodes[0].postLater("veil-secret", body)
-	<-home.disp.running
+	receive(t, home.disp.running)
 	cl.nodes[0].stop()
-	c.Assert(errorKind(t, (<-cut).Body), qt.Equals, errkind.HomeUnreachable)
+	c.Assert(errorKind(t, receive(t, cut).Body), qt.Equals, errkind.HomeUnreachable)
 	again := cl.nodes[1].postLater("veil-secret", body)
 	release()
-	answer := <-again
+	answer := receive(t, again)
 	c.Assert(answer.Status, qt.Equals, 200)
 	c.Assert(string(decodeAnswer(t, answer.Body).Tasks[0].Body), qt.Equals, `"rose"`)
 	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
@@ -52,7 +52,7 @@
 	home.hold()
 	body := chosen("order-17", time.Now(), `"rose"`)
 	cut := cl.nodes[0].postLater("veil-secret", body)
-	<-home.disp.running
+	receive(t, home.disp.running)
 	home.stop()
 	kind := func(p posted) errkind.Kind {
 		e := decodeAnswer(t, p.Body).Error
@@ -60,7 +60,7 @@
 		c.Assert(e.Outcome, qt.Equals, errkind.MayHaveRun)
 		return e.Kind
 	}
-	first := <-cut
+	first := receive(t, cut)
 	c.Assert(kind(first), qt.Equals, errkind.HomeUnreachable)
 	c.Assert(first.Header.Get("Retry-After"), qt.Equals, "1")
 
@@ -112,7 +112,7 @@
 		close(g)
 	}
 	for i, a := range answers {
-		got := decodeAnswer(t, (<-a).Body)
+		got := decodeAnswer(t, receive(t, a).Body)
 		c.Assert(got.ID, qt.Equals, fmt.Sprintf("order-%d", i))
 		c.Assert(string(got.Tasks[0].Body), qt.Equals, fmt.Sprintf(`{"order":%d}`, i))
 		c.Assert(cl.starts.of("veil", got.ID), qt.Equals, 1)
@@ -130,12 +130,12 @@
 	release := home.hold()
 	body := chosen("order-17", time.Now(), `"rose"`)
 	answer := cl.nodes[0].postLater("veil-secret", body)
-	<-home.disp.running
+	receive(t, home.disp.running)
 	conn, err := cl.nodes[0].server.peers.get(context.Background(), home.server.self)
 	c.Assert(err, qt.IsNil)
 	conn.Close()
 	release()
-	got := <-answer
+	got := receive(t, answer)
 	c.Assert(got.Status, qt.Equals, 200, qt.Commentf("%s", got.Body))
 	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
 }
@@ -303,5 +303,5 @@
 		c.Fatal("the configuration did not arrive within 4 s")
 	}
 	c.Assert(behind.tickets.Load().Number, qt.Equals, uint64(2))
-	c.Assert((<-pushed).Ticket, qt.Equals, uint64(2))
+	c.Assert(receive(t, pushed).Ticket, qt.Equals, uint64(2))
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -279,3 +279,18 @@
 	}
 	return ""
 }
+
+// receiveLimit is longer than any wait in these tests that ends well.
+const receiveLimit = 30 * time.Second
+
+// receive returns the next value of ch, or fails the test.
+func receive[T any](t testing.TB, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(receiveLimit):
+		t.Fatalf("nothing received within %s", receiveLimit)
+		panic("unreachable")
+	}
+}
--- a/entry/home_test.go
+++ b/entry/home_test.go
@@ -30,13 +30,13 @@
 	for _, n := range cl.nodes {
 		answers = append(answers, n.postLater("veil-secret", body), n.postLater("veil-secret", body))
 	}
-	<-home.disp.running
+	receive(t, home.disp.running)
 	answers = append(answers, cl.nodes[0].postLater("veil-secret", body))
 	release()
-	first := <-answers[0]
+	first := receive(t, answers[0])
 	c.Assert(first.Status, qt.Equals, 200)
 	for _, a := range answers[1:] {
-		c.Assert(<-a, qt.DeepEquals, first)
+		c.Assert(receive(t, a), qt.DeepEquals, first)
 	}
 	c.Assert(cl.nodes[1].post("veil-secret", body), qt.DeepEquals, first)
 	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
@@ -66,12 +66,12 @@
 	release := home.hold()
 	now := time.Now()
 	first := cl.nodes[0].postLater("veil-secret", chosen("order-17", now, `1`))
-	<-home.disp.running
+	receive(t, home.disp.running)
 	other := cl.nodes[0].post("veil-secret", chosen("order-17", now, `2`))
 	c.Assert(other.Status, qt.Equals, 409)
 	c.Assert(errorKind(t, other.Body), qt.Equals, errkind.IDConflict)
 	release()
-	c.Assert((<-first).Status, qt.Equals, 200)
+	c.Assert(receive(t, first).Status, qt.Equals, 200)
 	spaced := strings.Replace(chosen("order-17", now, `1`), ",", " ,\n", 1)
 	c.Assert(cl.nodes[0].post("veil-secret", spaced).Status, qt.Equals, 200)
 	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
@@ -88,7 +88,7 @@
 	release := home.hold()
 	now := time.Now()
 	veil := cl.nodes[0].postLater("veil-secret", chosen("order-17", now, `"veil"`))
-	<-home.disp.running
+	receive(t, home.disp.running)
 	path := fmt.Sprintf("/v1/requests/order-17?submitted_at=%d", now.UnixMilli())
 	for _, method := range []string{"GET", "DELETE"} {
 		status, _, body := call(cl.nodes[0].handler, method, path, "lace-secret", "")
@@ -96,10 +96,10 @@
 		c.Assert(errorKind(t, body), qt.Equals, errkind.NotFound)
 	}
 	lace := cl.nodes[0].postLater("lace-secret", chosen("order-17", now, `"lace"`))
-	<-home.disp.running
+	receive(t, home.disp.running)
 	release()
-	c.Assert(string(decodeAnswer(t, (<-veil).Body).Tasks[0].Body), qt.Equals, `"veil"`)
-	c.Assert(string(decodeAnswer(t, (<-lace).Body).Tasks[0].Body), qt.Equals, `"lace"`)
+	c.Assert(string(decodeAnswer(t, receive(t, veil).Body).Tasks[0].Body), qt.Equals, `"veil"`)
+	c.Assert(string(decodeAnswer(t, receive(t, lace).Body).Tasks[0].Body), qt.Equals, `"lace"`)
 	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 1)
 	c.Assert(cl.starts.of("lace", "order-17"), qt.Equals, 1)
 }
@@ -116,14 +116,14 @@
 	now := time.Now()
 	path := fmt.Sprintf("/v1/requests/order-17?submitted_at=%d", now.UnixMilli())
 	running := other.postLater("veil-secret", chosen("order-17", now, `1`))
-	<-home.disp.running
+	receive(t, home.disp.running)
 	status, _, body := call(other.handler, "GET", path, "veil-secret", "")
 	c.Assert(status, qt.Equals, http.StatusAccepted)
 	c.Assert(decodeAnswer(t, body).Status, qt.Equals, statusRunning)
 	status, _, cancelled := call(other.handler, "DELETE", path, "veil-secret", "")
 	c.Assert(status, qt.Equals, 409)
 	c.Assert(errorKind(t, cancelled), qt.Equals, errkind.CancelledRunning)
-	c.Assert((<-running).Body, qt.Equals, cancelled)
+	c.Assert(receive(t, running).Body, qt.Equals, cancelled)
 	_, _, body = call(other.handler, "GET", path, "veil-secret", "")
 	c.Assert(body, qt.Equals, cancelled)
 }
@@ -143,12 +143,12 @@
 			defer close(done)
 			h.ServeHTTP(httptest.NewRecorder(), r)
 		}()
-		<-disp.running
+		receive(t, disp.running)
 		cancel()
 		<-done
 	}
 	leave(previewBody)
-	c.Assert(<-disp.withdrawn, qt.Matches, "@entry-1.*")
+	c.Assert(receive(t, disp.withdrawn), qt.Matches, "@entry-1.*")
 
 	body := chosen("order-17", time.Now(), `1`)
 	leave(body)
--- a/entry/run.go
+++ b/entry/run.go
@@ -18,6 +18,7 @@
 	"oriolerelay/ids"
 	"oriolerelay/members"
 	"oriolerelay/platform"
+	"oriolerelay/submission"
 	"oriolerelay/ticket"
 	"oriolerelay/tracing"
 	"oriolerelay/transport"
@@ -88,6 +89,7 @@
 		Dispatcher: d.disp, Tickets: d.tickets, Members: d.members,
 		Callers: s.Callers, Operators: s.Operators, Seeds: s.Seeds, Transport: opts,
 		Window: milliseconds(s.WindowMS), Tolerance: milliseconds(s.ToleranceMS), Logger: log, Registry: reg, Tracer: tracer,
+		Record: submission.Config{MaxEntries: s.RecordEntries, MaxBytes: s.RecordBytes},
 	})
 	if err := d.listen(opts); err != nil {
 		d.close()
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -122,7 +122,7 @@
 		answers := bufio.NewReader(client)
 		head := "POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer veil-secret\r\nContent-Length: %d\r\n\r\n"
 		fmt.Fprintf(client, head+"%s", len(previewBody), previewBody)
-		<-disp.running
+		receive(t, disp.running)
 		time.Sleep(10 * bodyTimeout) // the answer takes longer than a body may
 		close(disp.release)
 		resp, err := http.ReadResponse(answers, nil)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -48,6 +48,11 @@
 	ToleranceMS  int64 `json:"tolerance_ms"`   // accepted lead of submitted_at over this clock
 	DrainGraceMS int64 `json:"drain_grace_ms"` // time between the failing readyz and the closed listener
 	DrainLimitMS int64 `json:"drain_limit_ms"` // longest wait for requests in flight
+
+	// RecordEntries and RecordBytes bound the record of submissions; zero takes the
+	// defaults of package submission.
+	RecordEntries int   `json:"record_entries"`
+	RecordBytes   int64 `json:"record_bytes"`
 }
 
 // CallerToken gives a caller's bearer token and its team.
@@ -79,6 +84,12 @@
 	if s.LogRetentionMS < 0 {
 		p.Add("log_retention_ms", "is %d, it must not be negative", s.LogRetentionMS)
 	}
+	if s.RecordEntries < 0 {
+		p.Add("record_entries", "is %d, it must not be negative", s.RecordEntries)
+	}
+	if s.RecordBytes < 0 {
+		p.Add("record_bytes", "is %d, it must not be negative", s.RecordBytes)
+	}
 	s.Traces.Check(p, "traces")
 	s.TLS.Check(p, "tls")
 	s.checkTokens(p)
--- a/entry/view.go
+++ b/entry/view.go
@@ -71,6 +71,11 @@
 		if m.Node.Name == p.self.Name {
 			continue
 		}
+		if p.skipped[m.Address] {
+			// This process, or one that is no entry, has taken the member's address.
+			list = append(list, m.Node)
+			continue
+		}
 		l := p.links[m.Address]
 		if l == nil {
 			continue // not dialled yet
