Entry: test of a ticket whose log reply was lost

Change: the stand-in loses the reply of the append; the operator gets accepted or ticket_unknown, and the same ticket sent again is accepted once.

--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -190,6 +190,32 @@
 	c.Assert(errorKind(t, body), qt.Equals, errkind.LogUnavailable)
 }
 
+// TestTicketReplyLost guards against a ticket whose operator is told that it was
+// refused, or that runs twice, when the log's reply to the append was lost.
+func TestTicketReplyLost(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	keys, err := transport.NewAuthority(time.Hour)
+	c.Assert(err, qt.IsNil)
+	log, platform := testPlatform(t)
+	d := startDaemon(t, keys, "entry-1", platform)
+	eventually(t, 10*time.Second, "the log was read", func() bool {
+		status, _ := d.call(t, "GET", "/v1/tickets", "operator-secret", "")
+		return status == 200
+	})
+	log.SetFaults(standin.Faults{LoseAnswers: true})
+	status, body := d.call(t, "POST", "/v1/tickets", "operator-secret", firstTicket)
+	if status != 200 {
+		c.Assert(errorKind(t, body), qt.Equals, errkind.TicketUnknown)
+	}
+	log.SetFaults(standin.Faults{})
+	status, body = d.call(t, "POST", "/v1/tickets", "operator-secret", firstTicket)
+	c.Assert(status, qt.Equals, 200, qt.Commentf("%s", body))
+	status, body = d.call(t, "GET", "/v1/tickets", "operator-secret", "")
+	c.Assert(status, qt.Equals, 200)
+	c.Assert(strings.Count(body, `"number"`), qt.Equals, 1)
+}
+
 // TestDrainServesUntilViewsMove guards against a drain that cuts requests, or
 // that leaves its name in the membership.
 func TestDrainServesUntilViewsMove(t *testing.T) {
