oriolectl: the usage no longer prints the token of the environment

Cause: ORIOLE_TOKEN was the flag's default, which the usage prints. Found by running every command against oriolectl dev.

--- a/client/submission.go
+++ b/client/submission.go
@@ -47,9 +47,9 @@
 
 // Answer is the final answer of a submission.
 type Answer struct {
-	ID string `json:"id"`
+	ID string `json:"id,omitempty"`
 	// Status is "complete", "failed" or "running".
-	Status  string       `json:"status"`
+	Status  string       `json:"status,omitempty"`
 	Error   *Error       `json:"error,omitempty"`
 	Started int          `json:"started,omitempty"` // tasks that started, in a failed answer
 	Tasks   []TaskAnswer `json:"tasks,omitempty"`
--- a/cmd/oriolectl/common.go
+++ b/cmd/oriolectl/common.go
@@ -40,7 +40,8 @@
 
 func (t *target) setFlags(f *flag.FlagSet) {
 	f.StringVar(&t.entry, "entry", envOr(entryVariable, defaultEntry), "base URLs of entries, separated by commas")
-	f.StringVar(&t.token, "token", os.Getenv(tokenVariable), "bearer token; default from "+tokenVariable)
+	// The variable is not the flag's default, which the usage would print.
+	f.StringVar(&t.token, "token", "", "bearer token; empty takes that of the variable "+tokenVariable)
 }
 
 func envOr(name, fallback string) string {
@@ -50,6 +51,14 @@
 	return fallback
 }
 
+// bearer returns the token of the flag or of the environment.
+func (t *target) bearer() string {
+	if t.token != "" {
+		return t.token
+	}
+	return os.Getenv(tokenVariable)
+}
+
 func (t *target) entries() []string { return strings.Split(t.entry, ",") }
 
 // call sends one request to the first entry and returns the body. An answer
@@ -61,7 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
-	r.Header.Set("Authorization", "Bearer "+t.token)
+	r.Header.Set("Authorization", "Bearer "+t.bearer())
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return nil, err
--- a/cmd/oriolectl/oriolectl_test.go
+++ b/cmd/oriolectl/oriolectl_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -71,6 +72,21 @@
 	c.Assert(b.String(), qt.Contains, "team/veil\t7\twyn\twedding season\t{\"weight\":2")
 }
 
+// TestTokenIsNotPrinted guards against a usage text that shows the token of the
+// environment.
+func TestTokenIsNotPrinted(t *testing.T) {
+	c := qt.New(t)
+	t.Setenv(tokenVariable, "operator-secret")
+	var to target
+	var usage strings.Builder
+	f := flag.NewFlagSet("state", flag.ContinueOnError)
+	f.SetOutput(&usage)
+	to.setFlags(f)
+	f.PrintDefaults()
+	c.Assert(usage.String(), qt.Not(qt.Contains), "operator-secret")
+	c.Assert(to.bearer(), qt.Equals, "operator-secret")
+}
+
 // TestCallErrors guards against a refusal that is printed as a success.
 func TestCallErrors(t *testing.T) {
 	c := qt.New(t)
--- a/cmd/oriolectl/submit.go
+++ b/cmd/oriolectl/submit.go
@@ -84,7 +84,7 @@
 		}
 		tasks = append(tasks, t)
 	}
-	cl, err := client.New(client.Config{Entries: c.to.entries(), Token: c.to.token})
+	cl, err := client.New(client.Config{Entries: c.to.entries(), Token: c.to.bearer()})
 	if err != nil {
 		return err
 	}
@@ -190,7 +190,7 @@
 	if len(args) != 1 {
 		return errUsage
 	}
-	cl, err := client.New(client.Config{Entries: c.to.entries(), Token: c.to.token})
+	cl, err := client.New(client.Config{Entries: c.to.entries(), Token: c.to.bearer()})
 	if err != nil {
 		return err
 	}
