--- a/cmd/oriolectl/load.go
+++ b/cmd/oriolectl/load.go
@@ -26,12 +26,13 @@
 	speeds   string
 	slopes   string
 	starts   float64
+	latency  int
 }
 
 func (*loadCommand) Name() string     { return "load" }
 func (*loadCommand) Synopsis() string { return "measure policies and costs against separate processes" }
 func (*loadCommand) Usage() string {
-	return "load [flags]\n  Builds the programs of the module in the current directory, starts them on\n  loopback, runs every policy at every load on the same arrivals, and writes\n  result.json, result.md and ratio.svg. With -slopes it measures the cost of each\n  role instead.\n"
+	return "load [flags]\n  Builds the programs of the module in the current directory, starts them on\n  loopback, runs every policy at every load on the same arrivals, and writes\n  result.json, result.md and ratio.svg. With -slopes it measures the cost of each\n  role instead, with -latency the time that the system adds to a request.\n"
 }
 
 func (l *loadCommand) SetFlags(f *flag.FlagSet) {
@@ -58,6 +59,7 @@
 		return err
 	})
 	f.StringVar(&l.slopes, "slopes", "", "numbers of agents, for instance 5,10,20,40")
+	f.IntVar(&l.latency, "latency", 0, "number of single requests to compare with direct calls of the endpoint")
 	f.Float64Var(&l.starts, "starts", 500, "starts per second of the busy window of -slopes")
 }
 
@@ -70,6 +72,9 @@
 }
 
 func (l *loadCommand) run(ctx context.Context) error {
+	if l.latency > 0 {
+		return experiment.Latency(ctx, experiment.LatencyOptions{Calls: l.latency, Module: l.options.Module, Out: os.Stdout})
+	}
 	if l.slopes != "" {
 		return l.runSlopes(ctx)
 	}
--- /dev/null
+++ b/load/experiment/latency.go
@@ -0,0 +1,113 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oriolerelay/internal/proctest"
+	"oriolerelay/load"
+)
+
+// LatencyOptions describe a comparison of requests through an entry with direct
+// calls of the endpoint.
+type LatencyOptions struct {
+	// Calls is the number of calls of each way; they take turns, one at a time.
+	Calls  int
+	Module string
+	Out    io.Writer
+}
+
+// Latency prints the time of both ways for a task that takes no time. The
+// difference of the medians is the latency that the system adds.
+func Latency(ctx context.Context, o LatencyOptions) error {
+	dir, err := os.MkdirTemp("", "oriole-latency-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if err := proctest.Build(ctx, o.Module, dir); err != nil {
+		return err
+	}
+	w := load.Workload{Name: "trivial", Service: "trivial", Team: "veils", Classes: []load.Class{{
+		Kind: "trivial", Weight: 1, Request: true, Run: load.RunTimes{Min: time.Microsecond, Max: time.Microsecond}, Deadline: 5 * time.Second,
+	}}}
+	c, err := proctest.NewCluster(dir, dir, proctest.Spec{Entries: 1, Workers: []proctest.Worker{{Service: w.Service, Speed: 1, Slots: 8}}})
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	if err := start(ctx, c); err != nil {
+		return err
+	}
+	ready, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := c.Configure(ready, "least_expected_finish", w); err != nil {
+		return err
+	}
+	return o.compare(ctx, c, w)
+}
+
+func (o LatencyOptions) compare(ctx context.Context, c *proctest.Cluster, w load.Workload) error {
+	const maxMicros, digits = 10_000_000, 3
+	direct, through := hdrhistogram.New(1, maxMicros, digits), hdrhistogram.New(1, maxMicros, digits)
+	body, err := json.Marshal(map[string]any{"service": w.Service, "kind": "trivial", "payload": map[string]float64{"ms": 0}})
+	if err != nil {
+		return err
+	}
+	for range o.Calls {
+		for _, way := range []struct {
+			url    string
+			body   []byte
+			into   *hdrhistogram.Histogram
+			header map[string]string
+		}{
+			{c.EndpointHTTP[0] + "/run", []byte(`{"ms":0}`), direct, map[string]string{
+				"Oriole-Submission": "direct", "Oriole-Index": "0", "Oriole-Deadline-Ms": "5000"}},
+			{c.EntryHTTP[0] + "/v1/requests", body, through, map[string]string{"Authorization": "Bearer " + proctest.VeilsToken}},
+		} {
+			took, err := timed(ctx, way.url, way.body, way.header)
+			if err != nil {
+				return err
+			}
+			if err := way.into.RecordValue(took.Microseconds()); err != nil {
+				return err
+			}
+		}
+	}
+	for name, h := range map[string]*hdrhistogram.Histogram{"direct": direct, "through an entry": through} {
+		fmt.Fprintf(o.Out, "- %s: p50 %d µs, p90 %d µs, p99 %d µs (%d calls)\n", name,
+			h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.TotalCount())
+	}
+	fmt.Fprintf(o.Out, "- added at p50: %d µs\n", through.ValueAtQuantile(50)-direct.ValueAtQuantile(50))
+	return nil
+}
+
+func timed(ctx context.Context, url string, body []byte, header map[string]string) (time.Duration, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	begin := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	took := time.Since(begin)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s answered %s: %s", url, resp.Status, b)
+	}
+	return took, err
+}
