load: the naive policy gets the largest agent buffer

Cause: with the sample buffer of 2 the agents refuse, and after 8 refusals a job fails, so naive lost 10 to 13% of its submissions and its ratio covers only the survivors; the naive policy is defined with an unlimited queue. Change: buffer 1000 for naive.

--- a/load/ticket.go
+++ b/load/ticket.go
@@ -27,7 +27,10 @@
 	sampleQueueLimit    = 2000
 	sampleMaxAttempts   = 3
 	sampleWeight        = 1
-	naiveQueueUnlimited = 1_000_000
+	// The naive policy has an unlimited queue; these are the largest values that
+	// a ticket and an agent take.
+	naiveQueueLimit = 1_000_000
+	naiveBuffer     = 1000
 )
 
 // NewTicket returns a ticket that sets the services and teams of the workloads
@@ -37,13 +40,13 @@
 		Number: number, Author: "gwenllian", Reason: "sample services with policy " + policy,
 		Services: map[string]*ticket.Service{}, Teams: map[string]*ticket.Team{},
 	}
-	queue := sampleQueueLimit
+	queue, buffer := sampleQueueLimit, sampleBuffer
 	if policy == "naive" {
-		queue = naiveQueueUnlimited
+		queue, buffer = naiveQueueLimit, naiveBuffer
 	}
 	for _, w := range workloads {
 		s := &ticket.Service{Kinds: map[string]ticket.Kind{}, Endpoints: ticket.EndpointRules{
-			Policy: policy, Buffer: sampleBuffer, EjectAfterFailures: sampleEjectAfter, EjectMS: sampleEject.Milliseconds(),
+			Policy: policy, Buffer: buffer, EjectAfterFailures: sampleEjectAfter, EjectMS: sampleEject.Milliseconds(),
 		}}
 		for _, c := range w.Classes {
 			k := ticket.Kind{
