--- a/load/ticket.go
+++ b/load/ticket.go
@@ -21,12 +21,12 @@
 
 // Rules of the sample services.
 const (
-	sampleBuffer        = 2
-	sampleEjectAfter    = 5
-	sampleEject         = time.Second
-	sampleQueueLimit    = 2000
-	sampleMaxAttempts   = 3
-	sampleWeight        = 1
+	sampleBuffer      = 2
+	sampleEjectAfter  = 5
+	sampleEject       = time.Second
+	sampleQueueLimit  = 2000
+	sampleMaxAttempts = 3
+	sampleWeight      = 1
 	// The naive policy has an unlimited queue; these are the largest values that
 	// a ticket and an agent take.
 	naiveQueueLimit = 1_000_000
