--- a/agent/admit.go
+++ b/agent/admit.go
@@ -30,6 +30,12 @@
 		}
 		return
 	}
+	if spec.Ref < h.forgotten {
+		// The key may have been recorded and run before, so it must neither run
+		// now nor be reported as not run.
+		c.report(&entry{home: h, ref: spec.Ref, outcome: errkind.MayHaveRun, kind: errkind.AgentLost})
+		return
+	}
 	if kind := c.admit(l, spec); kind != "" {
 		c.refuseArrival(h, spec.Ref, kind, now)
 		return
@@ -53,9 +59,6 @@
 		return errkind.DeadlinePassed
 	case spec.BudgetMicros > maxBudget.Microseconds():
 		return errkind.InvalidRequest
-	case spec.Ref < l.home.forgotten:
-		// The key may have been recorded and run before, so it must not run now.
-		return errkind.Cancelled
 	case !c.held || c.endpoint == nil || c.endpoint.announcement().Service != spec.Service:
 		return errkind.NoEndpoint
 	case c.running+c.queue.len() >= c.endpoint.slots()+c.buffer(spec.Service):
--- a/agent/core_test.go
+++ b/agent/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,8 +51,12 @@
 	mu   sync.Mutex
 	sent []wire.Message
 	done chan struct{}
+
+	unwritten atomic.Int64 // what Unwritten returns
 }
 
+func (c *fakeConn) Unwritten() int { return int(c.unwritten.Load()) }
+
 func (c *fakeConn) Send(_ context.Context, m wire.Message) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -255,7 +260,7 @@
 		qt.Check(t, settleOne(b, l, 5).Result.Outcome, qt.Equals, errkind.MayHaveRun)
 		b.start(l, starts(5))
 		time.Sleep(time.Second)
-		qt.Check(t, ends(conn)[5], qt.Equals, "cancelled")
+		qt.Check(t, ends(conn)[5], qt.Equals, "may_have_run")
 		qt.Check(t, b.runner.started(), qt.DeepEquals, []uint64{5})
 		qt.Check(t, settleOne(b, l, 6).State, qt.Equals, wire.TaskNeverSeen)
 	})
@@ -279,6 +284,11 @@
 		qt.Check(t, len(ends(conn)), qt.Equals, 3)
 		b.sweep(time.Now())
 		qt.Check(t, settleOne(b, l, 1).Result.Outcome, qt.Equals, errkind.Done)
+		conn.unwritten.Store(1) // the home does not read
+		time.Sleep(deliveredAfter)
+		b.sweep(time.Now())
+		qt.Check(t, settleOne(b, l, 1).Result.Outcome, qt.Equals, errkind.Done)
+		conn.unwritten.Store(0)
 		time.Sleep(deliveredAfter)
 		b.sweep(time.Now())
 		qt.Check(t, b.record.bytes, qt.Equals, int64(0))
--- a/agent/link.go
+++ b/agent/link.go
@@ -27,6 +27,7 @@
 	Send(ctx context.Context, m wire.Message) error
 	Reply(ctx context.Context, callID uint64, m wire.Message) error
 	Call(ctx context.Context, m wire.Message) (wire.Message, error)
+	Unwritten() int
 	Done() <-chan struct{}
 }
 
@@ -240,8 +241,15 @@
 	return messages
 }
 
-// release drops answers that l's home has received.
+// release drops answers that l's home has received. While the home does not
+// read, nothing counts as sent.
 func (c *core) release(l *link, now time.Time) {
+	if l.busy || l.conn.Unwritten() > 0 {
+		for _, e := range l.sent {
+			e.sentAt = now
+		}
+		return
+	}
 	n := 0
 	for ; n < len(l.sent) && now.Sub(l.sent[n].sentAt) >= deliveredAfter; n++ {
 		c.record.release(l.sent[n])
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -44,6 +44,8 @@
 	out     chan []byte
 	done    chan struct{}
 	nextID  atomic.Uint64
+	// unwritten counts the frames that were queued and not yet written.
+	unwritten atomic.Int64
 
 	finish     chan struct{} // closed by Finish
 	finishOnce sync.Once
@@ -168,17 +170,25 @@
 		return ErrClosed
 	default:
 	}
+	c.unwritten.Add(1)
 	select {
 	case c.out <- b:
 		c.stats.sent(f.Body.MessageType(), len(b))
 		return nil
 	case <-c.done:
+		c.unwritten.Add(-1)
 		return c.closedError()
 	case <-ctx.Done():
+		c.unwritten.Add(-1)
 		return ctx.Err()
 	}
 }
 
+// Unwritten returns the number of frames that Send, Reply or Call has queued and
+// that are not yet written to the stream. It stays above zero while the peer
+// does not read.
+func (c *Conn) Unwritten() int { return int(c.unwritten.Load()) }
+
 func (c *Conn) fail(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -240,15 +250,18 @@
 
 // writeBatch writes b and every frame that is already queued, then flushes.
 func (c *Conn) writeBatch(w *bufio.Writer, b []byte) error {
-	for {
+	for n := int64(1); ; n++ {
 		if err := writeFrame(w, b); err != nil {
 			return err
 		}
 		select {
 		case b = <-c.out:
+			continue
 		default:
-			return w.Flush()
 		}
+		err := w.Flush()
+		c.unwritten.Add(-n)
+		return err
 	}
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -98,6 +98,7 @@
 	}
 	qt.Assert(t, conn.Finish(t.Context()), qt.IsNil)
 	qt.Check(t, len(s.messages), qt.Equals, frames)
+	qt.Check(t, conn.Unwritten(), qt.Equals, 0)
 	qt.Check(t, conn.Send(t.Context(), &wire.Drain{}), qt.Not(qt.IsNil))
 	for range 20 { // the writer may see the end before the frame
 		conn := dial(t, s.listener.Address(), optionsOf(t, a, "agent-1"))
