--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -152,7 +152,7 @@
 	cl.await(n, 1)
 	n.place(mute.self)
 	body := strings.Replace(chosen("order-17", time.Now(), `1`), `"kind"`, `"deadline_ms":1,"kind"`, 1)
-	answer := n.post("veil-secret", body)
+	answer := receive(t, n.postLater("veil-secret", body))
 	c.Assert(answer.Status, qt.Equals, 200, qt.Commentf("%s", answer.Body))
 	c.Assert(mute.forwards(), qt.Equals, 2)
 }
