balance: few samples count with the shortest run; TestDecisions runs longer for jobs

Cause: TestFastestEndpointIsFoundAtLowLoad is known red: one delayed sample among the first three makes a fast endpoint look slow, and it is not tried again. Change: for the choice, an endpoint with fewer than 10 samples counts with at most 1.5 times its shortest run. TestDelayedFirstSample fails without it. TestDecisions failed in 2 of 2 runs with -race under load: with 5 virtual seconds only 9 jobs counted, so that the p99 was the slowest of nine (4.50 against 3.70), and the order of goroutines changes it. The scenarios run in parallel, which takes less time than before.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -190,3 +190,34 @@
 		c.Assert(excess > 0.8*drawn && excess < 1.6*drawn, qt.IsTrue, qt.Commentf("n %d: %v, drawn %v", n, excess, drawn))
 	}
 }
+
+// TestDelayedFirstSample guards against a fast endpoint that is never chosen
+// again because one of its first three samples was delayed.
+func TestDelayedFirstSample(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	runs := []time.Duration{20 * time.Millisecond, 10 * time.Millisecond, 5 * time.Millisecond}
+	for delayed := range 3 {
+		var k KindTimes
+		times := make([]EndpointTimes, len(runs))
+		last, fast := 0, 0
+		for i := range 40 {
+			if i > 0 {
+				s := Snapshot{Waiting: 1, Endpoints: make([]Endpoint, len(runs))}
+				for j := range runs {
+					s.Endpoints[j] = Endpoint{Slots: 8, Limit: 10, Run: k.ExpectForChoice(&times[j], 35*time.Millisecond, 0, now)}
+				}
+				last, _ = Choose(s, uint64(i))
+			}
+			run := runs[last]
+			if last == 2 {
+				if fast == delayed {
+					run += 30 * time.Millisecond
+				}
+				fast++
+			}
+			k.Learn(&times[last], run, now)
+		}
+		c.Assert(last, qt.Equals, 2, qt.Commentf("sample %d delayed", delayed))
+	}
+}
--- a/balance/times.go
+++ b/balance/times.go
@@ -27,6 +27,12 @@
 	// without enough samples. With the typical time itself, an endpoint that is
 	// faster than the declaration would be chosen for ever and the others never tried.
 	untriedShare = 0.5
+	// Until an endpoint has settledSamples samples, it counts for the choice with
+	// at most leastFactor times its shortest run. One delayed sample among the
+	// first makes the mean of a fast endpoint look slow, and an endpoint that is
+	// not chosen gets no sample that corrects it.
+	settledSamples = 10
+	leastFactor    = 1.5
 	// unknownRun is assumed when nothing was declared or learned.
 	unknownRun = 100 * time.Millisecond
 )
@@ -40,8 +46,9 @@
 
 // EndpointTimes learns the run times of one kind at one endpoint.
 type EndpointTimes struct {
-	mean average
-	last time.Time
+	mean  average
+	least float64 // shortest run time in ns; zero without samples
+	last  time.Time
 }
 
 // average is an exponential moving average, whose first samples weigh equally.
@@ -71,6 +78,9 @@
 	}
 	k.slow = max(x, k.slow*slowDecay)
 	e.mean.add(x)
+	if e.least == 0 || x < e.least {
+		e.least = x
+	}
 	e.last = now
 }
 
@@ -129,11 +139,14 @@
 }
 
 // ExpectForChoice returns the run time by which endpoints are compared. It is
-// that of Expect, but optimistic for an endpoint that has not been tried.
+// that of Expect, but optimistic for an endpoint that has few samples.
 func (k *KindTimes) ExpectForChoice(e *EndpointTimes, declared, waiting time.Duration, now time.Time) time.Duration {
 	run := k.Expect(e, declared, waiting, now)
 	if e.mean.n < minSamples && waiting < run {
 		return max(time.Duration(untriedShare*float64(run)), time.Microsecond)
 	}
+	if e.mean.n < settledSamples && e.least > 0 && waiting < run {
+		return min(run, time.Duration(leastFactor*e.least))
+	}
 	return run
 }
--- a/dispatch/decisions_test.go
+++ b/dispatch/decisions_test.go
@@ -201,7 +201,7 @@
 		var wg sync.WaitGroup
 		hist := hdrhistogram.New(1, 1_000_000, 3) // response/ideal in thousandths
 		var work float64
-		end := time.Now().Add(time.Duration(*modelSeconds) * time.Second)
+		end := time.Now().Add(sc.length())
 		warm := time.Now().Add(2 * time.Second)
 		for n := 0; time.Now().Before(end); n++ {
 			mean := float64(meanRun) * float64(sc.jobTasks) / capacity / sc.load
@@ -240,6 +240,16 @@
 	return o
 }
 
+// length is longer for jobs, of which fewer arrive: a p99 of ten jobs is the
+// slowest of them, and says nothing about a policy.
+func (sc scenario) length() time.Duration {
+	d := time.Duration(*modelSeconds) * time.Second
+	if sc.jobTasks > 1 {
+		d *= 4
+	}
+	return d
+}
+
 // connect makes eleven endpoints and returns the capacity of the good ones in
 // slots of the fastest.
 func (sc scenario) connect(m *model, policy string) (capacity float64) {
@@ -313,6 +323,7 @@
 func TestDecisions(t *testing.T) {
 	for _, sc := range scenarios {
 		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
 			naive := sc.run(t, "naive", *modelSeed)
 			best := sc.run(t, "least_expected_finish", *modelSeed)
 			t.Logf("\nnaive        %v\nleast_finish %v", naive, best)
