--- a/agent/backend_test.go
+++ b/agent/backend_test.go
@@ -56,7 +56,7 @@
 		{"503 without the header", answer(503, "", ""), errkind.MayHaveRun, errkind.TaskFailed},
 		{"header without 503", answer(500, "true", ""), errkind.MayHaveRun, errkind.TaskFailed},
 		{"created is not done", answer(201, "", ""), errkind.MayHaveRun, errkind.TaskFailed},
-		{"redirect is not followed", http.RedirectHandler("/other", http.StatusTemporaryRedirect).ServeHTTP, errkind.MayHaveRun, errkind.TaskFailed},
+		{"redirect is not followed", http.RedirectHandler("/other", http.StatusFound).ServeHTTP, errkind.MayHaveRun, errkind.TaskFailed},
 		{"answer without end", func(w http.ResponseWriter, _ *http.Request) {
 			for err := error(nil); err == nil; {
 				_, err = w.Write(make([]byte, 32<<10))
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -155,8 +155,8 @@
 }
 
 func (e *Endpoint) serveRun(w http.ResponseWriter, r *http.Request) {
-	if !e.begin() {
-		refuse(w, "endpoint is leaving or full")
+	if reason := e.begin(); reason != "" {
+		refuse(w, reason)
 		return
 	}
 	defer e.end()
@@ -177,19 +177,19 @@
 	}
 }
 
-// begin takes a slot. It reports false when the endpoint is leaving or full.
-func (e *Endpoint) begin() bool {
+// begin takes a slot, or returns why it cannot.
+func (e *Endpoint) begin() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
-		return false
+		return "endpoint is leaving"
 	}
 	select {
 	case e.slots <- struct{}{}:
 		e.wg.Add(1)
-		return true
+		return ""
 	default:
-		return false
+		return "endpoint is full"
 	}
 }
 
--- a/endpoint/endpoint_test.go
+++ b/endpoint/endpoint_test.go
@@ -124,6 +124,10 @@
 			break
 		}
 	}
+	for body := ""; !strings.Contains(body, "leaving"); { // until the agent's answer has arrived
+		status, _, body = run(t, e, "z")
+		qt.Assert(t, status, qt.Equals, 503)
+	}
 	close(release)
 	qt.Check(t, <-answer, qt.Equals, "answer")
 	<-stopped
