Entry: large answers through two forwards

Cause: the parts of an answer were tested over one forward only. Change: the test also asks an entry with an old view. Measured: passes with the race detector.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -261,7 +261,7 @@
 func TestLargeAnswer(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	cl := newCluster(t, 2)
+	cl := newCluster(t, 3)
 	home := cl.nodes[1]
 	cl.placeAt(home)
 	// 20 results of 200 KiB are some 4 MB.
@@ -278,6 +278,10 @@
 	c.Assert(answer == own, qt.IsTrue)
 	_, _, fetched := call(cl.nodes[0].handler, "GET", fmt.Sprintf("/v1/jobs/order-17?submitted_at=%d", now.UnixMilli()), "veil-secret", "")
 	c.Assert(fetched == own, qt.IsTrue)
+	// An entry with an old view gets it through a former home.
+	cl.nodes[2].place(cl.nodes[0].server.self)
+	_, _, relayed := call(cl.nodes[2].handler, "POST", "/v1/jobs", "veil-secret", body)
+	c.Assert(relayed == own, qt.IsTrue)
 	c.Assert(cl.starts.of("veil", "order-17"), qt.Equals, 20)
 }
 
--- a/entry/home_test.go
+++ b/entry/home_test.go
@@ -145,7 +145,7 @@
 		}()
 		receive(t, disp.running)
 		cancel()
-		<-done
+		receive(t, done)
 	}
 	leave(previewBody)
 	c.Assert(receive(t, disp.withdrawn), qt.Matches, "@entry-1.*")
