Entry: a former home relays single parts of an answer

Cause: an entry in the middle of two forwards fetched the whole answer again for each part, and all parts shared one timeout: a 4 MB answer took 5 s in the test. Change: it relays the call with its offset; each further part has its own timeout. The hop count is kept in the messages alone. Conclusion: go test -race ./entry passes.

--- a/entry/fetch.go
+++ b/entry/fetch.go
@@ -17,7 +17,6 @@
 	id          ids.Submission
 	submittedAt int64
 	action      wire.FetchAction
-	hops        uint8
 }
 
 func (q *inquiry) key() submission.Key { return submission.Key{Team: q.team, ID: q.id.Raw} }
@@ -64,15 +63,12 @@
 	if home == s.self {
 		return s.inquireHere(ctx, q)
 	}
-	if q.hops >= maxHops {
-		return errorReply(errkind.New(errkind.HomeUnknown, "entries disagree about the home of submission %q", q.id.Raw))
-	}
 	return s.askHome(ctx, home, fetchTimeout, &wire.Fetch{
 		Team:        q.team,
 		Submission:  q.id.Raw,
 		SubmittedAt: q.submittedAt,
 		Action:      q.action,
-		Hops:        q.hops + 1,
+		Hops:        1,
 	})
 }
 
@@ -108,19 +104,27 @@
 	return errkind.New(errkind.NotFound, "submission %q was not received", q.id.Raw)
 }
 
-func (s *Server) serveFetch(m *wire.Fetch) reply {
+func (s *Server) serveFetch(m *wire.Fetch) *wire.Forwarded {
 	at := ""
 	if m.SubmittedAt != 0 {
 		at = strconv.FormatInt(m.SubmittedAt, 10)
 	}
 	q, err := newInquiry(m.Team, m.Submission, at, m.Action)
 	if err != nil {
-		return errorReply(err)
+		return forwarded(errorReply(err), 0)
 	}
-	q.hops = m.Hops
-	ctx, cancel := context.WithTimeout(context.Background(), 2*fetchTimeout)
-	defer cancel()
-	return s.inquire(ctx, q)
+	home, err := s.locate(q.team, q.id, q.submittedAt)
+	switch {
+	case err != nil:
+		return forwarded(errorReply(err), 0)
+	case home == s.self:
+		return forwarded(s.inquireHere(context.Background(), q), m.Offset)
+	case m.Hops >= maxHops:
+		return forwarded(errorReply(errDisagree(q.id)), 0)
+	}
+	next := *m
+	next.Hops++
+	return s.relay(home, fetchTimeout, &next)
 }
 
 type issueRequest struct {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -30,9 +30,6 @@
 
 // forwardSubmission sends a to its home and returns the home's answer.
 func (s *Server) forwardSubmission(ctx context.Context, home ids.Incarnation, a *arrival) reply {
-	if a.hops >= maxHops {
-		return errorReply(errkind.New(errkind.HomeUnknown, "entries disagree about the home of submission %q", a.id.Raw))
-	}
 	canonical, err := a.body.canonical()
 	if err != nil {
 		return errorReply(err)
@@ -44,7 +41,7 @@
 		Body:        canonical,
 		Request:     a.request,
 		TraceParent: tracing.Parent(ctx),
-		Hops:        a.hops + 1,
+		Hops:        1,
 	})
 	endSpan(span, answer)
 	return answer
@@ -62,17 +59,43 @@
 	return milliseconds(rules.DeadlineMS) + replySlack
 }
 
-// askHome sends m to home. A message without a reply is repeated once on a new
-// connection, which is safe because the home joins resubmissions.
+// askHome sends m to home and returns its whole answer.
 func (s *Server) askHome(ctx context.Context, home ids.Incarnation, timeout time.Duration, m wire.Message) reply {
+	var answer reply
+	err := s.tryHome(ctx, home, func(conn *transport.Conn) (err error) {
+		answer, err = askWhole(ctx, conn, timeout, m)
+		return err
+	})
+	if err != nil {
+		return errorReply(err)
+	}
+	return answer
+}
+
+// relay sends m of a peer on to home and returns one part of its answer.
+func (s *Server) relay(home ids.Incarnation, timeout time.Duration, m wire.Message) *wire.Forwarded {
+	var part *wire.Forwarded
+	err := s.tryHome(context.Background(), home, func(conn *transport.Conn) (err error) {
+		part, err = callForwarded(context.Background(), conn, timeout, m)
+		return err
+	})
+	if err != nil {
+		return forwarded(errorReply(err), 0)
+	}
+	return part
+}
+
+// tryHome calls ask with a connection to home. When it fails it is repeated once
+// on a new connection, which is safe because the home joins resubmissions. The
+// error is of kind HomeUnreachable or HomeLost.
+func (s *Server) tryHome(ctx context.Context, home ids.Incarnation, ask func(*transport.Conn) error) error {
 	for range forwardAttempts {
 		conn, err := s.peers.get(ctx, home)
 		if err != nil {
-			return errorReply(err)
+			return err
 		}
-		answer, err := s.askOnce(ctx, conn, timeout, m)
-		if err == nil {
-			return answer
+		if err = ask(conn); err == nil {
+			return nil
 		}
 		if ctx.Err() != nil {
 			break
@@ -81,33 +104,37 @@
 		s.log.Log(event.EntryForwardFailed, "home", home, "err", err)
 		conn.Close() // the next attempt must not use a connection that went silent
 	}
-	return errorReply(errkind.New(errkind.HomeUnreachable, "the home %s did not reply", home))
+	return errkind.New(errkind.HomeUnreachable, "the home %s did not reply", home)
 }
 
-var errNotForwarded = errors.New("the reply is not a forwarded answer")
+var (
+	errNotForwarded  = errors.New("the reply is not a forwarded answer")
+	errAnswerChanged = errors.New("the answer changed between its parts")
+)
 
-func (s *Server) askOnce(ctx context.Context, conn *transport.Conn, timeout time.Duration, m wire.Message) (reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	first, err := callForwarded(ctx, conn, m)
+// askWhole asks for an answer and for its further parts.
+func askWhole(ctx context.Context, conn *transport.Conn, timeout time.Duration, m wire.Message) (reply, error) {
+	first, err := callForwarded(ctx, conn, timeout, m)
 	if err != nil {
 		return reply{}, err
 	}
 	answer := reply{Status: first.Status, Body: first.Body, RetryAfter: first.RetryAfter}
 	for len(answer.Body) < first.Total {
-		part, err := callForwarded(ctx, conn, nextPart(m, len(answer.Body)))
+		part, err := callForwarded(ctx, conn, fetchTimeout, nextPart(m, len(answer.Body)))
 		if err != nil {
 			return reply{}, err
 		}
 		if part.Total != first.Total || len(part.Body) == 0 {
-			return reply{}, errors.New("the answer changed between its parts")
+			return reply{}, errAnswerChanged
 		}
 		answer.Body = append(answer.Body, part.Body...)
 	}
 	return answer, nil
 }
 
-func callForwarded(ctx context.Context, conn *transport.Conn, m wire.Message) (*wire.Forwarded, error) {
+func callForwarded(ctx context.Context, conn *transport.Conn, timeout time.Duration, m wire.Message) (*wire.Forwarded, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	r, err := conn.Call(ctx, m)
 	if err != nil {
 		return nil, err
@@ -136,26 +163,48 @@
 
 // serveForward answers a submission that a peer forwarded. It does not end with
 // the connection: the peer may ask again on a new one.
-func (s *Server) serveForward(m *wire.Forward) reply {
+func (s *Server) serveForward(m *wire.Forward) *wire.Forwarded {
 	a, err := newArrival(m.Team, m.Body, m.Request)
+	if err == nil && a.id.Raw == "" {
+		err = invalid("a forwarded submission has no id")
+	}
 	if err != nil {
-		return errorReply(err)
+		return forwarded(errorReply(err), 0)
 	}
-	if a.id.Raw == "" {
-		return errorReply(invalid("a forwarded submission has no id"))
+	a.traceParent = m.TraceParent
+	home, err := s.locate(a.team, a.id, a.body.SubmittedAt)
+	switch {
+	case err != nil:
+		return forwarded(errorReply(err), 0)
+	case home == s.self:
+		return forwarded(s.submitHere(context.Background(), a), m.Offset)
+	case m.Hops >= maxHops:
+		return forwarded(errorReply(errDisagree(a.id)), 0)
 	}
-	a.hops, a.traceParent = m.Hops, m.TraceParent
-	return s.submit(context.Background(), a)
+	next := *m
+	next.Hops++
+	return s.relay(home, s.replyTimeout(a.body), &next)
 }
 
-// sendForwarded replies with the part of answer that starts at offset.
-func (s *Server) sendForwarded(c *transport.Conn, callID uint64, answer reply, offset int) {
-	m := &wire.Forwarded{Status: answer.Status, RetryAfter: answer.RetryAfter}
+func errDisagree(id ids.Submission) error {
+	return errkind.New(errkind.HomeUnknown, "entries disagree about the home of submission %q", id.Raw)
+}
+
+// forwarded returns the part of answer that starts at offset.
+func forwarded(answer reply, offset int) *wire.Forwarded {
 	offset = min(max(offset, 0), len(answer.Body))
-	m.Body = answer.Body[offset:min(offset+maxPartBytes, len(answer.Body))]
+	m := &wire.Forwarded{
+		Status: answer.Status, RetryAfter: answer.RetryAfter,
+		Body: answer.Body[offset:min(offset+maxPartBytes, len(answer.Body))],
+	}
 	if len(answer.Body) > maxPartBytes {
 		m.Total = len(answer.Body)
 	}
+	return m
+}
+
+// sendForwarded replies to a call of a peer.
+func (s *Server) sendForwarded(c *transport.Conn, callID uint64, m *wire.Forwarded) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	if err := c.Reply(ctx, callID, m); err != nil {
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -55,9 +55,9 @@
 	s := p.server
 	switch m := f.Body.(type) {
 	case *wire.Forward:
-		s.serveCall(c, f.CallID, m.Offset, func() reply { return s.serveForward(m) })
+		s.serveCall(c, f.CallID, func() *wire.Forwarded { return s.serveForward(m) })
 	case *wire.Fetch:
-		s.serveCall(c, f.CallID, m.Offset, func() reply { return s.serveFetch(m) })
+		s.serveCall(c, f.CallID, func() *wire.Forwarded { return s.serveFetch(m) })
 	case *wire.Heartbeat:
 		s.peerTicket(c, m.Ticket)
 	case *wire.State:
@@ -72,11 +72,11 @@
 func (p *peerConn) Closed(c *transport.Conn, _ error) { p.server.conns.remove(c) }
 
 // serveCall answers a call of a peer on a goroutine of its own.
-func (s *Server) serveCall(c *transport.Conn, callID uint64, offset int, answer func() reply) {
+func (s *Server) serveCall(c *transport.Conn, callID uint64, answer func() *wire.Forwarded) {
 	s.forwards.begin()
 	go func() {
 		defer s.forwards.end()
-		s.sendForwarded(c, callID, answer(), offset)
+		s.sendForwarded(c, callID, answer())
 	}()
 }
 
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -21,7 +21,6 @@
 	request     bool
 	body        *body
 	id          ids.Submission // zero without an id
-	hops        uint8          // forwards so far
 	traceParent string
 }
 
