--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -208,6 +208,17 @@
 	return append(all, c.Endpoints...)
 }
 
+// CheckAlive returns an error with the log of each process that does not run.
+func (c *Cluster) CheckAlive() error {
+	var errs []error
+	for _, p := range c.All() {
+		if p.PID() == 0 {
+			errs = append(errs, fmt.Errorf("%s has ended:\n%s", p.Name, p.Tail()))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // Start starts every process and waits until each is ready.
 func (c *Cluster) Start(ctx context.Context) error {
 	for _, p := range c.All() {
--- a/load/experiment/experiment.go
+++ b/load/experiment/experiment.go
@@ -151,6 +151,9 @@
 	if err := ended(); err != nil {
 		return fmt.Errorf("fault: %w", err)
 	}
+	if err := c.CheckAlive(); err != nil {
+		return fmt.Errorf("load %.2f, round %d, %s: %w", fraction, round+1, policy, err)
+	}
 	fmt.Fprintf(o.Progress, "%s: load %.0f%%, round %d, %s: %d submissions, p50 %.2f, p99 %.2f so far\n",
 		o.Name, 100*fraction, round+1, policy, len(outcomes), m.result.Ratio.P50, m.result.Ratio.P99)
 	return nil
--- a/tests/kill_test.go
+++ b/tests/kill_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/load"
 )
 
 // detection is the sum of the bounds of docs/design.md section 8 for a silent
@@ -91,3 +94,43 @@
 	s.c.Check(number, qt.Equals, uint64(1))
 	s.assertNoDoubleStart()
 }
+
+// finalAnswer is the detection of the loss, plus the longest run time (1 s) and
+// the work of the other submissions at 30% load. A final answer must not wait for
+// the deadline, which is 15 s.
+const finalAnswer = detection + 5*time.Second
+
+// No policy that a ticket can set may bring an entry down when an agent is lost:
+// a crash of the entries stops every service.
+func TestKillAgentWithEachPolicy(t *testing.T) {
+	for _, policy := range []string{"naive", "two_choices", "least_expected_finish"} {
+		t.Run(policy, func(t *testing.T) {
+			s := newSystem(t, spec())
+			brief := veils
+			brief.Classes = slices.Clone(veils.Classes)
+			for i := range brief.Classes {
+				brief.Classes[i].Deadline = 15 * time.Second
+			}
+			s.c.Assert(s.Configure(s.ctx, policy, brief), qt.IsNil)
+			plan := load.Plan{
+				Workload: brief, Seed: 21, Length: 4 * time.Second,
+				Rate: veils.RateFor(0.3, s.Fleet(veils.Service).Capacity()),
+			}
+			done := make(chan []load.Outcome, 1)
+			go func() { done <- s.target().Drive(s.ctx, plan) }()
+			s.wait(time.Second)
+			s.Agents[1].Kill()
+			// Some may fail, since the naive policy ignores what it knows about the
+			// lost agent, but each must be answered.
+			for i, o := range <-done {
+				s.c.Check(o.Verdict, qt.Not(qt.Equals), load.NoAnswer, qt.Commentf("submission %d of seed 21: %v", i, o.Err))
+				s.c.Check(o.Response < finalAnswer, qt.IsTrue, qt.Commentf("submission %d of seed 21 (%s, %d tasks) to entry %d was answered after %s: %s %+v",
+					i, o.Submission.Class.Kind, len(o.Submission.Run), o.Entry, o.Response, o.Verdict, o.Answer.Error))
+				s.c.Check(o.Kind(), qt.Not(qt.Equals), "internal", qt.Commentf("submission %d of seed 21: %+v", i, o.Answer.Error))
+			}
+			for _, p := range s.Entries {
+				s.c.Check(p.PID(), qt.Not(qt.Equals), 0, qt.Commentf("%s has ended", p.Name))
+			}
+		})
+	}
+}
