endpoint, agent: a leaving endpoint serves until the agent has no task on it

Cause: a task that the agent had begun to send when the endpoint announced that it is leaving could reach a closed listener and ended as may_have_run (TestEndpointDrains failed once in ./check). A planned stop must interrupt no request.

Ruled out: a fixed delay before the listener closes, which is either too short on a busy host or too long on every stop.

Change: the agent answers a leaving announcement with 202 while tasks run on that address, and the endpoint serves on and asks again until 204.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -88,6 +88,11 @@
 		writeError(w, err)
 		return
 	}
+	if m.Leaving && a.core.serving(m.Address) {
+		// A call may not have reached the endpoint yet, so it must serve on.
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -94,7 +94,9 @@
 		defer end()
 		b.start(l, starts(1, 2))
 		qt.Check(t, b.announce(Announcement{Service: "veil-desk", Address: "127.0.0.1:1", Leaving: true}), qt.Equals, errkind.Kind(""))
+		qt.Check(t, b.serving("127.0.0.1:1"), qt.IsTrue) // its call may not have arrived yet
 		time.Sleep(time.Second)
+		qt.Check(t, b.serving("127.0.0.1:1"), qt.IsFalse)
 		qt.Check(t, ends(conn), qt.DeepEquals, map[uint64]string{1: "done", 2: "no_endpoint"})
 		b.runner.run = func(*task) (wire.TaskResult, bool) {
 			return wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.ConnectionRefused}, true
--- a/agent/core.go
+++ b/agent/core.go
@@ -34,6 +34,7 @@
 	rules    rules
 	queue    taskQueue
 	running  int
+	calls    map[string]int // running tasks by the endpoint's address
 	orders   uint64
 	record   *record
 	links    map[*link]struct{}
@@ -60,6 +61,7 @@
 		held:    true,
 		record:  newRecord(cfg),
 		links:   make(map[*link]struct{}),
+		calls:   make(map[string]int),
 		drained: make(chan struct{}),
 	}
 	c.metrics = newMetrics(cfg.Metrics, c)
@@ -90,6 +92,7 @@
 			c.refusePending(t, errkind.NoEndpoint)
 		default:
 			c.running++
+			c.calls[c.endpoint.announcement().Address]++
 			go c.run(t, c.endpoint)
 		}
 	}
@@ -128,6 +131,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running--
+	c.callEnded(r.announcement().Address)
 	c.record.finish(t.entry, &result)
 	c.report(t.entry)
 	if unreachable && c.endpoint == r {
@@ -138,6 +142,19 @@
 	c.dispatch(end)
 }
 
+func (c *core) callEnded(address string) {
+	if c.calls[address]--; c.calls[address] == 0 {
+		delete(c.calls, address)
+	}
+}
+
+// serving reports whether tasks run on the endpoint at address.
+func (c *core) serving(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[address] > 0
+}
+
 // report hands the end of a task to the newest connection of its home, or keeps
 // it for the next one.
 func (c *core) report(e *entry) {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -18,6 +18,10 @@
 	"oriolerelay/wire"
 )
 
+// leavingPeriod is how often a leaving endpoint asks whether the agent still has
+// tasks on it.
+const leavingPeriod = 20 * time.Millisecond
+
 // announcePeriod is the time between announcements; the agent withdraws an
 // endpoint after three missed ones.
 const announcePeriod = time.Second
@@ -102,7 +106,7 @@
 	tick := time.NewTicker(announcePeriod)
 	defer tick.Stop()
 	for {
-		_ = e.announce(ctx, false) // repeated at the next tick
+		_, _ = e.announce(ctx, false) // repeated at the next tick
 		select {
 		case <-tick.C:
 		case err := <-served:
@@ -113,11 +117,10 @@
 	}
 }
 
-// stop announces the end before it refuses tasks, so that few are refused.
+// stop announces the end and serves on until the agent has no task on this
+// endpoint: a task that the agent has begun to send may not have arrived yet.
 func (e *Endpoint) stop(srv *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), announcePeriod)
-	defer cancel()
-	err := e.announce(ctx, true)
+	err := e.leave()
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
@@ -129,29 +132,48 @@
 	return nil
 }
 
-func (e *Endpoint) announce(ctx context.Context, leaving bool) error {
+// leave repeats the last announcement until the agent answers that no task is
+// left. The deadlines of the tasks bound the time.
+func (e *Endpoint) leave() error {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), announcePeriod)
+		busy, err := e.announce(ctx, true)
+		cancel()
+		if err != nil || !busy {
+			return err
+		}
+		<-time.After(leavingPeriod)
+	}
+}
+
+// announce sends the announcement. It reports whether the agent has tasks on
+// an endpoint that is leaving.
+func (e *Endpoint) announce(ctx context.Context, leaving bool) (bool, error) {
 	body, err := json.Marshal(map[string]any{
 		"service": e.cfg.Service, "address": e.Address(), "slots": e.cfg.Slots,
 		"connections": e.cfg.Connections, "capacity": e.cfg.Capacity, "leaving": leaving,
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.cfg.Agent+"/v1/endpoint", bytes.NewReader(body))
 	if err != nil {
-		return err
+		return false, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := e.client.Do(req)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		b, _ := io.ReadAll(io.LimitReader(resp.Body, 512)) // only for the message
-		return fmt.Errorf("agent answered %s: %s", resp.Status, b)
-	}
-	return nil
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		return false, nil
+	case http.StatusAccepted:
+		return true, nil
+	}
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, 512)) // only for the message
+	return false, fmt.Errorf("agent answered %s: %s", resp.Status, b)
 }
 
 func (e *Endpoint) serveRun(w http.ResponseWriter, r *http.Request) {
--- a/endpoint/endpoint_test.go
+++ b/endpoint/endpoint_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,8 +22,28 @@
 
 func (f runnerFunc) RunTask(ctx context.Context, t Task) ([]byte, error) { return f(ctx, t) }
 
+var (
+	onTheWay   atomic.Bool
+	lateStatus = make(chan int, 1)
+)
+
+// Guards against a stop that breaks off or refuses a task which the agent had
+// begun to send before it learned of the stop.
+func TestLeavingServesTasksOnTheWay(t *testing.T) {
+	_, announced, stop := serve(t, 1, runnerFunc(func(context.Context, Task) ([]byte, error) { return nil, nil }))
+	<-announced
+	onTheWay.Store(true)
+	stop()
+	qt.Check(t, <-lateStatus, qt.Equals, 200)
+	<-announced
+	qt.Check(t, (<-announced)["leaving"], qt.Equals, true) // asked again
+}
+
 // serve runs an endpoint against an agent that takes every announcement. The
 // returned function stops it and waits.
+//
+// While onTheWay is set the agent has a task that reaches the endpoint only
+// after the announcement of its end.
 func serve(t *testing.T, slots int, r Runner) (*Endpoint, chan map[string]any, func()) {
 	announced := make(chan map[string]any, 16)
 	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -31,6 +52,13 @@
 			t.Error(err)
 		}
 		announced <- m
+		if m["leaving"] == true && onTheWay.CompareAndSwap(true, false) {
+			status, _, _ := request(t, "POST", "http://"+m["address"].(string)+"/run", "late",
+				"Oriole-Submission", "order-17", "Oriole-Index", "4", "Oriole-Deadline-Ms", "5000")
+			lateStatus <- status
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	t.Cleanup(agent.Close)
