agent: test entries share their settings with their connections safely

Cause: ./check reported a data race in TestEntriesAreLearnedAndReplaced. The test sets the members list of its entry while the entry's goroutines run, and nothing orders the write before their reads.

Change: the two settings of the test entry are atomic pointers. The tests check the same as before.

--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,8 +44,8 @@
 // fakeEntry accepts agents and hands their messages to the test.
 type fakeEntry struct {
 	node     ids.Incarnation
-	members  []wire.EntryAddress // sent in Hello; set before an agent connects
-	late     *wire.Start         // sent when a Drain arrives, before its Ack
+	members  atomic.Pointer[wire.EntryAddress] // sent in Hello; may be nil
+	late     atomic.Pointer[wire.Start]        // sent when a Drain arrives, before its Ack; may be nil
 	listener *transport.Listener
 	conns    chan *transport.Conn
 	messages chan received
@@ -60,7 +61,7 @@
 	}
 	l, err := transport.Listen("127.0.0.1:0", transport.Options{
 		TLS:   nodeTLS(t, a, name),
-		Hello: func() wire.Hello { return wire.Hello{Node: e.node, Role: wire.RoleEntry, Entries: e.members} },
+		Hello: e.hello,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	e.listener = l
@@ -81,10 +82,20 @@
 	return e
 }
 
+func (e *fakeEntry) hello() wire.Hello {
+	h := wire.Hello{Node: e.node, Role: wire.RoleEntry}
+	if m := e.members.Load(); m != nil {
+		h.Entries = append(h.Entries, *m)
+	}
+	return h
+}
+
 // Handle implements transport.Handler.
 func (e *fakeEntry) Handle(c *transport.Conn, f wire.Frame) {
-	if _, ok := f.Body.(*wire.Drain); ok && e.late != nil {
-		_ = c.Send(context.Background(), e.late)
+	if _, ok := f.Body.(*wire.Drain); ok {
+		if late := e.late.Load(); late != nil {
+			_ = c.Send(context.Background(), late)
+		}
 	}
 	if f.CallID != 0 {
 		_ = c.Reply(context.Background(), f.CallID, &wire.Ack{})
--- a/agent/live_test.go
+++ b/agent/live_test.go
@@ -46,7 +46,7 @@
 	c := qt.New(t)
 	auth := testAuthority(t)
 	e := startEntry(t, auth, "entry-1")
-	e.late = &wire.Start{Tasks: []wire.StartTask{startTask(9, waitLimit, `{}`)}}
+	e.late.Store(&wire.Start{Tasks: []wire.StartTask{startTask(9, waitLimit, `{}`)}})
 	ag, stop := runAgent(t, auth, nil, e)
 	runEndpoint(t, ag, 4)
 	conn := next(t, e.conns)
@@ -72,7 +72,7 @@
 func TestIdleDrainRefusesLateStart(t *testing.T) {
 	auth := testAuthority(t)
 	e := startEntry(t, auth, "entry-1")
-	e.late = &wire.Start{Tasks: []wire.StartTask{startTask(9, waitLimit, `{}`)}}
+	e.late.Store(&wire.Start{Tasks: []wire.StartTask{startTask(9, waitLimit, `{}`)}})
 	_, stop := runAgent(t, auth, nil, e)
 	next(t, e.conns)
 	nextMessage[*wire.Announce](t, e)
@@ -102,7 +102,7 @@
 func TestEntriesAreLearnedAndReplaced(t *testing.T) {
 	auth := testAuthority(t)
 	first, second := startEntry(t, auth, "entry-1"), startEntry(t, auth, "entry-2")
-	first.members = []wire.EntryAddress{{Node: second.node, Address: second.listener.Address()}}
+	first.members.Store(&wire.EntryAddress{Node: second.node, Address: second.listener.Address()})
 	runAgent(t, auth, nil, first)
 	next(t, second.conns)
 	qt.Assert(t, next(t, first.conns).Close(), qt.IsNil)
