dispatch: a lost agent's tasks are all settled; the naive choice leaves out unreachable agents

Cause: agent.each saved the next task before it called its function. Giving up a job releases its other tasks, the saved one among them, so the walk ended early and the tasks behind it waited for their deadline of 15 s. Ruled out: lost Settle replies; the tasks were never asked for. Change: each walks a copy and skips tasks that have been released. The naive choice leaves out endpoints whose limit is 0. Two tests of members are repaired as well: one shared a variable with a later step (data race), one compared a follower before its next read of the log.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -60,12 +60,29 @@
 
 func (e *Endpoint) open() bool { return !e.Skip && e.Busy < e.Limit }
 
-// chooseNaive is the reference policy: uniform, blind to load and health.
+// chooseNaive is the reference policy: uniform, blind to load and health. Only
+// endpoints that can be given no task at all, whose Limit is 0, are left out.
 func chooseNaive(s Snapshot, random uint64) (int, bool) {
-	if len(s.Endpoints) == 0 {
+	reachable := 0
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Limit > 0 {
+			reachable++
+		}
+	}
+	if reachable == 0 {
 		return 0, false
 	}
-	return int(random % uint64(len(s.Endpoints))), true
+	n := int(random % uint64(reachable))
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Limit == 0 {
+			continue
+		}
+		if n == 0 {
+			return i, true
+		}
+		n--
+	}
+	return 0, false
 }
 
 // chooseTwo takes the less loaded of two random open endpoints.
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -132,12 +132,17 @@
 	a.inFlight--
 }
 
-// each calls f for every task with a ref at the agent. f may release the task.
+// each calls f for every task with a ref at the agent. f may release any task:
+// giving up a job releases its other tasks, which are then left out.
 func (a *agent) each(f func(*task)) {
-	for t := a.oldest; t != nil; {
-		next := t.next
-		f(t)
-		t = next
+	tasks := make([]*task, 0, a.inFlight)
+	for t := a.oldest; t != nil; t = t.next {
+		tasks = append(tasks, t)
+	}
+	for _, t := range tasks {
+		if t.agent == a && t.ref != 0 {
+			f(t)
+		}
 	}
 }
 
--- a/members/follower_test.go
+++ b/members/follower_test.go
@@ -13,6 +13,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/ids"
 	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
 	"oriolerelay/platform/standin"
 )
 
@@ -87,6 +88,7 @@
 		time.Sleep(rejoinPause + 2*time.Second)
 		c.Assert(a.Left(memberB.Node), qt.IsFalse)
 		c.Assert(b.Leave(c.Context()), qt.IsNil)
+		time.Sleep(follow.ReadInterval + time.Millisecond) // until the next read of a
 		c.Assert(a.Addresses(), qt.HasLen, 1)
 	})
 }
--- a/members/race_test.go
+++ b/members/race_test.go
@@ -91,7 +91,8 @@
 		}
 	case "leave":
 		if e.stop != nil {
-			go func() { _ = e.follower.Leave(r.ctx) }()
+			f := e.follower // the step "start" replaces e.follower
+			go func() { _ = f.Leave(r.ctx) }()
 		}
 	case "silent": // everybody else, rightly or wrongly
 		if e.stop != nil {
