dispatch: settle all tasks of a lost agent; naive leaves out lost agents

Cause: two faults that TestKillAgentWithEachPolicy found. agent.each saved the next task before it called f; giving up a job released that task, the walk ended and the tasks behind it were answered at their deadline only. The naive choice took agents without a connection, and assign dereferenced their nil session. Change: each walks over a copy and leaves out tasks released meanwhile; the naive choice leaves out endpoints with limit 0, in Choose and in Plan. Conclusion: the property test missed the first fault, because its agents have three places, so that rarely two jobs interleave at an agent that dies.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -221,3 +221,21 @@
 		c.Assert(last, qt.Equals, 2, qt.Commentf("sample %d delayed", delayed))
 	}
 }
+
+// TestNaiveLeavesOutUnreachable guards against a choice of an endpoint whose
+// agent has no connection.
+func TestNaiveLeavesOutUnreachable(t *testing.T) {
+	c := qt.New(t)
+	s := Snapshot{Policy: Naive, Endpoints: []Endpoint{{Run: 1}, {Run: 1, Limit: 1, Busy: 9}, {Run: 1}}}
+	for random := range uint64(10) {
+		var p Plan
+		p.Reset(s, random)
+		i, ok := p.Next(1, random)
+		c.Assert(ok && i == 1, qt.IsTrue)
+		i, ok = Choose(s, random)
+		c.Assert(ok && i == 1, qt.IsTrue)
+	}
+	s.Endpoints = s.Endpoints[:1]
+	_, ok := Choose(s, 0)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -60,12 +60,29 @@
 
 func (e *Endpoint) open() bool { return !e.Skip && e.Busy < e.Limit }
 
-// chooseNaive is the reference policy: uniform, blind to load and health.
+// chooseNaive is the reference policy: uniform, blind to load and health. It
+// leaves out endpoints that can't be given tasks at all: their limit is zero.
 func chooseNaive(s Snapshot, random uint64) (int, bool) {
-	if len(s.Endpoints) == 0 {
+	n := 0
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Limit > 0 {
+			n++
+		}
+	}
+	if n == 0 {
 		return 0, false
 	}
-	return int(random % uint64(len(s.Endpoints))), true
+	k := int(random % uint64(n))
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Limit <= 0 {
+			continue
+		}
+		if k == 0 {
+			return i, true
+		}
+		k--
+	}
+	return 0, false
 }
 
 // chooseTwo takes the less loaded of two random open endpoints.
--- a/balance/plan.go
+++ b/balance/plan.go
@@ -25,7 +25,7 @@
 	p.random = s.Policy == TwoChoices
 	p.fastest = math.MaxInt64
 	p.start = 0
-	if len(s.Endpoints) == 0 || s.Policy == Naive {
+	if len(s.Endpoints) == 0 {
 		return
 	}
 	p.start = int(random % uint64(len(s.Endpoints)))
@@ -34,20 +34,17 @@
 		if !e.Skip {
 			p.fastest = min(p.fastest, e.Run)
 		}
-		if e.open() {
+		if s.Policy == Naive && e.Limit > 0 || s.Policy != Naive && e.open() {
 			p.open = append(p.open, i)
 		}
 	}
-	if !p.random {
+	if !p.random && s.Policy != Naive {
 		heap.Init((*planHeap)(p))
 	}
 }
 
 // Open reports whether an endpoint has room for a task.
 func (p *Plan) Open() bool {
-	if p.s.Policy == Naive {
-		return len(p.s.Endpoints) > 0
-	}
 	return len(p.open) > 0
 }
 
@@ -58,7 +55,7 @@
 	case !p.Open():
 		return 0, false
 	case p.s.Policy == Naive:
-		return chooseNaive(p.s, random)
+		return p.open[random%uint64(len(p.open))], true
 	case p.random:
 		n := uint64(len(p.open))
 		a, b := p.open[(random&0xffffffff)%n], p.open[(random>>32)%n]
--- a/dispatch/admit_test.go
+++ b/dispatch/admit_test.go
@@ -360,3 +360,31 @@
 		c.Assert(w.d.leaks(), qt.IsNil)
 	})
 }
+
+// TestLostAgentSettlesAllJobs guards against tasks of a lost agent that are left
+// unsettled because another job was given up meanwhile. The jobs are interleaved
+// at the agent, so that giving up one releases tasks all over its list.
+func TestLostAgentSettlesAllJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(&faults{none: true}, 0)
+		defer w.close()
+		a := &fakeAgent{d: w.d, rec: w.rec, faults: &faults{none: true}, id: ids.Incarnation{Name: "agent-0", Number: 1},
+			slots: 40, run: 9 * time.Second, tasks: map[uint64]*fakeTask{}}
+		a.connect()
+		<-time.After(10 * time.Millisecond)
+		var wg sync.WaitGroup
+		all := make([]*submitted, 8)
+		for i := range all {
+			all[i] = &submitted{job: testJob(0, "stock-check", fmt.Sprint(i), false, 4, 15*time.Second)}
+			wg.Go(func() { w.run(all[i]) })
+		}
+		<-time.After(100 * time.Millisecond)
+		a.die(false)
+		wg.Wait()
+		for _, s := range all {
+			c.Assert(s.ended.Sub(s.began) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", s.ended.Sub(s.began)))
+			c.Assert(s.answer.Err.Kind, qt.Equals, errkind.AgentLost)
+		}
+	})
+}
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -132,12 +132,21 @@
 	a.inFlight--
 }
 
-// each calls f for every task with a ref at the agent. f may release the task.
+// each calls f for every task with a ref at the agent. f may release the task
+// and, by giving up its job, other tasks; those are left out.
 func (a *agent) each(f func(*task)) {
-	for t := a.oldest; t != nil; {
-		next := t.next
-		f(t)
-		t = next
+	type attempt struct {
+		t   *task
+		ref uint64
+	}
+	all := make([]attempt, 0, a.inFlight)
+	for t := a.oldest; t != nil; t = t.next {
+		all = append(all, attempt{t, t.ref})
+	}
+	for _, x := range all {
+		if x.t.ref == x.ref {
+			f(x.t)
+		}
 	}
 }
 
