--- a/balance/choose.go
+++ b/balance/choose.go
@@ -60,27 +60,27 @@
 
 func (e *Endpoint) open() bool { return !e.Skip && e.Busy < e.Limit }
 
-// chooseNaive is the reference policy: uniform, blind to load and health. Only
-// endpoints that can be given no task at all, whose Limit is 0, are left out.
+// chooseNaive is the reference policy: uniform, blind to load and health. It
+// leaves out endpoints that can't be given tasks at all: their limit is zero.
 func chooseNaive(s Snapshot, random uint64) (int, bool) {
-	reachable := 0
+	n := 0
 	for i := range s.Endpoints {
 		if s.Endpoints[i].Limit > 0 {
-			reachable++
+			n++
 		}
 	}
-	if reachable == 0 {
+	if n == 0 {
 		return 0, false
 	}
-	n := int(random % uint64(reachable))
+	k := int(random % uint64(n))
 	for i := range s.Endpoints {
-		if s.Endpoints[i].Limit == 0 {
+		if s.Endpoints[i].Limit <= 0 {
 			continue
 		}
-		if n == 0 {
+		if k == 0 {
 			return i, true
 		}
-		n--
+		k--
 	}
 	return 0, false
 }
--- a/dispatch/agent.go
+++ b/dispatch/agent.go
@@ -132,16 +132,20 @@
 	a.inFlight--
 }
 
-// each calls f for every task with a ref at the agent. f may release any task:
-// giving up a job releases its other tasks, which are then left out.
+// each calls f for every task with a ref at the agent. f may release the task
+// and, by giving up its job, other tasks; those are left out.
 func (a *agent) each(f func(*task)) {
-	tasks := make([]*task, 0, a.inFlight)
+	type attempt struct {
+		t   *task
+		ref uint64
+	}
+	all := make([]attempt, 0, a.inFlight)
 	for t := a.oldest; t != nil; t = t.next {
-		tasks = append(tasks, t)
+		all = append(all, attempt{t, t.ref})
 	}
-	for _, t := range tasks {
-		if t.agent == a && t.ref != 0 {
-			f(t)
+	for _, x := range all {
+		if x.t.ref == x.ref {
+			f(x.t)
 		}
 	}
 }
