dispatch: the Ack of a Drain is sent after the Starts of the same batch

Cause: flush sent Acks first. A draining agent that has its Ack may close the connection, and a Start behind it then ends as may_have_run instead of not_run. Change: Acks are sent after Starts, Cancels and Settles. Measured: TestAckFollowsStarts fails with the old order and passes with the new.

--- /dev/null
+++ b/dispatch/flush_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/ids"
+	"oriolerelay/wire"
+)
+
+// orderLink records the types of the messages in the order of sending.
+type orderLink struct{ sent []wire.Type }
+
+func (l *orderLink) Send(_ context.Context, m wire.Message) error {
+	l.sent = append(l.sent, m.MessageType())
+	return nil
+}
+
+func (l *orderLink) Reply(_ context.Context, _ uint64, m wire.Message) error {
+	return l.Send(context.Background(), m)
+}
+
+func (l *orderLink) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
+	return nil, l.Send(ctx, m)
+}
+
+func (l *orderLink) Close() error { return nil }
+
+// Guards against a Start that follows the Ack of a Drain: the agent may have
+// closed the connection by then, and the task ends as may_have_run.
+func TestAckFollowsStarts(t *testing.T) {
+	c := qt.New(t)
+	d := New(Config{Self: ids.NewIncarnation("entry-1"), State: testState})
+	l := &orderLink{}
+	a := &agent{id: ids.NewIncarnation("agent-1")}
+	s := &session{d: d, agent: a, link: l, ctx: c.Context(), wake: make(chan struct{}, 1), lastSent: time.Now()}
+	a.session = s
+	j := newJob(c.Context(), testJob(1, "quote", "order-1", false, 1, time.Minute), time.Now())
+	d.mu.Lock()
+	d.assign(&j.tasks[0], a)
+	d.mu.Unlock()
+	s.acks = []uint64{1}
+	s.flush()
+	c.Assert(l.sent, qt.DeepEquals, []wire.Type{wire.TypeStart, wire.TypeAck})
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -206,12 +206,10 @@
 }
 
 // flush sends what is waiting. A Start leaves before any Cancel or Settle of
-// its tasks, so that on one connection these never overtake it.
+// its tasks, so that on one connection these never overtake it, and before the
+// Ack of a Drain, after which an agent may close the connection.
 func (s *session) flush() {
 	b := s.take(time.Now())
-	for _, id := range b.acks {
-		_ = s.link.Reply(s.ctx, id, &wire.Ack{}) // a failed connection ends the session
-	}
 	if b.state != nil {
 		_ = s.link.Send(s.ctx, b.state)
 	}
@@ -222,6 +220,9 @@
 	if len(b.settles) > 0 {
 		go s.settle(b.settles)
 	}
+	for _, id := range b.acks {
+		_ = s.link.Reply(s.ctx, id, &wire.Ack{}) // a failed connection ends the session
+	}
 	if b.beat != nil {
 		_ = s.link.Send(s.ctx, b.beat)
 	}
