members: unanimous confirmation, switched off

Cause: two seconds after the log goes down every caller-chosen id is refused as home_unknown, although no membership record may have been written.

Ruled out: statements alone. A join that a new process appends itself takes effect unknown to members that are cut off, so the fold now accepts a new name only by a member (wire.Sponsor asks for it), a restart only if it names the incarnation that it replaces, and a leave only by a member.

Change: entries state Next, AtMS and Quiet on heartbeats; Follower.Home uses the statements when WithConfirmation is set. No program sets it yet. A takeover needs ten minutes of a readable log without an answer, not even a refusal, of any member.

Tests changed: records of the tests carry By and Replaces, and the naive view applies the same rule; followers of one test sponsor each other. A leave step of the race test read a field that a later step replaces (race detector); it takes the follower first now. No bound changed.

--- a/entry/home.go
+++ b/entry/home.go
@@ -17,6 +17,11 @@
 		return s.self, nil
 	}
 	home, err := s.members.Home(id, team, time.UnixMilli(submittedAt))
+	if err != nil {
+		if other, ok := s.route(team, id, err); ok {
+			return other, nil
+		}
+	}
 	if err == nil && home.Name == s.self.Name && home != s.self {
 		err = errHomeLost(home) // an earlier process of this entry's name
 	}
--- a/entry/internal.go
+++ b/entry/internal.go
@@ -20,6 +20,7 @@
 
 func (s *Server) acceptInternal(c *transport.Conn) transport.Handler {
 	s.conns.add(c)
+	s.offerView(c.PeerHello)
 	if c.PeerHello.Role != wire.RoleAgent {
 		return &peerConn{server: s}
 	}
@@ -59,7 +60,10 @@
 	case *wire.Fetch:
 		s.serveCall(c, f.CallID, m.Offset, func() reply { return s.serveFetch(m) })
 	case *wire.Heartbeat:
+		s.stated(c, m)
 		s.peerTicket(c, m.Ticket)
+	case *wire.Sponsor:
+		s.serveSponsor(c, f.CallID, m)
 	case *wire.State:
 		s.offerState(c, m)
 	case *wire.Hello:
@@ -84,7 +88,9 @@
 func (s *Server) hello() wire.Hello {
 	h := s.place
 	h.Ticket = s.tickets.Load().Number
+	s.describeView(&h)
 	h.Entries = s.members.Addresses()
+	h.ViewSize = len(h.Entries)
 	if a := s.address.Load(); a != nil && !slices.ContainsFunc(h.Entries, func(e wire.EntryAddress) bool { return e.Node == s.self }) {
 		h.Entries = append(slices.Clone(h.Entries), wire.EntryAddress{Node: s.self, Address: *a, Region: s.place.Region})
 	}
@@ -96,7 +102,7 @@
 func (s *Server) setAddress(address string) { s.address.Store(&address) }
 
 func (s *Server) heartbeat() *wire.Heartbeat {
-	return &wire.Heartbeat{Ticket: s.tickets.Load().Number}
+	return &wire.Heartbeat{Ticket: s.tickets.Load().Number, Members: s.statement()}
 }
 
 // peerTicket sends the configuration to a peer whose ticket number is lower.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -37,6 +37,7 @@
 	dial    func(ctx context.Context, address string) (*transport.Conn, error)
 	members Members
 	beat    func() *wire.Heartbeat
+	offer   func(wire.Hello) // takes the hello of a peer
 	log     *event.Logger
 
 	mu      sync.Mutex
@@ -159,6 +160,7 @@
 	l.conn, l.node, l.failed, l.since = conn, conn.PeerHello.Node, false, time.Now()
 	p.signal()
 	p.mu.Unlock()
+	p.offer(conn.PeerHello)
 	p.learn(conn.PeerHello.Entries)
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -91,6 +91,7 @@
 		Window: milliseconds(s.WindowMS), Tolerance: milliseconds(s.ToleranceMS), Logger: log, Registry: reg, Tracer: tracer,
 		Record: submission.Config{MaxEntries: s.RecordEntries, MaxBytes: s.RecordBytes},
 	})
+	d.members.SetAsk(d.server.askSponsor)
 	if err := d.listen(opts); err != nil {
 		d.close()
 		return nil, err
--- a/entry/server.go
+++ b/entry/server.go
@@ -59,6 +59,7 @@
 	disp      Dispatcher
 	tickets   Tickets
 	members   Members
+	confirm   Confirmer // nil when Members has no such part
 	creds     credentials
 	log       *event.Logger
 	registry  *prometheus.Registry
@@ -101,6 +102,7 @@
 		tolerance: orDefault(o.Tolerance, defaultTolerance),
 		tracer:    o.Tracer,
 	}
+	s.confirm, _ = o.Members.(Confirmer)
 	if s.tracer == nil {
 		s.tracer = noop.NewTracerProvider().Tracer("")
 	}
@@ -122,6 +124,7 @@
 		dial:    s.dialPeer(o.Transport),
 		members: o.Members,
 		beat:    s.heartbeat,
+		offer:   s.offerView,
 		log:     o.Logger,
 	}
 	s.peers.init()
--- a/event/control.go
+++ b/event/control.go
@@ -20,5 +20,7 @@
 	MemberAppendFail = define(142, Warn, "member record could not be appended")
 	MemberRejoins    = define(143, Warn, "own membership was ended by a peer, joining again")
 	MemberReplaced   = define(145, Error, "another process joined with the same name")
+	MemberNoSponsor  = define(150, Warn, "no member has appended the own join record")
+	MemberTakeover   = define(151, Error, "memberships ended and taken over, no member was reached")
 	MembersReset     = define(144, Warn, "membership restarted without older records")
 )
--- a/members/follower.go
+++ b/members/follower.go
@@ -41,10 +41,15 @@
 )
 
 // Option changes a Follower at construction.
-type Option func(*follow.Options)
+type Option func(*options)
+
+type options struct {
+	follow  follow.Options
+	confirm bool
+}
 
 // WithRetention makes the follower write snapshots before records expire after d.
-func WithRetention(d time.Duration) Option { return func(o *follow.Options) { o.Retention = d } }
+func WithRetention(d time.Duration) Option { return func(o *options) { o.follow.Retention = d } }
 
 // Follower keeps the membership and places submissions. Its methods are safe for
 // concurrent use.
@@ -55,9 +60,17 @@
 
 	appends *prometheus.CounterVec
 
-	mu     sync.Mutex
-	self   Member // zero when this process is no member
-	upkeep upkeep
+	ask     AskFunc
+	confirm bool
+
+	// mu guards the fields below. No other lock is taken under it.
+	mu       sync.Mutex
+	self     Member          // zero when this process is no member
+	node     ids.Incarnation // of the last Join; it stays after Leave
+	upkeep   upkeep
+	appended openAppends
+	offered  *offeredView // only while there is no fold
+	stated   map[ids.Incarnation]wire.MemberStatement
 }
 
 // upkeep holds the timers of the records that this process owes the log.
@@ -70,15 +83,20 @@
 	replaced    bool
 	pause       time.Duration
 	noBaseSince time.Time
+	aloneSince  time.Time // since when no member appends the own join record
+	sponsoredAt map[ids.Incarnation]time.Time
 }
 
 // NewFollower returns a follower that knows no members. log may be nil.
 func NewFollower(client *platform.Client, log *event.Logger, opts ...Option) *Follower {
-	o := follow.Options{Log: log}
+	f := &Follower{client: client, log: log, appends: newAppends()}
+	o := options{follow: follow.Options{Log: log, OnFolded: f.onFolded}}
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return &Follower{client: client, log: log, records: follow.New(client, Stream, machine{}, o), appends: newAppends()}
+	f.confirm = o.confirm
+	f.records = follow.New(client, Stream, machine{}, o.follow)
+	return f
 }
 
 // Run follows the log and appends the records that are due, until ctx ends. It
@@ -113,10 +131,15 @@
 // HomeLost (with the incarnation, which has ended). A home that only left is
 // returned without error, since it may still answer.
 func (f *Follower) Home(sub ids.Submission, team string, submittedAt time.Time) (ids.Incarnation, error) {
-	s, knownMS, ok := f.State()
+	at := submittedAt.UnixMilli()
+	p := f.records.Position()
+	knownMS := p.KnownMS
+	if !sub.Issued() && !Complete(knownMS, at) {
+		p, knownMS = f.knowledge()
+	}
 	switch {
-	case ok:
-		return s.home(sub, team, submittedAt.UnixMilli(), knownMS)
+	case p.Folding:
+		return p.State.home(sub, team, at, knownMS)
 	case sub.Issued():
 		return sub.Home, nil
 	}
@@ -177,7 +200,7 @@
 // the follower continues to try.
 func (f *Follower) Join(ctx context.Context, m Member) error {
 	f.mu.Lock()
-	f.self = m
+	f.self, f.node = m, m.Node
 	f.upkeep.joinAt = time.Time{}
 	if s, _, ok := f.State(); ok {
 		d, _ := s.departed(m.Node) // its own earlier leave is no reason to wait
@@ -224,7 +247,13 @@
 }
 
 func (f *Follower) append(ctx context.Context, r record) error {
-	_, err := f.client.Append(ctx, Stream, r)
+	f.mu.Lock()
+	r.Seq = f.appended.begin(r.By)
+	f.mu.Unlock()
+	pos, err := f.client.Append(ctx, Stream, r)
+	f.mu.Lock()
+	f.appended.end(r.Seq, pos, err, time.Now(), f.records.Position().Next)
+	f.mu.Unlock()
 	result := "ok"
 	if err != nil {
 		result = "failed"
@@ -233,3 +262,10 @@
 	f.appends.WithLabelValues(r.Type, result).Inc()
 	return err
 }
+
+// onFolded closes the appends that a read has shown.
+func (f *Follower) onFolded(r follow.Folded) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.appended.folded(r)
+}
--- a/members/follower_test.go
+++ b/members/follower_test.go
@@ -27,8 +27,11 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		server := standin.New()
+		var all []*Follower
 		test(c, server, func() *Follower {
 			f := NewFollower(platform.NewClient("http://platform", platform.WithTransport(server.Transport())), nil)
+			f.SetAsk(askAmong(func() []*Follower { return all }))
+			all = append(all, f)
 			go func() { _ = f.Run(ctx) }()
 			synctest.Wait()
 			return f
@@ -38,6 +41,25 @@
 	})
 }
 
+// askAmong returns an AskFunc that reaches the members among the followers.
+func askAmong(followers func() []*Follower) AskFunc {
+	return func(ctx context.Context, member ids.Incarnation, m Member) error {
+		for _, f := range followers() {
+			f.mu.Lock()
+			node := f.node
+			f.mu.Unlock()
+			if node != member {
+				continue
+			}
+			if err := f.Sponsor(ctx, m); err != nil {
+				return fmt.Errorf("%w: %w", ErrRefused, err)
+			}
+			return nil
+		}
+		return errNoSponsor
+	}
+}
+
 func mustParse(c *qt.C, id string) ids.Submission {
 	sub, err := ids.ParseSubmission(id)
 	c.Assert(err, qt.IsNil)
--- a/members/members.go
+++ b/members/members.go
@@ -76,14 +76,22 @@
 	// typeReset ends all memberships. It is a base for readers when older records
 	// have expired without a snapshot.
 	typeReset = "reset"
+	// typeTakeover ends all memberships and joins the writer, which reached no member
+	// for takeoverAfter.
+	typeTakeover = "takeover"
 )
 
 // record is a membership record.
 type record struct {
 	Type   string `json:"type"`
 	Member Member `json:"member,omitzero"`
-	// By is the entry that appended the record.
+	// By is the entry incarnation that appended the record.
 	By string `json:"by,omitempty"`
+	// Seq is the sequence number of the append among those of By. It tells a record
+	// from its repetition after a lost answer.
+	Seq uint64 `json:"seq,omitempty"`
+	// Replaces is the ended incarnation whose name a restarted process takes.
+	Replaces string `json:"replaces,omitempty"`
 }
 
 // decodeRecord parses a record of the stream. Unknown fields are ignored.
@@ -95,7 +103,7 @@
 	switch r.Type {
 	case typeReset:
 		return r, nil
-	case typeJoin, typeLeave:
+	case typeJoin, typeLeave, typeTakeover:
 		if !ids.ValidName(r.Member.Node.Name) {
 			return record{}, fmt.Errorf("%s of an invalid name %q", r.Type, r.Member.Node.Name)
 		}
@@ -120,9 +128,17 @@
 	switch rec.Type {
 	case typeReset:
 		return resetState(r)
+	case typeTakeover:
+		return s.takeover(rec.Member, r.TimeMS)
 	case typeJoin:
+		if !s.mayJoin(rec) {
+			return s
+		}
 		return s.join(rec.Member, r.TimeMS)
 	}
+	if !s.byMember(rec) {
+		return s
+	}
 	return s.leave(rec.Member.Node, r.TimeMS)
 }
 
@@ -156,6 +172,20 @@
 	return s.with(joined, departed, stamp)
 }
 
+// takeover replaces all members by m.
+func (s *State) takeover(m Member, stamp int64) *State {
+	if d, ok := s.departed(m.Node); ok && d.Replaced {
+		return s // a delayed append of an incarnation that has ended
+	}
+	departed := withoutIncarnation(s.Departed, m.Node)
+	for _, old := range s.Newest().Members {
+		if old.Node != m.Node {
+			departed = append(departed, Departed{Member: old, StampMS: stamp})
+		}
+	}
+	return s.with([]Member{m}, markReplaced(departed, m.Node), stamp)
+}
+
 func (s *State) leave(node ids.Incarnation, stamp int64) *State {
 	members := s.Newest().Members
 	i, found := findName(members, node.Name)
--- a/members/race_test.go
+++ b/members/race_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +56,7 @@
 type race struct {
 	ctx     context.Context
 	server  *standin.Server
+	mu      sync.Mutex // guards running against the asking processes
 	running [3]raceEntry
 	// all holds stopped followers too: a paused process may still answer.
 	all      []*Follower
@@ -72,13 +74,34 @@
 	ctx, stop := context.WithCancel(r.ctx)
 	client := platform.NewClient("http://platform", platform.WithTransport(r.server.Transport()))
 	f := NewFollower(client, nil, WithRetention(testRetention))
+	f.SetAsk(askAmong(r.runningFollowers))
 	go func() { _ = f.Run(ctx) }()
 	m := testMember(fmt.Sprintf("entry-%d", i), r.started)
 	go func() { _ = f.Join(ctx, m) }()
-	r.running[i] = raceEntry{follower: f, stop: stop}
+	r.set(i, raceEntry{follower: f, stop: stop})
 	r.all = append(r.all, f)
 }
 
+// runningFollowers returns the followers that can be asked.
+func (r *race) runningFollowers() []*Follower {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*Follower
+	for _, e := range r.running {
+		if e.stop != nil {
+			list = append(list, e.follower)
+		}
+	}
+	return list
+}
+
+// set replaces the process of entry i.
+func (r *race) set(i int, e raceEntry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[i] = e
+}
+
 func (r *race) step(s raceStep) {
 	e := &r.running[s.Entry]
 	switch s.Kind {
@@ -87,11 +110,12 @@
 	case "stop": // without a leave record
 		if e.stop != nil {
 			e.stop()
-			e.stop = nil
+			r.set(s.Entry, raceEntry{follower: e.follower})
 		}
 	case "leave":
 		if e.stop != nil {
-			go func() { _ = e.follower.Leave(r.ctx) }()
+			f := e.follower // a later step may replace the entry's process
+			go func() { _ = f.Leave(r.ctx) }()
 		}
 	case "silent": // everybody else, rightly or wrongly
 		if e.stop != nil {
@@ -158,7 +182,7 @@
 	for i := range r.running {
 		if r.running[i].stop != nil {
 			r.running[i].stop()
-			r.running[i].stop = nil
+			r.set(i, raceEntry{follower: r.running[i].follower})
 		}
 		r.start(i)
 		want = append(want, fmt.Sprintf("entry-%d", i))
@@ -225,6 +249,37 @@
 	})
 }
 
+// Guards against the same when each side reports the other only while it is in the
+// view, and then lets it join again. Both leave records are written each time, but
+// the fold ignores the second.
+func TestMutualSuspicionOfMembersWritesFewRecords(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		a, b := start(), start()
+		c.Assert(a.Join(c.Context(), testMember("entry-a", 1)), qt.IsNil)
+		c.Assert(b.Join(c.Context(), testMember("entry-b", 2)), qt.IsNil)
+		const minutes = 10
+		for range minutes * 60 {
+			for _, f := range []*Follower{a, b} {
+				var others []ids.Incarnation
+				for _, e := range f.Addresses() {
+					if e.Node != f.node {
+						others = append(others, e.Node)
+					}
+				}
+				f.ReportSilent(others)
+			}
+			time.Sleep(time.Second)
+		}
+		client := platform.NewClient("http://platform", platform.WithTransport(server.Transport()))
+		batch, err := client.Read(c.Context(), Stream, 0, 1000)
+		c.Assert(err, qt.IsNil)
+		// Pauses of 5 s to 160 s give at most 8 rejoins of each side, with a join and
+		// two leave records each.
+		c.Assert(len(batch.Records) <= 2+2*8*3, qt.IsTrue, qt.Commentf("%d records", len(batch.Records)))
+		c.Assert(len(batch.Records) > 2+3, qt.IsTrue, qt.Commentf("%d records, none joined again", len(batch.Records)))
+	})
+}
+
 // Guards against several leave records for one silent member, and against none
 // when the first in turn is silent too.
 func TestLeaveTurns(t *testing.T) {
--- a/members/upkeep.go
+++ b/members/upkeep.go
@@ -28,7 +28,11 @@
 
 // maintain appends the records that are due.
 func (f *Follower) maintain(ctx context.Context) {
-	for _, r := range f.due(time.Now()) {
+	due := f.due(time.Now())
+	if due.ask {
+		f.askMembers(ctx, due.view, due.member)
+	}
+	for _, r := range due.records {
 		if err := f.append(ctx, r); err != nil {
 			continue
 		}
@@ -43,22 +47,35 @@
 	}
 }
 
-// due returns the records to append now and notes the attempts.
-func (f *Follower) due(now time.Time) []record {
+// dueWork is what this process owes the log at present.
+type dueWork struct {
+	records []record
+	// ask means that the members of view are to be asked to append the join record
+	// of member.
+	ask    bool
+	view   View
+	member Member
+}
+
+// due returns the work to do now and notes the attempts.
+func (f *Follower) due(now time.Time) dueWork {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.records.Position()
 	if now.Sub(p.ReadAt) > staleAfter {
-		return nil // the log is down, or what it holds is unknown
+		f.upkeep.aloneSince = time.Time{} // counts only while the log shows the view
+		return dueWork{}                  // the log is down, or what it holds is unknown
 	}
 	if !p.Folding {
-		return f.dueReset(p.NoBase, now)
+		return dueWork{records: f.dueReset(p.NoBase, now)}
 	}
 	f.upkeep.noBaseSince = time.Time{}
 	if f.self.Node.IsZero() {
-		return nil
+		return dueWork{}
 	}
-	return append(f.dueJoin(p.State, now), f.dueLeaves(p.State, now)...)
+	w := f.dueJoin(p.State, now)
+	w.records = append(w.records, f.dueLeaves(p.State, now)...)
+	return w
 }
 
 // dueReset starts the membership anew when the records before the kept ones are
@@ -80,7 +97,7 @@
 	return []record{{Type: typeReset, By: f.self.Node.String()}}
 }
 
-func (f *Follower) dueJoin(s *State, now time.Time) []record {
+func (f *Follower) dueJoin(s *State, now time.Time) dueWork {
 	u := &f.upkeep
 	if s.has(f.self.Node) {
 		if u.joinedSince.IsZero() {
@@ -89,7 +106,8 @@
 		if now.Sub(u.joinedSince) > stableAfter {
 			u.pause = 0
 		}
-		return nil
+		u.aloneSince = time.Time{}
+		return dueWork{}
 	}
 	u.joinedSince = time.Time{}
 	d, removed := s.departed(f.self.Node)
@@ -98,7 +116,7 @@
 			u.replaced = true
 			f.log.Log(event.MemberReplaced, "member", f.self.Node)
 		}
-		return nil
+		return dueWork{}
 	}
 	// The stamp tells a new removal even when the join before it was never seen
 	// in force, because both records came with one read.
@@ -109,18 +127,33 @@
 		f.log.Log(event.MemberRejoins, "member", f.self.Node, "after", u.pause)
 	}
 	if now.Before(u.joinAt) {
-		return nil
+		return dueWork{}
 	}
 	u.joinAt = now.Add(appendPause)
-	return []record{{Type: typeJoin, Member: f.self, By: f.self.Node.String()}}
+	return f.joinWork(s)
+}
+
+// joinWork returns the way in which this process may join now.
+func (f *Follower) joinWork(s *State) dueWork {
+	view := s.Newest()
+	r := record{Type: typeJoin, Member: f.self, By: f.self.Node.String()}
+	i, restart := findName(view.Members, f.self.Node.Name)
+	switch {
+	case len(view.Members) == 0:
+	case restart:
+		r.Replaces = view.Members[i].Node.String()
+	default:
+		return dueWork{ask: true, view: view, member: f.self}
+	}
+	return dueWork{records: []record{r}}
 }
 
 func (f *Follower) dueLeaves(s *State, now time.Time) []record {
 	u := &f.upkeep
 	var records []record
 	for node, since := range u.silent {
-		if !s.has(node) || node == f.self.Node {
-			continue
+		if !s.has(node) || node == f.self.Node || !s.has(f.self.Node) {
+			continue // only a member's record counts
 		}
 		if now.Sub(since) < leaveDelay(s.Newest().Members, u.silent, node, f.self.Node) {
 			continue
--- a/members/views_test.go
+++ b/members/views_test.go
@@ -26,18 +26,25 @@
 			continue
 		}
 		node := rec.Member.Node
+		byMember := false
+		for _, m := range view {
+			byMember = byMember || m.Node.String() == rec.By
+		}
+		old, held := view[node.Name]
+		self := rec.By == node.String() && (old.Node == node || old.Node.String() == rec.Replaces)
+		allowed := byMember && !held || held && self || len(view) == 0
 		switch rec.Type {
 		case typeReset:
 			clear(view)
 			clear(ended)
 			clear(left)
 		case typeLeave:
-			if view[node.Name].Node == node {
+			if byMember && view[node.Name].Node == node {
 				delete(view, node.Name)
 				left[node] = true
 			}
 		case typeJoin:
-			if ended[node] {
+			if ended[node] || !allowed {
 				continue
 			}
 			if old, ok := view[node.Name]; ok && old.Node != node {
@@ -62,6 +69,10 @@
 		stamp += rapid.SampledFrom([]int64{0, 0, 1, 500, LeadMS, 100_000}).Draw(rt, "ms")
 		rec := record{Type: typeJoin, Member: testMember(
 			rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name"), uint64(rapid.IntRange(1, 3).Draw(rt, "number")))}
+		rec.By, rec.Replaces = drawNode(rt, "by"), drawNode(rt, "replaces")
+		if rapid.Bool().Draw(rt, "self") {
+			rec.By = rec.Member.Node.String()
+		}
 		switch rapid.IntRange(0, 12).Draw(rt, "type") {
 		case 0, 1, 2, 3:
 			rec.Type = typeLeave
@@ -77,6 +88,13 @@
 	return history
 }
 
+func drawNode(rt *rapid.T, label string) string {
+	return ids.Incarnation{
+		Name:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, label+" name"),
+		Number: uint64(rapid.IntRange(1, 3).Draw(rt, label+" number")),
+	}.String()
+}
+
 // foldPrefix folds records, with restarts from snapshots, and returns the time
 // from which views must be kept.
 func foldPrefix(rt *rapid.T, history []platform.Record) (s *State, keptFrom int64) {
@@ -193,7 +211,11 @@
 	c := qt.New(t)
 	s := EmptyState()
 	apply := func(stamp int64, kind string, m Member) {
-		value, err := json.Marshal(record{Type: kind, Member: m})
+		r := record{Type: kind, Member: m, By: m.Node.String()}
+		if members := s.Newest().Members; len(members) > 0 {
+			r.Replaces = members[0].Node.String()
+		}
+		value, err := json.Marshal(r)
 		c.Assert(err, qt.IsNil)
 		s = s.Apply(platform.Record{TimeMS: stamp, Value: value})
 	}
@@ -231,7 +253,14 @@
 func benchmarkState(b *testing.B) *State {
 	s := EmptyState()
 	for i := range 2 * maxDeparted {
-		value, err := json.Marshal(record{Type: typeJoin, Member: testMember(fmt.Sprintf("entry-%d", i%12), uint64(i))})
+		r := record{Type: typeJoin, Member: testMember(fmt.Sprintf("entry-%d", i%12), uint64(i))}
+		members := s.Newest().Members
+		if k, found := findName(members, r.Member.Node.Name); found {
+			r.By, r.Replaces = r.Member.Node.String(), members[k].Node.String()
+		} else if len(members) > 0 {
+			r.By = members[0].Node.String()
+		}
+		value, err := json.Marshal(r)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -260,7 +289,11 @@
 // BenchmarkApply measures one join among 12 entries with a full history.
 func BenchmarkApply(b *testing.B) {
 	s := benchmarkState(b)
-	value, err := json.Marshal(record{Type: typeJoin, Member: testMember("entry-1", 1<<40)})
+	m := testMember("entry-1", 1<<40)
+	i, _ := findName(s.Newest().Members, "entry-1")
+	value, err := json.Marshal(record{
+		Type: typeJoin, Member: m, By: m.Node.String(), Replaces: s.Newest().Members[i].Node.String(),
+	})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -37,13 +37,14 @@
 	TypeForwarded Type = 13
 	TypeAck       Type = 14
 	TypeFetch     Type = 15
+	TypeSponsor   Type = 16
 )
 
 var typeNames = [...]string{
 	TypeHello: "hello", TypeState: "state", TypeAnnounce: "announce", TypeHeartbeat: "heartbeat",
 	TypeStart: "start", TypeResult: "result", TypeRefused: "refused", TypeSettle: "settle",
 	TypeSettled: "settled", TypeCancel: "cancel", TypeDrain: "drain", TypeForward: "forward",
-	TypeForwarded: "forwarded", TypeAck: "ack", TypeFetch: "fetch",
+	TypeForwarded: "forwarded", TypeAck: "ack", TypeFetch: "fetch", TypeSponsor: "sponsor",
 }
 
 // String returns the lower-case message name used in metrics.
@@ -78,6 +79,10 @@
 	Entries []EntryAddress `cbor:"7,keyasint,omitempty"`
 	// Ticket is the number of the newest ticket that the sender has in force.
 	Ticket uint64 `cbor:"8,keyasint,omitempty"`
+	// ViewNext is the offset of the members stream up to which the sender knows the
+	// members, 0 without a fold. The first ViewSize entries are then its newest view.
+	ViewNext uint64 `cbor:"9,keyasint,omitempty"`
+	ViewSize int    `cbor:"10,keyasint,omitempty"`
 }
 
 // EntryAddress names an entry and its internal address as ip:port.
@@ -122,6 +127,8 @@
 type Heartbeat struct {
 	Ticket uint64 `cbor:"1,keyasint,omitempty"`
 	Load   Load   `cbor:"2,keyasint"`
+	// Members is the membership statement of an entry to a peer entry.
+	Members *MemberStatement `cbor:"3,keyasint,omitempty"`
 }
 
 // Load is an agent's current load over all entries.
@@ -311,6 +318,8 @@
 		return new(Ack)
 	case TypeFetch:
 		return new(Fetch)
+	case TypeSponsor:
+		return new(Sponsor)
 	}
 	return nil
 }
