--- a/entry/run.go
+++ b/entry/run.go
@@ -67,7 +67,7 @@
 		settings: s,
 		log:      log,
 		tickets:  ticket.NewFollower(client, log, ticket.WithRetention(retention)),
-		members:  members.NewFollower(client, log, members.WithRetention(retention)),
+		members:  members.NewFollower(client, log, members.WithRetention(retention), members.WithConfirmation()),
 	}
 	for _, c := range [][]prometheus.Collector{client.Collectors(), d.tickets.Collectors(), d.members.Collectors()} {
 		reg.MustRegister(c...)
