--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"oriolerelay/errkind"
+	"oriolerelay/platform"
+	"oriolerelay/platform/standin"
 	"oriolerelay/ticket"
 	"oriolerelay/wire"
 )
@@ -91,7 +94,9 @@
 		defer end()
 		b.start(l, starts(1, 2))
 		qt.Check(t, b.announce(Announcement{Service: "veil-desk", Address: "127.0.0.1:1", Leaving: true}), qt.Equals, errkind.Kind(""))
+		qt.Check(t, b.serving("127.0.0.1:1"), qt.IsTrue) // its call may not have arrived yet
 		time.Sleep(time.Second)
+		qt.Check(t, b.serving("127.0.0.1:1"), qt.IsFalse)
 		qt.Check(t, ends(conn), qt.DeepEquals, map[uint64]string{1: "done", 2: "no_endpoint"})
 		b.runner.run = func(*task) (wire.TaskResult, bool) {
 			return wire.TaskResult{Outcome: errkind.NotRun, Kind: errkind.ConnectionRefused}, true
@@ -185,3 +190,20 @@
 		<-lost
 	})
 }
+
+// Guards against the platform's refusal being taken for an outage, which would
+// keep an agent on a worker that another holds.
+func TestPlatformLeases(t *testing.T) {
+	c := qt.New(t)
+	srv := httptest.NewServer(standin.New())
+	defer srv.Close()
+	leases := PlatformLeases{platform.NewClient(srv.URL)}
+	c.Assert(leases.Renew(t.Context(), "worker-1", "agent-1.1", time.Minute), qt.IsNil)
+	c.Assert(leases.Renew(t.Context(), "worker-1", "agent-2.1", time.Minute), qt.ErrorIs, ErrLeaseHeld)
+	c.Assert(leases.Release(t.Context(), "worker-1", "agent-1.1"), qt.IsNil)
+	c.Assert(leases.Renew(t.Context(), "worker-1", "agent-2.1", time.Minute), qt.IsNil)
+	srv.Close()
+	err := leases.Renew(t.Context(), "worker-1", "agent-2.1", time.Minute)
+	c.Assert(err, qt.Not(qt.IsNil))
+	c.Assert(errors.Is(err, ErrLeaseHeld), qt.IsFalse)
+}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -161,3 +162,80 @@
 		}
 	})
 }
+
+// TestExcess compares the expected excess of the slowest of n tasks with drawn
+// ones. It guards against jobs that are accepted for their mean run time.
+func TestExcess(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1000, 0)
+	var k KindTimes
+	var e EndpointTimes
+	draw := func() float64 { return 100 + 20*rnd.NormFloat64() }
+	for range 1000 {
+		k.Learn(&e, time.Duration(draw()*float64(time.Millisecond)), now)
+	}
+	c.Assert(k.Excess(1), qt.Equals, time.Duration(0))
+	for _, n := range []int{10, 30, 150} {
+		const rounds = 300
+		var sum float64
+		for range rounds {
+			slowest := 0.0
+			for range n {
+				slowest = max(slowest, draw())
+			}
+			sum += slowest - 100
+		}
+		drawn, excess := sum/rounds, k.Excess(n).Seconds()*1000
+		c.Assert(excess > 0.8*drawn && excess < 1.6*drawn, qt.IsTrue, qt.Commentf("n %d: %v, drawn %v", n, excess, drawn))
+	}
+}
+
+// TestDelayedFirstSample guards against a fast endpoint that is never chosen
+// again because one of its first three samples was delayed.
+func TestDelayedFirstSample(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	runs := []time.Duration{20 * time.Millisecond, 10 * time.Millisecond, 5 * time.Millisecond}
+	for delayed := range 3 {
+		var k KindTimes
+		times := make([]EndpointTimes, len(runs))
+		last, fast := 0, 0
+		for i := range 40 {
+			if i > 0 {
+				s := Snapshot{Waiting: 1, Endpoints: make([]Endpoint, len(runs))}
+				for j := range runs {
+					s.Endpoints[j] = Endpoint{Slots: 8, Limit: 10, Run: k.ExpectForChoice(&times[j], 35*time.Millisecond, 0, now)}
+				}
+				last, _ = Choose(s, uint64(i))
+			}
+			run := runs[last]
+			if last == 2 {
+				if fast == delayed {
+					run += 30 * time.Millisecond
+				}
+				fast++
+			}
+			k.Learn(&times[last], run, now)
+		}
+		c.Assert(last, qt.Equals, 2, qt.Commentf("sample %d delayed", delayed))
+	}
+}
+
+// TestNaiveLeavesOutUnreachable guards against a choice of an endpoint whose
+// agent has no connection.
+func TestNaiveLeavesOutUnreachable(t *testing.T) {
+	c := qt.New(t)
+	s := Snapshot{Policy: Naive, Endpoints: []Endpoint{{Run: 1}, {Run: 1, Limit: 1, Busy: 9}, {Run: 1}}}
+	for random := range uint64(10) {
+		var p Plan
+		p.Reset(s, random)
+		i, ok := p.Next(1, random)
+		c.Assert(ok && i == 1, qt.IsTrue)
+		i, ok = Choose(s, random)
+		c.Assert(ok && i == 1, qt.IsTrue)
+	}
+	s.Endpoints = s.Endpoints[:1]
+	_, ok := Choose(s, 0)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/balance/times.go
+++ b/balance/times.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Learning of run times.
 const (
@@ -24,20 +27,28 @@
 	// without enough samples. With the typical time itself, an endpoint that is
 	// faster than the declaration would be chosen for ever and the others never tried.
 	untriedShare = 0.5
+	// Until an endpoint has settledSamples samples, it counts for the choice with
+	// at most leastFactor times its shortest run. One delayed sample among the
+	// first makes the mean of a fast endpoint look slow, and an endpoint that is
+	// not chosen gets no sample that corrects it.
+	settledSamples = 10
+	leastFactor    = 1.5
 	// unknownRun is assumed when nothing was declared or learned.
 	unknownRun = 100 * time.Millisecond
 )
 
 // KindTimes learns the run times of one kind over all endpoints.
 type KindTimes struct {
-	mean average
-	slow float64 // decayed slowest run time in ns
+	mean     average
+	variance float64 // moving average of squared deviations, ns²
+	slow     float64 // decayed slowest run time in ns
 }
 
 // EndpointTimes learns the run times of one kind at one endpoint.
 type EndpointTimes struct {
-	mean average
-	last time.Time
+	mean  average
+	least float64 // shortest run time in ns; zero without samples
+	last  time.Time
 }
 
 // average is an exponential moving average, whose first samples weigh equally.
@@ -60,9 +71,16 @@
 // Learn records the run time of a completed task.
 func (k *KindTimes) Learn(e *EndpointTimes, run time.Duration, now time.Time) {
 	x := float64(max(run, time.Microsecond))
+	deviation := x - k.mean.value
 	k.mean.add(x)
+	if k.mean.n > 1 {
+		k.variance += (deviation*deviation - k.variance) * max(slowWeight, 1/float64(k.mean.n))
+	}
 	k.slow = max(x, k.slow*slowDecay)
 	e.mean.add(x)
+	if e.least == 0 || x < e.least {
+		e.least = x
+	}
 	e.last = now
 }
 
@@ -74,6 +92,16 @@
 	e.last = now
 }
 
+// Excess returns by how much the slowest of n tasks is expected to exceed the
+// mean run time. It is the expected maximum of n normal deviates, an upper
+// estimate for the bounded run times of a kind.
+func (k *KindTimes) Excess(n int) time.Duration {
+	if n < 2 || !k.Learned() {
+		return 0
+	}
+	return time.Duration(math.Sqrt(2 * math.Log(float64(n)) * k.variance))
+}
+
 // Learned reports whether enough samples replace the declared run time.
 func (k *KindTimes) Learned() bool { return k.mean.n >= minSamples }
 
@@ -111,11 +139,14 @@
 }
 
 // ExpectForChoice returns the run time by which endpoints are compared. It is
-// that of Expect, but optimistic for an endpoint that has not been tried.
+// that of Expect, but optimistic for an endpoint that has few samples.
 func (k *KindTimes) ExpectForChoice(e *EndpointTimes, declared, waiting time.Duration, now time.Time) time.Duration {
 	run := k.Expect(e, declared, waiting, now)
 	if e.mean.n < minSamples && waiting < run {
 		return max(time.Duration(untriedShare*float64(run)), time.Microsecond)
 	}
+	if e.mean.n < settledSamples && e.least > 0 && waiting < run {
+		return min(run, time.Duration(leastFactor*e.least))
+	}
 	return run
 }
--- a/dispatch/admit_test.go
+++ b/dispatch/admit_test.go
@@ -316,3 +316,75 @@
 		c.Assert(s.verify(w.rec), qt.IsNil)
 	})
 }
+
+// refusingLink accepts no message, like a transport connection that has ended.
+type refusingLink struct{ countingLink }
+
+func (l *refusingLink) Send(context.Context, wire.Message) error { return errCut }
+
+// TestUnsentTaskGoesElsewhere guards against a job that waits or fails because
+// the transport did not accept a Start, although nothing was sent.
+func TestUnsentTaskGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := calm(1) // runs 20 ms
+		defer w.close()
+		s := w.d.attach(&refusingLink{}, wire.Hello{Node: ids.Incarnation{Name: "agent-x", Number: 1}})
+		defer s.stop()
+		s.handle(wire.Frame{Body: &wire.Announce{Service: "veil-desk", Slots: 100, Revision: 1}})
+		job := &submitted{job: testJob(0, "stock-check", "s", false, 6, 400*time.Millisecond)}
+		w.run(job)
+		c.Assert(job.answer.Err == nil, qt.IsTrue, qt.Commentf("%v", job.answer.Err))
+		c.Assert(job.verify(w.rec), qt.IsNil)
+	})
+}
+
+// TestMassCancellation guards against cancelled jobs that keep places in the
+// queue, quotas or bytes, and against a queue that stands still afterwards.
+func TestMassCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := calm(2)
+		defer w.close()
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				w.run(&submitted{job: testJob(i, "preview", fmt.Sprint(i), false, 5, 9*time.Second), cancelAfter: time.Second})
+			})
+		}
+		wg.Wait()
+		s := &submitted{job: testJob(0, "preview", "after", false, 4, time.Second)}
+		w.run(s)
+		c.Assert(s.answer.Err == nil, qt.IsTrue, qt.Commentf("%v", s.answer.Err))
+		<-time.After(5 * time.Second)
+		c.Assert(w.d.leaks(), qt.IsNil)
+	})
+}
+
+// TestLostAgentSettlesAllJobs guards against tasks of a lost agent that are left
+// unsettled because another job was given up meanwhile. The jobs are interleaved
+// at the agent, so that giving up one releases tasks all over its list.
+func TestLostAgentSettlesAllJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(&faults{none: true}, 0)
+		defer w.close()
+		a := &fakeAgent{d: w.d, rec: w.rec, faults: &faults{none: true}, id: ids.Incarnation{Name: "agent-0", Number: 1},
+			slots: 40, run: 9 * time.Second, tasks: map[uint64]*fakeTask{}}
+		a.connect()
+		<-time.After(10 * time.Millisecond)
+		var wg sync.WaitGroup
+		all := make([]*submitted, 8)
+		for i := range all {
+			all[i] = &submitted{job: testJob(0, "stock-check", fmt.Sprint(i), false, 4, 15*time.Second)}
+			wg.Go(func() { w.run(all[i]) })
+		}
+		<-time.After(100 * time.Millisecond)
+		a.die(false)
+		wg.Wait()
+		for _, s := range all {
+			c.Assert(s.ended.Sub(s.began) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", s.ended.Sub(s.began)))
+			c.Assert(s.answer.Err.Kind, qt.Equals, errkind.AgentLost)
+		}
+	})
+}
--- a/members/follower_test.go
+++ b/members/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/ids"
 	"oriolerelay/platform"
+	"oriolerelay/platform/follow"
 	"oriolerelay/platform/standin"
 )
 
@@ -27,11 +30,18 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		server := standin.New()
+		var mu sync.Mutex // guards all against the asking followers
 		var all []*Follower
 		test(c, server, func() *Follower {
 			f := NewFollower(platform.NewClient("http://platform", platform.WithTransport(server.Transport())), nil)
-			f.SetAsk(askAmong(func() []*Follower { return all }))
+			f.SetAsk(askAmong(func() []*Follower {
+				mu.Lock()
+				defer mu.Unlock()
+				return slices.Clone(all)
+			}))
+			mu.Lock()
 			all = append(all, f)
+			mu.Unlock()
 			go func() { _ = f.Run(ctx) }()
 			synctest.Wait()
 			return f
@@ -109,6 +119,7 @@
 		time.Sleep(rejoinPause + 2*time.Second)
 		c.Assert(a.Left(memberB.Node), qt.IsFalse)
 		c.Assert(b.Leave(c.Context()), qt.IsNil)
+		time.Sleep(follow.ReadInterval + time.Millisecond) // until the next read of a
 		c.Assert(a.Addresses(), qt.HasLen, 1)
 	})
 }
--- a/members/race_test.go
+++ b/members/race_test.go
@@ -114,7 +114,7 @@
 		}
 	case "leave":
 		if e.stop != nil {
-			f := e.follower // a later step may replace the entry's process
+			f := e.follower // the step "start" replaces e.follower
 			go func() { _ = f.Leave(r.ctx) }()
 		}
 	case "silent": // everybody else, rightly or wrongly
