members: a restarted entry joins through another member

Cause: a restarted process appended its own join under its name. When its older incarnation was only paused or cut off, and the other members were cut off from the log, those could go on confirming the older incarnation while the new one acted: two homes for one id. Ruled out: a longer lead; the older incarnation may be paused for any time. Change: a restarted process asks another member to append its join, and the fold accepts that.

--- a/members/authority.go
+++ b/members/authority.go
@@ -5,8 +5,8 @@
 // mayJoin reports whether the fold accepts a join. A record of a process that no
 // member answers for could take effect unknown to members that are cut off from
 // the log, so a new name needs a record by a member. A restart under a name of
-// the view is accepted from the joining process itself, because the older
-// incarnation has ended and makes no further statement. It must name that
+// the view is accepted from a member or from the joining process itself, whose
+// older incarnation has ended and makes no further statement. It must name that
 // incarnation, so that a delayed record of a process that has ended meanwhile
 // replaces nothing.
 func (s *State) mayJoin(rec record) bool {
@@ -20,7 +20,8 @@
 		return s.byMember(rec)
 	}
 	old := members[i].Node
-	return rec.By == node.String() && (old == node || rec.Replaces == old.String())
+	authorised := rec.By == node.String() || s.byMember(rec)
+	return authorised && (old == node || rec.Replaces == old.String())
 }
 
 // byMember reports whether a member of the newest view appended the record.
--- /dev/null
+++ b/members/restart_test.go
@@ -0,0 +1,47 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/ids"
+	"oriolerelay/platform"
+	"oriolerelay/platform/standin"
+)
+
+// Guards against a restarted process that joins by itself while another member
+// is alive. That member may be cut off from the log and confirm the older
+// incarnation, which is paused or cut off as well, and both would act for one id.
+// It guards as well against a restart of all entries that never ends.
+func TestRestartAsksAMemberFirst(t *testing.T) {
+	inBubble(t, func(c *qt.C, server *standin.Server, start func() *Follower) {
+		a, old := start(), testMember("entry-b", 2)
+		c.Assert(a.Join(c.Context(), testMember("entry-a", 1)), qt.IsNil)
+		c.Assert(start().Join(c.Context(), old), qt.IsNil)
+
+		ctx, cancel := context.WithCancel(c.Context())
+		var answer atomic.Pointer[error]
+		answer.Store(&ErrRefused)
+		b := NewFollower(platform.NewClient("http://platform", platform.WithTransport(server.Transport())), nil)
+		b.SetAsk(func(context.Context, ids.Incarnation, Member) error { return *answer.Load() })
+		go func() { _ = b.Run(ctx) }()
+		go func() { _ = b.Join(ctx, testMember("entry-b", 3)) }()
+		time.Sleep(time.Minute)
+		c.Assert(a.Left(old.Node), qt.IsFalse)
+
+		unreachable := errors.New("unreachable")
+		answer.Store(&unreachable)
+		time.Sleep(restartAskTime / 2)
+		c.Assert(a.Left(old.Node), qt.IsFalse)
+		time.Sleep(restartAskTime)
+		c.Assert(a.Left(old.Node), qt.IsTrue)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/members/sponsor.go
+++ b/members/sponsor.go
@@ -16,6 +16,9 @@
 	// or have read the log: members that are cut off from the log and from this
 	// process for longer, but confirm each other, would not know of it.
 	takeoverAfter = 10 * time.Minute
+	// restartAskTime is the time without any answer of a member after which a
+	// restarted process appends its join by itself. It covers the first connections.
+	restartAskTime = 5 * time.Second
 	// sponsorTimeout bounds the request to one member. It covers the member's call
 	// of the log.
 	sponsorTimeout = 4 * time.Second
@@ -113,5 +116,10 @@
 		f.upkeep.sponsoredAt = map[ids.Incarnation]time.Time{}
 	}
 	f.upkeep.sponsoredAt[m.Node] = now
-	return record{Type: typeJoin, Member: m, By: f.self.Node.String()}, nil
+	r := record{Type: typeJoin, Member: m, By: f.self.Node.String()}
+	members := p.State.Newest().Members
+	if i, restart := findName(members, m.Node.Name); restart {
+		r.Replaces = members[i].Node.String()
+	}
+	return r, nil
 }
--- a/members/upkeep.go
+++ b/members/upkeep.go
@@ -130,17 +130,26 @@
 		return dueWork{}
 	}
 	u.joinAt = now.Add(appendPause)
-	return f.joinWork(s)
+	return f.joinWork(s, now)
 }
 
-// joinWork returns the way in which this process may join now.
-func (f *Follower) joinWork(s *State) dueWork {
+// joinWork returns the way in which this process may join now. A restarted
+// process asks another member first: while its older incarnation is paused or cut
+// off rather than ended, that member withholds its confirmation from members that
+// have not read the join. When no member is reached for restartAskTime, it joins by
+// itself, since after a restart of all entries there is nobody to ask.
+func (f *Follower) joinWork(s *State, now time.Time) dueWork {
 	view := s.Newest()
 	r := record{Type: typeJoin, Member: f.self, By: f.self.Node.String()}
 	i, restart := findName(view.Members, f.self.Node.Name)
 	switch {
 	case len(view.Members) == 0:
 	case restart:
+		others := View{StampMS: view.StampMS, Members: slices.Delete(slices.Clone(view.Members), i, i+1)}
+		alone := f.upkeep.aloneSince
+		if len(others.Members) > 0 && f.ask != nil && (alone.IsZero() || now.Sub(alone) < restartAskTime) {
+			return dueWork{ask: true, view: others, member: f.self}
+		}
 		r.Replaces = view.Members[i].Node.String()
 	default:
 		return dueWork{ask: true, view: view, member: f.self}
--- a/members/views_test.go
+++ b/members/views_test.go
@@ -31,8 +31,9 @@
 			byMember = byMember || m.Node.String() == rec.By
 		}
 		old, held := view[node.Name]
-		self := rec.By == node.String() && (old.Node == node || old.Node.String() == rec.Replaces)
-		allowed := byMember && !held || held && self || len(view) == 0
+		names := old.Node == node || old.Node.String() == rec.Replaces
+		restart := held && names && (byMember || rec.By == node.String())
+		allowed := byMember && !held || restart || len(view) == 0
 		switch rec.Type {
 		case typeReset:
 			clear(view)
