--- a/cmd/oriole-agent/main.go
+++ b/cmd/oriole-agent/main.go
@@ -3,44 +3,34 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"oriolerelay/agent"
 	"oriolerelay/event"
-	"oriolerelay/settings"
+	"oriolerelay/internal/daemon"
 	"oriolerelay/tracing"
 	"oriolerelay/transport"
 )
 
 func main() {
-	file := flag.String("settings", "agent.json", "settings file")
-	check := flag.Bool("check", false, "check the settings and key files and exit")
-	flag.Parse()
-	if err := run(*file, *check); err != nil {
-		fmt.Fprintln(os.Stderr, "oriole-agent:", err)
-		os.Exit(1)
-	}
+	var s agent.Settings
+	daemon.Main(daemon.Program{
+		Name:     "oriole-agent",
+		File:     "agent.json",
+		Settings: &s,
+		Verify:   func() error { _, err := s.TLS.Load(); return err },
+		Run:      func(ctx context.Context) error { return run(ctx, &s) },
+	})
 }
 
-func run(file string, check bool) error {
-	var s agent.Settings
-	if err := settings.Load(file, &s); err != nil {
-		return err
-	}
+func run(ctx context.Context, s *agent.Settings) error {
 	keys, err := s.TLS.Load()
 	if err != nil {
 		return err
 	}
-	if check {
-		return nil
-	}
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	cfg := s.Config()
@@ -58,8 +48,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	cfg.Log.Log(event.ProcessStarted, "listen", a.Address())
 	defer cfg.Log.Log(event.ProcessStopped)
 	return a.Run(ctx)
--- a/cmd/oriole-endpoint/main.go
+++ b/cmd/oriole-endpoint/main.go
@@ -3,35 +3,24 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"oriolerelay/endpoint"
 	"oriolerelay/event"
-	"oriolerelay/settings"
+	"oriolerelay/internal/daemon"
 )
 
 func main() {
-	file := flag.String("settings", "endpoint.json", "settings file")
-	check := flag.Bool("check", false, "check the settings file and exit")
-	flag.Parse()
-	if err := run(*file, *check); err != nil {
-		fmt.Fprintln(os.Stderr, "oriole-endpoint:", err)
-		os.Exit(1)
-	}
+	var s endpoint.Settings
+	daemon.Main(daemon.Program{
+		Name:     "oriole-endpoint",
+		File:     "endpoint.json",
+		Settings: &s,
+		Run:      func(ctx context.Context) error { return run(ctx, &s) },
+	})
 }
 
-func run(file string, check bool) error {
-	var s endpoint.Settings
-	if err := settings.Load(file, &s); err != nil {
-		return err
-	}
-	if check {
-		return nil
-	}
+func run(ctx context.Context, s *endpoint.Settings) error {
 	cfg, sample := s.Build()
 	e, err := endpoint.New(cfg, sample)
 	if err != nil {
@@ -39,8 +28,6 @@
 	}
 	sample.Register(e)
 	log := event.NewLogger(os.Stderr, s.Service)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log.Log(event.ProcessStarted, "listen", e.Address())
 	defer log.Log(event.ProcessStopped)
 	return e.Run(ctx)
--- a/cmd/oriole-platform/main.go
+++ b/cmd/oriole-platform/main.go
@@ -5,16 +5,14 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"oriolerelay/event"
+	"oriolerelay/internal/daemon"
 	"oriolerelay/platform/standin"
 	"oriolerelay/settings"
 )
@@ -41,22 +39,16 @@
 }
 
 func main() {
-	path := flag.String("settings", "", "path of the JSON settings")
-	check := flag.Bool("check", false, "check the settings and exit")
-	flag.Parse()
-	if err := run(*path, *check); err != nil {
-		fmt.Fprintln(os.Stderr, "oriole-platform:", err)
-		os.Exit(1)
-	}
+	var c config
+	daemon.Main(daemon.Program{
+		Name:     "oriole-platform",
+		File:     "platform.json",
+		Settings: &c,
+		Run:      func(ctx context.Context) error { return run(ctx, &c) },
+	})
 }
 
-func run(path string, check bool) error {
-	var c config
-	if err := settings.Load(path, &c); err != nil || check {
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func run(ctx context.Context, c *config) error {
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/cmd/oriole-platform/main_test.go
+++ b/cmd/oriole-platform/main_test.go
@@ -15,5 +15,4 @@
 	err := settings.Parse([]byte(`{"listen":"nowhere","retention_ms":-1}`), &config{})
 	c.Assert(err, qt.ErrorMatches, `(?s)listen: .*retention_ms: .*`)
 	c.Assert(settings.Parse([]byte(`{"listen":"127.0.0.1:0","retention":1}`), &config{}), qt.ErrorMatches, "retention: unknown key")
-	c.Assert(run("", true), qt.IsNotNil)
 }
