--- a/cmd/oriolectl/load.go
+++ b/cmd/oriolectl/load.go
@@ -15,6 +15,9 @@
 	"oriolerelay/load/experiment"
 )
 
+// throughputWorkers is the number of workers of -throughput.
+const throughputWorkers = 6
+
 // loadCommand runs load experiments against separate processes.
 type loadCommand struct {
 	options  experiment.Options
@@ -27,12 +30,13 @@
 	slopes   string
 	starts   float64
 	latency  int
+	callers  int
 }
 
 func (*loadCommand) Name() string     { return "load" }
 func (*loadCommand) Synopsis() string { return "measure policies and costs against separate processes" }
 func (*loadCommand) Usage() string {
-	return "load [flags]\n  Builds the programs of the module in the current directory, starts them on\n  loopback, runs every policy at every load on the same arrivals, and writes\n  result.json, result.md and ratio.svg. With -slopes it measures the cost of each\n  role instead, with -latency the time that the system adds to a request.\n"
+	return "load [flags]\n  Builds the programs of the module in the current directory, starts them on\n  loopback, runs every policy at every load on the same arrivals, and writes\n  result.json, result.md and ratio.svg. With -slopes it measures the cost of each\n  role instead, with -latency the time that the system adds to a request, with\n  -throughput the starts per second that the machine carries.\n"
 }
 
 func (l *loadCommand) SetFlags(f *flag.FlagSet) {
@@ -60,6 +64,7 @@
 	})
 	f.StringVar(&l.slopes, "slopes", "", "numbers of agents, for instance 5,10,20,40")
 	f.IntVar(&l.latency, "latency", 0, "number of single requests to compare with direct calls of the endpoint")
+	f.IntVar(&l.callers, "throughput", 0, "number of callers that submit jobs of -max-tasks trivial tasks without a pause")
 	f.Float64Var(&l.starts, "starts", 500, "starts per second of the busy window of -slopes")
 }
 
@@ -75,6 +80,12 @@
 	if l.latency > 0 {
 		return experiment.Latency(ctx, experiment.LatencyOptions{Calls: l.latency, Module: l.options.Module, Out: os.Stdout})
 	}
+	if l.callers > 0 {
+		return experiment.Throughput(ctx, experiment.ThroughputOptions{
+			Callers: l.callers, JobTasks: min(l.maxTasks, load.MaxTasks), Entries: l.options.Entries, Workers: throughputWorkers,
+			Length: l.options.Length, Module: l.options.Module, Out: os.Stdout,
+		})
+	}
 	if l.slopes != "" {
 		return l.runSlopes(ctx)
 	}
--- a/load/experiment/latency.go
+++ b/load/experiment/latency.go
@@ -7,13 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"oriolerelay/internal/proctest"
-	"oriolerelay/load"
 )
 
 // LatencyOptions describe a comparison of requests through an entry with direct
@@ -28,37 +26,18 @@
 // Latency prints the time of both ways for a task that takes no time. The
 // difference of the medians is the latency that the system adds.
 func Latency(ctx context.Context, o LatencyOptions) error {
-	dir, err := os.MkdirTemp("", "oriole-latency-")
+	c, stop, err := startTrivial(ctx, o.Module, 1, 1)
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
-	if err := proctest.Build(ctx, o.Module, dir); err != nil {
-		return err
-	}
-	w := load.Workload{Name: "trivial", Service: "trivial", Team: "veils", Classes: []load.Class{{
-		Kind: "trivial", Weight: 1, Request: true, Run: load.RunTimes{Min: time.Microsecond, Max: time.Microsecond}, Deadline: 5 * time.Second,
-	}}}
-	c, err := proctest.NewCluster(dir, dir, proctest.Spec{Entries: 1, Workers: []proctest.Worker{{Service: w.Service, Speed: 1, Slots: 8}}})
-	if err != nil {
-		return err
-	}
-	defer c.Stop()
-	if err := start(ctx, c); err != nil {
-		return err
-	}
-	ready, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	if err := c.Configure(ready, "least_expected_finish", w); err != nil {
-		return err
-	}
-	return o.compare(ctx, c, w)
+	defer stop()
+	return o.compare(ctx, c)
 }
 
-func (o LatencyOptions) compare(ctx context.Context, c *proctest.Cluster, w load.Workload) error {
+func (o LatencyOptions) compare(ctx context.Context, c *proctest.Cluster) error {
 	const maxMicros, digits = 10_000_000, 3
 	direct, through := hdrhistogram.New(1, maxMicros, digits), hdrhistogram.New(1, maxMicros, digits)
-	body, err := json.Marshal(map[string]any{"service": w.Service, "kind": "trivial", "payload": map[string]float64{"ms": 0}})
+	body, err := json.Marshal(map[string]any{"service": trivialName, "kind": trivialName, "payload": map[string]float64{"ms": 0}})
 	if err != nil {
 		return err
 	}
@@ -91,6 +70,17 @@
 }
 
 func timed(ctx context.Context, url string, body []byte, header map[string]string) (time.Duration, error) {
+	begin := time.Now()
+	status, err := post(ctx, url, body, header)
+	took := time.Since(begin)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%s answered status %d", url, status)
+	}
+	return took, err
+}
+
+// post sends body, reads the whole answer and returns its status.
+func post(ctx context.Context, url string, body []byte, header map[string]string) (status int, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
@@ -98,16 +88,11 @@
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
-	begin := time.Now()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	took := time.Since(begin)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("%s answered %s: %s", url, resp.Status, b)
-	}
-	return took, err
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
 }
--- /dev/null
+++ b/load/experiment/throughput.go
@@ -0,0 +1,154 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/procfs"
+	"golang.org/x/sync/errgroup"
+
+	"oriolerelay/internal/proctest"
+	"oriolerelay/load"
+)
+
+// trivialName is the service and the kind of tasks that take no time.
+const trivialName = "trivial"
+
+// startTrivial starts a cluster whose workers serve trivialName. stop ends it.
+func startTrivial(ctx context.Context, module string, entries, workers int) (c *proctest.Cluster, stop func(), err error) {
+	dir, err := os.MkdirTemp("", "oriole-trivial-")
+	if err != nil {
+		return nil, nil, err
+	}
+	stop = func() {
+		if c != nil {
+			c.Stop()
+		}
+		_ = os.RemoveAll(dir) // a leftover in the temporary directory does no harm
+	}
+	if err := proctest.Build(ctx, module, dir); err != nil {
+		stop()
+		return nil, nil, err
+	}
+	spec := proctest.Spec{Entries: entries}
+	for range workers {
+		spec.Workers = append(spec.Workers, proctest.Worker{Service: trivialName, Speed: 1, Slots: 8})
+	}
+	if c, err = proctest.NewCluster(dir, dir, spec); err == nil {
+		err = start(ctx, c)
+	}
+	if err == nil {
+		ready, cancel := context.WithTimeout(ctx, startLimit)
+		defer cancel()
+		err = c.Configure(ready, "least_expected_finish", load.Workload{Name: trivialName, Service: trivialName, Team: "veils", Classes: []load.Class{{
+			Kind: trivialName, Weight: 1, Request: true, Run: load.RunTimes{Min: time.Microsecond, Max: time.Microsecond}, Deadline: 5 * time.Second,
+		}}})
+	}
+	if err != nil {
+		stop()
+		return nil, nil, err
+	}
+	return c, stop, nil
+}
+
+// ThroughputOptions describe a closed loop of callers that submit jobs of
+// trivial tasks, each as soon as its last one was answered.
+type ThroughputOptions struct {
+	Callers, JobTasks int
+	Entries, Workers  int
+	Length            time.Duration
+	Module            string
+	Out               io.Writer
+}
+
+// Throughput prints the completed starts per second and the processor time of
+// each role. The callers run in this process, on the same machine.
+func Throughput(ctx context.Context, o ThroughputOptions) error {
+	c, stop, err := startTrivial(ctx, o.Module, o.Entries, o.Workers)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	roles := []struct {
+		name      string
+		processes []*proctest.Process
+		before    float64
+	}{{name: "entry", processes: c.Entries}, {name: "agent", processes: c.Agents}, {name: "endpoint", processes: c.Endpoints}}
+	for i := range roles {
+		if roles[i].before, err = processorSeconds(roles[i].processes); err != nil {
+			return err
+		}
+	}
+	begin := time.Now()
+	complete, refused, err := o.submitLoop(ctx, c)
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(begin).Seconds()
+	starts := float64(complete) * float64(o.JobTasks)
+	fmt.Fprintf(o.Out, "- %.0f starts/s in %d complete jobs of %d, %d jobs without a complete answer\n", starts/seconds, complete, o.JobTasks, refused)
+	for _, r := range roles {
+		after, err := processorSeconds(r.processes)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(o.Out, "- %s: %.2f cores, %.3f core-seconds per 1000 starts\n", r.name, (after-r.before)/seconds, 1000*(after-r.before)/starts)
+	}
+	return nil
+}
+
+// submitLoop returns the numbers of jobs with and without a complete answer.
+func (o ThroughputOptions) submitLoop(ctx context.Context, c *proctest.Cluster) (complete, refused int64, err error) {
+	tasks := make([]map[string]any, o.JobTasks)
+	for i := range tasks {
+		tasks[i] = map[string]any{"payload": map[string]int{"ms": 0}}
+	}
+	body, err := json.Marshal(map[string]any{"service": trivialName, "kind": trivialName, "tasks": tasks})
+	if err != nil {
+		return 0, 0, err
+	}
+	var done, failed atomic.Int64
+	end := time.Now().Add(o.Length)
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range o.Callers {
+		g.Go(func() error {
+			for time.Now().Before(end) && ctx.Err() == nil {
+				url := c.EntryHTTP[i%len(c.EntryHTTP)] + "/v1/jobs"
+				status, err := post(ctx, url, body, map[string]string{"Authorization": "Bearer " + proctest.VeilsToken})
+				switch {
+				case err != nil:
+					return err
+				case status == http.StatusOK:
+					done.Add(1)
+				default:
+					failed.Add(1)
+				}
+			}
+			return ctx.Err()
+		})
+	}
+	err = g.Wait()
+	return done.Load(), failed.Load(), err
+}
+
+func processorSeconds(processes []*proctest.Process) (float64, error) {
+	var sum float64
+	for _, p := range processes {
+		proc, err := procfs.NewProc(p.PID())
+		if err != nil {
+			return 0, fmt.Errorf("%s: %w", p.Name, err)
+		}
+		st, err := proc.Stat()
+		if err != nil {
+			return 0, fmt.Errorf("%s: %w", p.Name, err)
+		}
+		sum += st.CPUTime()
+	}
+	return sum, nil
+}
