oriolectl dev serves the address and tokens of docs/api.md

Cause: the curl lines of docs/api.md did not work against the quick start, which took a free port and other tokens.

--- a/devstack/devstack.go
+++ b/devstack/devstack.go
@@ -32,6 +32,8 @@
 type Options struct {
 	// Once ends the stack after the sample jobs.
 	Once bool
+	// HTTP is the HTTP address of the first entry; empty takes a free port.
+	HTTP string
 	// Out gets the answers and the addresses.
 	Out io.Writer
 	// Log gets the log events of all roles.
@@ -45,10 +47,10 @@
 // records are still appended in that time.
 const drainGrace = 300 * time.Millisecond
 
-func spec() proctest.Spec {
+func spec(http string) proctest.Spec {
 	service := load.Veils().Service
 	return proctest.Spec{
-		Entries: 2,
+		Entries: 2, FirstHTTP: http,
 		Workers: []proctest.Worker{{Service: service, Speed: 1, Slots: 8}, {Service: service, Speed: 2, Slots: 8}, {Service: service, Speed: 4, Slots: 8}},
 		Entry:   map[string]any{"drain_grace_ms": drainGrace.Milliseconds()},
 	}
@@ -63,7 +65,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	cluster, err := proctest.NewCluster(dir, "", spec())
+	cluster, err := proctest.NewCluster(dir, "", spec(o.HTTP))
 	if err != nil {
 		return err
 	}
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -14,9 +14,9 @@
 
 // Tokens and names in the settings of a cluster.
 const (
-	VeilsToken    = "token-veils"
+	VeilsToken    = "caller-secret"
 	SleevesToken  = "token-sleeves"
-	OperatorToken = "token-operator"
+	OperatorToken = "operator-secret"
 	OtherOperator = "token-operator-2"
 	Region        = "west"
 )
@@ -32,6 +32,8 @@
 type Spec struct {
 	Entries int
 	Workers []Worker
+	// FirstHTTP is the HTTP address of the first entry; empty takes a free port.
+	FirstHTTP string
 	// Entry and Agent are merged into the settings of every entry or agent.
 	Entry, Agent map[string]any
 }
@@ -132,6 +134,9 @@
 	if err != nil {
 		return err
 	}
+	if i == 0 && c.Spec.FirstHTTP != "" {
+		addr = c.Spec.FirstHTTP
+	}
 	name := fmt.Sprintf("entry-%d", i+1)
 	tls, err := c.tls(name)
 	if err != nil {
--- a/tests/resubmit_test.go
+++ b/tests/resubmit_test.go
@@ -63,7 +63,7 @@
 		if forwarded := s.forwards(entry) > before; forwarded == (entry != home) {
 			return sub, got
 		}
-		s.call(http.MethodDelete, fmt.Sprintf("%s/v1/jobs/%s?submitted_at=%d", s.EntryHTTP[entry], sub.id, sub.submittedAt.UnixMilli()), "token-veils", nil)
+		s.call(http.MethodDelete, fmt.Sprintf("%s/v1/jobs/%s?submitted_at=%d", s.EntryHTTP[entry], sub.id, sub.submittedAt.UnixMilli()), proctest.VeilsToken, nil)
 	}
 	s.c.Fatal("no submission had the wanted home")
 	return submission{}, nil
