--- a/tests/resubmit_test.go
+++ b/tests/resubmit_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oriolerelay/internal/proctest"
 	"oriolerelay/load"
 )
 
