--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -164,11 +164,16 @@
 	}
 	ag, err := New(cfg)
 	qt.Assert(t, err, qt.IsNil)
+	return ag, runUntilStopped(t, ag.Run)
+}
+
+// runUntilStopped runs run until stop, or the end of the test, ends its context.
+func runUntilStopped(t testing.TB, run func(context.Context) error) (stop func() error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- ag.Run(ctx) }()
+	go func() { ended <- run(ctx) }()
 	stopped := false
-	stop := func() error {
+	stop = func() error {
 		stopped = true
 		cancel()
 		return next(t, ended)
@@ -178,7 +183,7 @@
 			_ = stop()
 		}
 	})
-	return ag, stop
+	return stop
 }
 
 // runEndpoint starts a sample endpoint that announces itself to ag.
@@ -189,21 +194,7 @@
 	}, s)
 	qt.Assert(t, err, qt.IsNil)
 	s.Register(e)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- e.Run(ctx) }()
-	stopped := false
-	stop := func() error {
-		stopped = true
-		cancel()
-		return next(t, ended)
-	}
-	t.Cleanup(func() {
-		if !stopped {
-			_ = stop()
-		}
-	})
-	return s, e, stop
+	return s, e, runUntilStopped(t, e.Run)
 }
 
 // announce posts an announcement and returns the status.
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -10,7 +10,7 @@
 // cost per weight is served first. All operations take logarithmic time.
 type FairQueue[T any] struct {
 	teams  map[string]*fairTeam[T]
-	active teamHeap[T]
+	active indexedHeap[*fairTeam[T]]
 	// clock is the virtual time of the last served team. A team that becomes
 	// active starts there, so that it can't claim service for idle time.
 	clock float64
@@ -22,7 +22,7 @@
 	name    string
 	weight  float64
 	virtual float64
-	items   itemHeap[T]
+	items   indexedHeap[*FairItem[T]]
 	index   int // in the heap of active teams; -1 when idle
 }
 
@@ -143,46 +143,42 @@
 	return i.seq < o.seq
 }
 
-type itemHeap[T any] []*FairItem[T]
+func (i *FairItem[T]) setIndex(n int) { i.index = n }
 
-func (h itemHeap[T]) Len() int           { return len(h) }
-func (h itemHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h itemHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *itemHeap[T]) Push(x any) {
-	i := x.(*FairItem[T])
-	i.index = len(*h)
-	*h = append(*h, i)
-}
-func (h *itemHeap[T]) Pop() any {
-	old := *h
-	i := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	i.index = -1
-	return i
+func (t *fairTeam[T]) before(o *fairTeam[T]) bool { return t.virtual < o.virtual }
+
+func (t *fairTeam[T]) setIndex(n int) { t.index = n }
+
+// heapElement is an element of an indexedHeap.
+type heapElement[E any] interface {
+	before(E) bool
+	// setIndex takes the position in the heap, -1 after the removal.
+	setIndex(int)
 }
 
-type teamHeap[T any] []*fairTeam[T]
+// indexedHeap implements heap.Interface for elements that know their position.
+type indexedHeap[E heapElement[E]] []E
 
-func (h teamHeap[T]) Len() int           { return len(h) }
-func (h teamHeap[T]) Less(i, j int) bool { return h[i].virtual < h[j].virtual }
-func (h teamHeap[T]) Swap(i, j int) {
+func (h indexedHeap[E]) Len() int           { return len(h) }
+func (h indexedHeap[E]) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h indexedHeap[E]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *teamHeap[T]) Push(x any) {
-	t := x.(*fairTeam[T])
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-func (h *teamHeap[T]) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = -1
-	return t
+	h[i].setIndex(i)
+	h[j].setIndex(j)
+}
+
+func (h *indexedHeap[E]) Push(x any) {
+	e := x.(E)
+	e.setIndex(len(*h))
+	*h = append(*h, e)
+}
+
+func (h *indexedHeap[E]) Pop() any {
+	old, last := *h, len(*h)-1
+	e := old[last]
+	var none E
+	old[last] = none
+	*h = old[:last]
+	e.setIndex(-1)
+	return e
 }
--- a/load/experiment/slopes.go
+++ b/load/experiment/slopes.go
@@ -217,13 +217,9 @@
 func sampleRole(ctx context.Context, processes []*proctest.Process, urls []string) ([]usage, error) {
 	var list []usage
 	for i, p := range processes {
-		proc, err := procfs.NewProc(p.PID())
+		st, err := processStat(p)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", p.Name, err)
-		}
-		st, err := proc.Stat()
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", p.Name, err)
+			return nil, err
 		}
 		u := usage{cpu: st.CPUTime(), rss: float64(st.ResidentMemory())}
 		m, err := load.ReadMetrics(ctx, http.DefaultClient, urls[i])
@@ -253,3 +249,15 @@
 	}
 	return u
 }
+
+func processStat(p *proctest.Process) (procfs.ProcStat, error) {
+	proc, err := procfs.NewProc(p.PID())
+	if err != nil {
+		return procfs.ProcStat{}, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	st, err := proc.Stat()
+	if err != nil {
+		return procfs.ProcStat{}, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	return st, nil
+}
--- a/load/experiment/throughput.go
+++ b/load/experiment/throughput.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/procfs"
 	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/internal/proctest"
@@ -140,13 +139,9 @@
 func processorSeconds(processes []*proctest.Process) (float64, error) {
 	var sum float64
 	for _, p := range processes {
-		proc, err := procfs.NewProc(p.PID())
+		st, err := processStat(p)
 		if err != nil {
-			return 0, fmt.Errorf("%s: %w", p.Name, err)
-		}
-		st, err := proc.Stat()
-		if err != nil {
-			return 0, fmt.Errorf("%s: %w", p.Name, err)
+			return 0, err
 		}
 		sum += st.CPUTime()
 	}
