soak: a refused caller comes back when it was told to

The soak's callers took a refusal as the end and never came back, unlike the callers that the promises are made to.

Ruled out: a takeover or connection still under way (all agents are connected to both entries from 1543.4 s on, the window begins at 1552.3 s).

Change: a refused caller sends its job again after Retry-After if that is within its patience. So that a refusal is still held to its word, the check of refused jobs now judges the runs between the refusal and the next attempt; before it forgot the refusal as soon as another attempt was accepted. TestRunOfARefusedJobIsFound fails without that change.

--- a/emulator/check.go
+++ b/emulator/check.go
@@ -93,16 +93,31 @@
 	return broken
 }
 
-// checkRefused finds tasks that ran although all attempts to hand in their job were
-// refused.
+// checkRefused finds tasks that ran although all attempts to hand in their job had been
+// refused. The answers to the attempts of one job are in their order.
 func checkRefused(runs []Run, answers []Answer) (broken []string) {
-	refused := make(map[string]bool)
+	type refusal struct {
+		only  bool      // each answer so far is a refusal
+		until time.Time // the caller sent the job again, zero if it was refused to the end
+	}
+	refused := make(map[string]refusal)
 	for _, a := range answers {
-		was, seen := refused[a.Job]
-		refused[a.Job] = a.Refused() && (was || !seen)
+		r, seen := refused[a.Job]
+		switch {
+		case a.Refused() && !seen:
+			refused[a.Job] = refusal{only: true}
+		case !a.Refused() && !seen:
+			refused[a.Job] = refusal{until: a.Sent}
+		case !a.Refused() && r.only:
+			refused[a.Job] = refusal{until: a.Sent}
+		}
 	}
 	for _, r := range runs {
-		if id, err := job.ParseTaskID(r.ID.Task); err == nil && refused[id.Job] {
+		id, err := job.ParseTaskID(r.ID.Task)
+		if err != nil {
+			continue
+		}
+		if f, ok := refused[id.Job]; ok && (f.only || r.Began.Before(f.until)) {
 			broken = append(broken, fmt.Sprintf("task %s ran on %s although its job was refused", r.ID.Task, r.Endpoint))
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -282,17 +282,20 @@
 	w.mu.Lock()
 	w.jobs[j.ID] = h
 	w.mu.Unlock()
-	known := w.submit(first, h)
-	if !known {
+	switch known, retryAfter := w.submit(first, h); {
+	case !known:
 		time.Sleep(resendAfter)
 		w.submit(again, h)
+	case retryAfter > 0 && time.Since(h.sent)+retryAfter < callerDeadline:
+		time.Sleep(retryAfter)
+		w.submit(again, h)
 	}
 	for end := time.Now().Add(w.Length + healTime); !j.Ephemeral && h.accepted && !h.completed && time.Now().Before(end); {
 		time.Sleep(askPause)
 		ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
-		_, state, err := again.State(ctx, j.ID)
+		a, err := again.State(ctx, j.ID)
 		cancel()
-		if err == nil && state == job.Completed {
+		if err == nil && a.State == job.Completed {
 			w.mu.Lock()
 			h.completed = true
 			w.mu.Unlock()
@@ -301,30 +304,31 @@
 	}
 }
 
-// submit sends a job once. It reports whether the caller knows the outcome.
-func (w *world) submit(c *standin.Caller, h *handedIn) (known bool) {
+// submit sends a job once. It reports whether the caller knows the outcome, and when a
+// refused caller may come back.
+func (w *world) submit(c *standin.Caller, h *handedIn) (known bool, retryAfter time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	sent := time.Now()
-	status, state, err := c.Submit(ctx, h.Job, callerDeadline)
+	got, err := c.Submit(ctx, h.Job, callerDeadline)
 	a := emulator.Answer{Job: h.ID, Sent: sent, At: time.Now(), GaveUp: true}
 	switch {
 	case err != nil:
-	case status == http.StatusOK:
+	case got.Status == http.StatusOK:
 		a.GaveUp = false
 		if h.Ephemeral {
-			a.State = state
+			a.State = got.State
 		}
-	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusNotFound:
+	case got.Status == http.StatusTooManyRequests || got.Status == http.StatusServiceUnavailable || got.Status == http.StatusNotFound:
 		a.GaveUp = false
-		a.Err = errkind.New(errkind.QueueFull, "refused with status %d", status)
+		a.Err = errkind.New(errkind.QueueFull, "refused with status %d", got.Status)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
 	h.completed = h.completed || a.State == job.Completed
-	h.accepted = h.accepted || status == http.StatusOK && err == nil
-	return !a.GaveUp
+	h.accepted = h.accepted || got.Status == http.StatusOK && err == nil
+	return !a.GaveUp, got.RetryAfter
 }
 
 func (w *world) note(format string, args ...any) {
