relay: callers' connections follow the limits of the configuration

Ruled out: changing the fields of the http.Server that serves, which is a data race; ending open connections when the limits change, which would cut requests that a caller sends in that moment.

Change: callersServer hands accepted connections to an http.Server with the limits in force; a change starts another one for the connections to come, and a server without connections is forgotten. A stop waits for the requests on all of them.

Conclusion: the tests fail with setLimits left out of takeConfig's path, since the fallback limits then stay.

--- /dev/null
+++ b/relay/callers.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"oriolerelay/event"
+	"oriolerelay/job"
+)
+
+// Limits of callers' connections while the configuration states none.
+const (
+	fallbackHeaderTimeout  = 3 * time.Second
+	fallbackIdleTimeout    = 15 * time.Second
+	fallbackMaxHeaderBytes = 16 << 10
+)
+
+// acceptRetry is the pause after a connection could not be accepted: long enough not to
+// spin while the process has no free descriptor.
+const acceptRetry = 50 * time.Millisecond
+
+// callersServer serves callers with the limits of the configuration in force. The
+// limits of an http.Server are fixed once it serves, so a change starts another one
+// for the connections to come; an open connection keeps the limits under which it was
+// accepted.
+type callersServer struct {
+	handler http.Handler
+	log     *event.Logger
+
+	mu      sync.Mutex
+	address net.Addr
+	limits  connLimits // of current
+	current *limitedServer
+	// earlier are the servers with other limits, which may have open connections.
+	earlier []*limitedServer
+	closed  bool
+}
+
+// connLimits are the limits of a connection.
+type connLimits struct {
+	headerTimeout, idleTimeout time.Duration
+	maxHeaderBytes             int
+}
+
+// limitedServer is an http.Server that gets its connections from a channel.
+type limitedServer struct {
+	http.Server
+	conns chan net.Conn
+	done  chan struct{} // closed with the server's listener
+	once  sync.Once
+	addr  net.Addr
+	open  atomic.Int64 // connections, those included that are handed over
+}
+
+// newCallersServer returns a server with the fallback limits.
+func newCallersServer(h http.Handler, log *event.Logger) *callersServer {
+	return &callersServer{handler: h, log: log, limits: connLimitsOf(job.Limits{})}
+}
+
+func connLimitsOf(l job.Limits) connLimits {
+	c := connLimits{l.HeaderTimeout, l.IdleTimeout, l.MaxHeaderBytes}
+	if c.headerTimeout <= 0 {
+		c.headerTimeout = fallbackHeaderTimeout
+	}
+	if c.idleTimeout <= 0 {
+		c.idleTimeout = fallbackIdleTimeout
+	}
+	if c.maxHeaderBytes <= 0 {
+		c.maxHeaderBytes = fallbackMaxHeaderBytes
+	}
+	return c
+}
+
+// setLimits applies to the connections that are accepted from now on.
+func (s *callersServer) setLimits(limits job.Limits) {
+	l := connLimitsOf(limits)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l == s.limits || s.closed {
+		return
+	}
+	s.limits = l
+	s.log.Log(event.CallerLimits, "header_timeout_ms", l.headerTimeout.Milliseconds(),
+		"idle_timeout_ms", l.idleTimeout.Milliseconds(), "max_header_bytes", l.maxHeaderBytes)
+	if s.current == nil {
+		return
+	}
+	s.earlier = slices.DeleteFunc(append(s.earlier, s.current), func(ls *limitedServer) bool {
+		_ = ls.Close() // what is handed over in this moment goes to the next server
+		return ls.open.Load() == 0
+	})
+	s.start()
+}
+
+// start makes a server with the present limits the current one. s.mu is held.
+func (s *callersServer) start() {
+	ls := &limitedServer{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.address}
+	ls.Handler, ls.ReadHeaderTimeout = s.handler, s.limits.headerTimeout
+	ls.IdleTimeout, ls.MaxHeaderBytes = s.limits.idleTimeout, s.limits.maxHeaderBytes
+	ls.ConnState = ls.count
+	s.current = ls
+	go func() { _ = ls.Serve(ls) }() // ends with the listener, which is ls itself
+}
+
+// serve accepts connections on l until the server is shut down.
+func (s *callersServer) serve(l net.Listener) error {
+	s.mu.Lock()
+	s.address = l.Addr()
+	s.start()
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		switch {
+		case err == nil:
+			if !s.hand(c) {
+				_ = c.Close()
+				return nil
+			}
+		case s.isClosed():
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("accept on %s: %w", l.Addr(), err)
+		default: // the process has no free descriptor, or the caller has gone
+			s.log.Log(event.AcceptFailed, "address", l.Addr(), "error", err)
+			time.Sleep(acceptRetry)
+		}
+	}
+}
+
+// hand gives c to the current server. It reports whether there is one.
+func (s *callersServer) hand(c net.Conn) bool {
+	for {
+		s.mu.Lock()
+		closed, current := s.closed, s.current
+		if !closed {
+			current.open.Add(1)
+		}
+		s.mu.Unlock()
+		if closed {
+			return false
+		}
+		select {
+		case current.conns <- c:
+			return true
+		case <-current.done: // replaced in this moment
+			current.open.Add(-1)
+		}
+	}
+}
+
+func (s *callersServer) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// shutdown takes no new connection and waits until the requests in flight are
+// answered or ctx ends.
+func (s *callersServer) shutdown(ctx context.Context, l net.Listener) error {
+	var g errgroup.Group
+	for _, ls := range s.stop(l) {
+		g.Go(func() error { return ls.Shutdown(ctx) })
+	}
+	return g.Wait()
+}
+
+// close ends all connections.
+func (s *callersServer) close(l net.Listener) {
+	for _, ls := range s.stop(l) {
+		_ = ls.Server.Close()
+	}
+}
+
+// stop ends the accepting of connections. It returns all servers.
+func (s *callersServer) stop(l net.Listener) []*limitedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = l.Close() // an error means that it is closed already
+	return s.servers()
+}
+
+// servers returns all servers. s.mu is held.
+func (s *callersServer) servers() []*limitedServer {
+	if s.current == nil {
+		return nil
+	}
+	return append([]*limitedServer{s.current}, s.earlier...)
+}
+
+// closeAfterAnswer makes each connection end after its next answer.
+func (s *callersServer) closeAfterAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ls := range s.servers() {
+		ls.SetKeepAlivesEnabled(false)
+	}
+}
+
+// count takes note of connections that have ended.
+func (ls *limitedServer) count(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		ls.open.Add(-1)
+	}
+}
+
+// Accept implements net.Listener.
+func (ls *limitedServer) Accept() (net.Conn, error) {
+	select {
+	case c := <-ls.conns:
+		return c, nil
+	case <-ls.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (ls *limitedServer) Close() error {
+	ls.once.Do(func() { close(ls.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (ls *limitedServer) Addr() net.Addr { return ls.addr }
--- /dev/null
+++ b/relay/callers_test.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"oriolerelay/event"
+	"oriolerelay/job"
+)
+
+// callersFixture is a callersServer on a loopback address.
+type callersFixture struct {
+	*callersServer
+	listener net.Listener
+	served   chan error
+}
+
+func newCallersFixture(t *testing.T, h http.HandlerFunc) *callersFixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	f := &callersFixture{newCallersServer(h, event.NewLogger(io.Discard, "entry-1")), l, make(chan error, 1)}
+	go func() { f.served <- f.serve(l) }()
+	t.Cleanup(func() { f.close(l) })
+	return f
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (f *callersFixture) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", f.listener.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	quicktest.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), quicktest.IsNil)
+	return &caller{c, bufio.NewReader(c)}
+}
+
+// get sends a request with a header of the given size and returns the status.
+func (c *caller) get(t *testing.T, path string, size int) int {
+	t.Helper()
+	_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Fill: %s\r\n\r\n", path, strings.Repeat("x", size))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return c.status(t)
+}
+
+func (c *caller) status(t *testing.T) int {
+	t.Helper()
+	resp, err := http.ReadResponse(c.r, nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	_, err = io.Copy(io.Discard, resp.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, resp.Body.Close(), quicktest.IsNil)
+	return resp.StatusCode
+}
+
+// Guards against limits that stay at their fallback when a configuration changes them,
+// and against connections that a change of the limits ends.
+func TestCallerLimitsFollowTheConfiguration(t *testing.T) {
+	const overhead = 8 << 10 // net/http allows 4 KiB beyond the limit
+	f := newCallersFixture(t, func(http.ResponseWriter, *http.Request) {})
+	open := f.dial(t)
+	quicktest.Assert(t, open.get(t, "/", 12<<10), quicktest.Equals, http.StatusOK)
+
+	f.setLimits(job.Limits{MaxHeaderBytes: 2 << 10})
+	quicktest.Check(t, f.dial(t).get(t, "/", 2<<10+overhead), quicktest.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	quicktest.Check(t, open.get(t, "/", 12<<10), quicktest.Equals, http.StatusOK)
+
+	f.setLimits(job.Limits{MaxHeaderBytes: 64 << 10})
+	quicktest.Check(t, f.dial(t).get(t, "/", 48<<10), quicktest.Equals, http.StatusOK)
+}
+
+// Guards against an idle time-out that is not the configured one.
+func TestIdleCallerIsDisconnectedAfterTheConfiguredTime(t *testing.T) {
+	f := newCallersFixture(t, func(http.ResponseWriter, *http.Request) {})
+	f.setLimits(job.Limits{IdleTimeout: 50 * time.Millisecond})
+	c := f.dial(t)
+	quicktest.Assert(t, c.get(t, "/", 0), quicktest.Equals, http.StatusOK)
+	_, err := c.r.ReadByte() // ends with the connection, or with the deadline of the test
+	quicktest.Assert(t, err, quicktest.Equals, io.EOF)
+}
+
+// Guards against answers that are lost when the process stops after a change of the
+// limits: a request on a connection with earlier limits is answered first.
+func TestStopWaitsForRequestsUnderEarlierLimits(t *testing.T) {
+	began, answer := make(chan bool), make(chan bool)
+	f := newCallersFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			began <- true
+			<-answer
+		}
+	})
+	c := f.dial(t)
+	_, err := io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	<-began
+	f.setLimits(job.Limits{IdleTimeout: time.Minute})
+	f.setLimits(job.Limits{IdleTimeout: 2 * time.Minute})
+	stopped := make(chan error)
+	go func() { stopped <- f.shutdown(context.Background(), f.listener) }()
+	quicktest.Assert(t, <-f.served, quicktest.IsNil)
+	select {
+	case <-stopped:
+		t.Error("stopped while a request was in flight")
+	default:
+	}
+	answer <- true
+	quicktest.Check(t, c.status(t), quicktest.Equals, http.StatusOK)
+	quicktest.Check(t, <-stopped, quicktest.IsNil)
+}
+
+// Guards against a list of servers that grows with each change of the limits.
+func TestServersWithoutConnectionsAreForgotten(t *testing.T) {
+	f := newCallersFixture(t, func(http.ResponseWriter, *http.Request) {})
+	open := f.dial(t)
+	quicktest.Assert(t, open.get(t, "/", 0), quicktest.Equals, http.StatusOK)
+	for i := range 100 {
+		f.setLimits(job.Limits{IdleTimeout: time.Duration(i+1) * time.Minute})
+	}
+	f.mu.Lock()
+	n := len(f.servers())
+	f.mu.Unlock()
+	quicktest.Check(t, n, quicktest.Equals, 2) // the first, which has a connection, and the last
+	quicktest.Check(t, open.get(t, "/", 0), quicktest.Equals, http.StatusOK)
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -35,12 +33,6 @@
 	entryRefresh = 20 * time.Second
 	// entryRetry is the time after which a failed record is repeated.
 	entryRetry = time.Second
-	// fallbackHeaderTimeout and fallbackIdleTimeout apply to callers' connections
-	// until the configuration states its own.
-	fallbackHeaderTimeout = 3 * time.Second
-	fallbackIdleTimeout   = 15 * time.Second
-	// maxHeaderBytes bounds a caller's request header.
-	maxHeaderBytes = 16 << 10
 )
 
 // entry is the process that takes callers' jobs.
@@ -51,6 +43,7 @@
 	config atomic.Pointer[job.Config]
 	// jobs keeps the stored jobs; nil where the store has no partitions.
 	jobs     *ledger.Ledger
+	callers  *callersServer
 	draining atomic.Bool
 	ready    atomic.Bool
 }
@@ -77,6 +70,7 @@
 		}),
 		store: platform.NewStore(s.StoreAddress),
 	}
+	e.callers = newCallersServer(platform.NewCallersHandler(e), p.log)
 	if s.StorePartitions > 0 {
 		e.jobs = ledger.New(ledger.Config{
 			Member: p.node.String(), Partitions: s.StorePartitions, Store: platform.NewJobStore(e.store), Runner: e.c,
@@ -123,21 +117,17 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", e.p.settings.CallersAddress, err)
 	}
-	server := &http.Server{
-		Handler:           platform.NewCallersHandler(e),
-		ReadHeaderTimeout: fallbackHeaderTimeout, IdleTimeout: fallbackIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
 	go func() {
 		defer stop()
 		select {
 		case <-ctx.Done():
-			e.drain(life, server)
+			e.drain(life, l)
 		case <-life.Done():
-			_ = server.Close()
+			e.callers.close(l)
 		}
 	}()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", e.p.settings.CallersAddress, err)
+	if err := e.callers.serve(l); err != nil {
+		return err
 	}
 	<-life.Done()
 	return nil
@@ -145,7 +135,7 @@
 
 // drain withdraws readiness, serves until the load balancer has noticed, and then
 // until the requests in flight are answered.
-func (e *entry) drain(life context.Context, server *http.Server) {
+func (e *entry) drain(life context.Context, callers net.Listener) {
 	begun := time.Now()
 	e.draining.Store(true)
 	e.p.log.Log(event.ProcessDraining, "jobs", e.c.Load())
@@ -154,12 +144,12 @@
 	if err := e.store.WithdrawEntry(ctx, e.p.settings.internalAddress(e.p.settings.Address)); err != nil {
 		e.p.log.Log(event.EntryListFailed, "error", err)
 	}
-	server.SetKeepAlivesEnabled(false)
+	e.callers.closeAfterAnswer()
 	select {
 	case <-time.After(balancerNotice - time.Since(begun)):
 	case <-ctx.Done():
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	if err := e.callers.shutdown(ctx, callers); err != nil {
 		e.p.log.Log(event.EntryDrainIncomplete, "jobs", e.c.Load(), "error", err)
 	}
 }
@@ -193,6 +183,7 @@
 		return
 	}
 	e.config.Store(cfg)
+	e.callers.setLimits(cfg.Limits)
 	e.p.log.Log(event.QueueConfigured, "version", cfg.Version, "queues", len(cfg.Queues), "services", len(cfg.Services))
 }
 
