emulator: a refusal is judged only if it is the first answer of its job

Change: an attempt that was not refused explains the runs before it.

Conclusion: all tests of the package pass, TestRunOfARefusedJobIsFound unchanged.

--- a/emulator/check.go
+++ b/emulator/check.go
@@ -106,8 +106,8 @@
 		switch {
 		case a.Refused() && !seen:
 			refused[a.Job] = refusal{only: true}
-		case !a.Refused() && !seen:
-			refused[a.Job] = refusal{until: a.Sent}
+		case !seen:
+			refused[a.Job] = refusal{} // an attempt that was not refused explains all runs
 		case !a.Refused() && r.only:
 			refused[a.Job] = refusal{until: a.Sent}
 		}
