ledger: an accepted job is run without waiting for a long read

The store tells waiting reads nothing for a second while it drops its history, and the owner of a partition learned of new jobs by a read that waits 1.2 s only.

Ruled out: the store refusing appends (all jobs were accepted within milliseconds); a loss of the partition (none was taken anew).

Change: an entry folds a job that it has stored itself, and runs it at once if it owns the partition (a third of the jobs with three entries); reads of owned partitions that have jobs wait 400 ms.

Idle partitions are still read every 4 s.

--- a/emulator/store.go
+++ b/emulator/store.go
@@ -25,6 +25,8 @@
 	KeepMembers bool
 	// LoseEvery is n when every n-th append is carried out and not answered.
 	LoseEvery int
+	// Deaf makes reads that wait hear nothing of what is appended meanwhile.
+	Deaf bool
 }
 
 // Store is the platform's store of jobs in memory. Handles of it are made by For.
@@ -38,6 +40,7 @@
 	generation uint64
 	appends    int
 	changed    chan struct{}
+	shift      int // moves the partitions among the members
 }
 
 type storePart struct {
@@ -169,6 +172,9 @@
 	for {
 		s.mu.Lock()
 		p, changed := s.parts[partition], s.changed
+		if s.faults.Deaf {
+			changed = nil
+		}
 		if uint64(len(p.records)) > from {
 			out := slices.Clone(p.records[from:])
 			s.mu.Unlock()
@@ -240,6 +246,17 @@
 	}
 }
 
+// Rebalance deals all partitions anew at once, without asking their owners.
+func (s *Store) Rebalance() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shift++
+	for _, p := range s.parts {
+		p.owner, p.pending = "", false
+	}
+	s.assignLocked()
+}
+
 func (s *Store) expireLocked() {
 	for name, m := range s.members {
 		if time.Since(m.heard) > m.ttl {
@@ -258,7 +275,7 @@
 	sort.Strings(names)
 	moved := false
 	for i, p := range s.parts {
-		want := names[i%len(names)]
+		want := names[(i+s.shift)%len(names)]
 		old := s.members[p.owner]
 		switch {
 		case p.owner == want:
--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -82,6 +82,14 @@
 			s.Store.SetFaults(StoreFaults{LoseEvery: 3})
 			time.AfterFunc(4*time.Second, func() { s.Store.SetFaults(StoreFaults{}) })
 		},
+		"partitions dealt anew": func(s *System) {
+			s.Store.Rebalance()
+			time.AfterFunc(1500*time.Millisecond, s.Store.Rebalance)
+		},
+		"deaf": func(s *System) {
+			s.Store.SetFaults(StoreFaults{Deaf: true})
+			time.AfterFunc(2*time.Second, func() { s.Store.SetFaults(StoreFaults{}) })
+		},
 		"owner cut off": func(s *System) {
 			for a := range s.Endpoints {
 				s.Cut(0, a, true)
@@ -158,6 +166,55 @@
 	})
 }
 
+// Guards against jobs that wait for their owner's long read to end when the store tells
+// waiting reads nothing, as while it drops its history: their objectives are shorter.
+func TestStoredJobBeginsWhileReadsHearNothing(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, stop := context.WithCancel(context.Background())
+		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(4))
+		time.Sleep(5 * time.Second) // the partitions are taken
+		accept := func(i int) job.Submission {
+			j := testJob(fmt.Sprintf("%016x", 0xdeaf000+i), 1, 200*time.Millisecond)
+			j.Ephemeral = false
+			c.Assert(s.Ledger(i%2).Accept(ctx, j) == nil, quicktest.IsTrue)
+			return j
+		}
+		for i := range 40 { // no partition is idle
+			accept(i)
+		}
+		time.Sleep(2 * time.Second)
+		s.Store.SetFaults(StoreFaults{Deaf: true})
+		var late, latest time.Duration
+		for i := range 40 {
+			j, accepted := accept(100+i), time.Now()
+			for s.began(j.ID).IsZero() && time.Since(accepted) < 3*time.Second {
+				time.Sleep(5 * time.Millisecond)
+			}
+			wait := time.Since(accepted)
+			late, latest = late+wait, max(latest, wait)
+		}
+		c.Check(latest <= 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("latest begin after %v", latest))
+		// The entry that took the job is its owner half of the time, and knows of it.
+		c.Check(late/40 <= 150*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("mean begin after %v", late/40))
+		stop()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// began returns when the first run of a job began, zero if none has.
+func (s *System) began(id string) (at time.Time) {
+	for _, e := range s.Endpoints {
+		for _, r := range e.History() {
+			if task, err := job.ParseTaskID(r.ID.Task); err == nil && task.Job == id && (at.IsZero() || r.Began.Before(at)) {
+				at = r.Began
+			}
+		}
+	}
+	return at
+}
+
 // running returns the number of runs at all endpoints.
 func (s *System) running() (n int) {
 	for _, e := range s.Endpoints {
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -181,24 +181,28 @@
 // handOver gives the jobs of an owned partition to the runner.
 func (l *Ledger) handOver(p *partition) {
 	for id, e := range p.entries {
-		switch {
-		case e.progress.State != "":
-		case e.cancelled:
-			if e.running {
-				l.cfg.Runner.Drop(id)
-				e.running = false
-			}
-			if _, ok := p.dirty[id]; !ok {
-				p.setDirty(id, job.Progress{State: job.Cancelled})
-			}
-		case e.submission != nil && !e.running:
-			e.running = true
-			s := *e.submission
-			if q, ok := l.cfg.Queue(s.Queue.Name); ok {
-				s.Queue = q
-			}
-			l.cfg.Log.Log(event.JobAdopted, "job", id, "partition", p.index, "epoch", p.epoch)
-			l.cfg.Runner.Adopt(s, e.progress, p.epoch)
+		l.handOverJob(p, id, e)
+	}
+}
+
+func (l *Ledger) handOverJob(p *partition, id string, e *entry) {
+	switch {
+	case e.progress.State != "":
+	case e.cancelled:
+		if e.running {
+			l.cfg.Runner.Drop(id)
+			e.running = false
+		}
+		if _, ok := p.dirty[id]; !ok {
+			p.setDirty(id, job.Progress{State: job.Cancelled})
+		}
+	case e.submission != nil && !e.running:
+		e.running = true
+		s := *e.submission
+		if q, ok := l.cfg.Queue(s.Queue.Name); ok {
+			s.Queue = q
 		}
+		l.cfg.Log.Log(event.JobAdopted, "job", id, "partition", p.index, "epoch", p.epoch)
+		l.cfg.Runner.Adopt(s, e.progress, p.epoch)
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -35,7 +35,9 @@
 	// not recorded.
 	TakeOver time.Duration
 	// OwnPoll is how long a read of an owned partition waits for a record, and
-	// OtherPoll the pause between reads of another's partition.
+	// OtherPoll the pause between reads of another's partition. A waiting read hears
+	// nothing for a second while the store drops its history, and jobs have objectives
+	// of a few hundred milliseconds.
 	OwnPoll   time.Duration
 	OtherPoll time.Duration
 	// IdlePoll replaces both while the partition has no jobs.
@@ -55,7 +57,7 @@
 	return Timing{
 		TTL: max(1500*time.Millisecond, minTTL), Renewal: 400 * time.Millisecond,
 		TakeOver: orphanEnd + 300*time.Millisecond,
-		OwnPoll:  1200 * time.Millisecond, OtherPoll: 600 * time.Millisecond, Gap: 10 * time.Millisecond,
+		OwnPoll:  400 * time.Millisecond, OtherPoll: 600 * time.Millisecond, Gap: 10 * time.Millisecond,
 		IdlePoll:      4 * time.Second,
 		AcceptTimeout: 2 * time.Second, Keep: keep + 10*time.Second, Retry: 200 * time.Millisecond,
 	}
@@ -177,10 +179,24 @@
 	if err := l.append(ctx, p, record); err != nil {
 		return err
 	}
-	p.wakeUp()
+	l.takeAccepted(p, record, s.ID)
 	return nil
 }
 
+// takeAccepted folds a job that this entry has just stored, instead of waiting until
+// it is read. Its owner runs it at once.
+func (l *Ledger) takeAccepted(p *partition, r Record, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !p.known {
+		return // it is read with the others
+	}
+	l.fold(p, r)
+	if e := p.entries[id]; e != nil && p.active {
+		l.handOverJob(p, id, e)
+	}
+}
+
 // append appends a record of a caller's wish. A write whose fate is unknown is
 // repeated, which changes nothing if it was carried out.
 func (l *Ledger) append(ctx context.Context, p *partition, r Record) *errkind.Error {
