relay: a trace span for each hop of a job

Ruled out: a span context in every order. Only the traceparent of a sampled job travels, so that jobs that nobody traces cost no bytes.

Change: span "job" at the entry below the caller's traceparent, "run" at the agent, "start" for the call to the endpoint; exporters and sampling as in the other daemons, off by default. Orders of one group have the same traceparent (IsAlike).

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -218,6 +218,7 @@
 	return wire.OrderGroup{
 		Payload: t.job.spec.Payload, Size: t.step.Size, EstimateMillis: uint32(t.step.Estimate.Milliseconds()),
 		Priority: int32(t.job.spec.Queue.Priority), Stored: t.job.stored != nil,
+		Trace: t.job.spec.Trace,
 	}
 }
 
--- a/endpointapi/endpointapi.go
+++ b/endpointapi/endpointapi.go
@@ -48,6 +48,19 @@
 	StartEndpointDown // no process listens
 )
 
+var startResultNames = [...]string{
+	StartUnknown: "unknown", StartAccepted: "accepted", StartNoRoom: "no_room", StartOld: "old", StartLate: "late",
+	StartRefused: "refused", StartOtherInstance: "other_instance", StartInvalid: "invalid", StartEndpointDown: "endpoint_down",
+}
+
+// String returns the name of r for logs and traces.
+func (r StartResult) String() string {
+	if int(r) < len(startResultNames) {
+		return startResultNames[r]
+	}
+	return "unknown"
+}
+
 // StartReply answers a StartOrder.
 type StartReply struct {
 	Result StartResult
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -7,6 +7,9 @@
 	"context"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"oriolerelay/endpointapi"
 	"oriolerelay/event"
 	"oriolerelay/internal/loop"
@@ -19,6 +22,9 @@
 	Timing   Timing
 	Log      *event.Logger
 	Metrics  *Metrics
+	// Tracer makes a span for each run of a traced job, and one for its start at the
+	// endpoint; nil for none.
+	Tracer trace.Tracer
 	// Save records an announcement that changes what a process that follows this one
 	// has to know. It must not block; it may be nil.
 	Save func(a endpointapi.Announcement)
@@ -72,6 +78,9 @@
 
 // New returns an Executor that does not run yet.
 func New(cfg Config) *Executor {
+	if cfg.Tracer == nil {
+		cfg.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	if created := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
--- a/executor/run.go
+++ b/executor/run.go
@@ -74,6 +74,7 @@
 	stopBusy bool
 	stopped  bool // the endpoint has answered the stop
 	looked   bool
+	span     *runSpan // nil for a job that is not traced
 }
 
 type startCall struct {
@@ -91,6 +92,7 @@
 		id: id, entry: e.node, payload: g.Payload, size: g.Size, ordered: now, priority: g.Priority, stored: g.Stored,
 		estimate: time.Duration(g.EstimateMillis) * time.Millisecond,
 	}
+	r.span = x.startSpan(r, g.Trace)
 	x.runs[id.Task] = r
 	if !x.mayStart(r) {
 		x.waiting = append(x.waiting, r)
@@ -192,7 +194,9 @@
 		select {
 		case call := <-x.starts:
 			callCtx, cancel := context.WithTimeout(ctx, x.cfg.Timing.AnswerTimeout)
+			callCtx, endCall := call.run.span.call(callCtx, x.cfg.Tracer)
 			reply := x.cfg.Endpoint.Start(callCtx, call.order)
+			endCall(reply)
 			cancel()
 			x.loop.Post(func() { x.startAnswered(call, reply, time.Now()) })
 		case <-ctx.Done():
@@ -315,6 +319,7 @@
 		x.used = x.used.Minus(r.size)
 	}
 	x.statusDirty = true
+	r.span.end(state, reason, why)
 	rep := wire.Report{Run: r.id, State: state, Reason: reason}
 	x.recent.add(rep)
 	x.report(r.entry, rep)
--- a/job/job.go
+++ b/job/job.go
@@ -28,6 +28,8 @@
 	Repeat int
 	// Patience is how long the caller waits for an answer; 0 when not stated.
 	Patience time.Duration
+	// Trace is the W3C traceparent below which the job runs; empty when it is not traced.
+	Trace string `cbor:",omitempty"`
 }
 
 // Step is a group of like tasks.
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	defer p.logSink.Flush(time.Second)
+	defer p.close()
 	s := &p.settings
 	if err := require("agent", map[string]string{
 		"announce_address": s.AnnounceAddress, "endpoint_address": s.EndpointAddress,
@@ -39,6 +39,7 @@
 		Log:      p.log,
 		Metrics:  executor.NewMetrics(p.registry),
 		Now:      boottime,
+		Tracer:   p.tracer,
 	})
 	p.log.Log(event.ProcessStarted, "role", "agent", "endpoint", s.EndpointAddress, "seeds", len(s.Seeds))
 	defer p.log.Log(event.ProcessStopped)
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	defer p.logSink.Flush(time.Second)
+	defer p.close()
 	s := &p.settings
 	if err := require("entry", map[string]string{
 		"callers_address": s.CallersAddress, "ready_address": s.ReadyAddress,
@@ -201,6 +201,13 @@
 
 // Submit implements platform.Jobs.
 func (e *entry) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
+	ctx, span := startJobSpan(ctx, e.p.tracer, &s)
+	state, err := e.submit(ctx, s)
+	endJobSpan(span, state, err)
+	return state, err
+}
+
+func (e *entry) submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
 	if what := s.Unsupported(); what != "" {
 		return "", errkind.New(errkind.NoEndpoint, "this version does not run a %s", what)
 	}
--- a/relay/process.go
+++ b/relay/process.go
@@ -15,10 +15,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/trace"
 
 	"oriolerelay/event"
 	"oriolerelay/ids"
 	"oriolerelay/settings"
+	"oriolerelay/tracing"
 	"oriolerelay/transport"
 )
 
@@ -39,6 +41,9 @@
 	logSink  *event.AsyncWriter
 	registry *prometheus.Registry
 	stats    *transport.Stats
+	tracer   trace.Tracer
+	// closeTraces exports the last spans.
+	closeTraces func()
 }
 
 // newProcess loads the settings at path and starts the log, written to out.
@@ -56,12 +61,23 @@
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.stats = transport.NewStats(p.registry)
+	provider, closeTraces, err := tracing.Open(p.settings.Traces, "oriole-relay", p.node.String())
+	if err != nil {
+		return nil, err
+	}
+	p.tracer, p.closeTraces = provider.Tracer("oriolerelay/relay"), closeTraces
 	if p.settings.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.settings.MemoryMiB) * (1 << 20)))
 	}
 	return p, nil
 }
 
+// close ends the traces and the log.
+func (p *process) close() {
+	p.closeTraces()
+	p.logSink.Flush(time.Second)
+}
+
 // serveMetrics serves the metrics until ctx ends.
 func (p *process) serveMetrics(ctx context.Context) {
 	mux := http.NewServeMux()
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oriolerelay/settings"
+	"oriolerelay/tracing"
 )
 
 // Settings are the settings of both daemons.
@@ -40,6 +41,8 @@
 	StopGraceS float64 `json:"stop_grace_s"`
 	// FarFactor is how much longer a task runs away from its data.
 	FarFactor float64 `json:"far_factor"`
+	// Traces is where trace spans go; nowhere by default.
+	Traces tracing.Settings `json:"traces"`
 }
 
 // Check implements settings.Checker.
@@ -71,6 +74,7 @@
 	if s.MaxLeaseMS < 100 {
 		p.Add("max_lease_ms", "%v is below 100 ms", s.MaxLeaseMS)
 	}
+	s.Traces.Check(p, "traces")
 	if s.StopGraceS < 1 {
 		p.Add("stop_grace_s", "%v is below 1 s", s.StopGraceS)
 	}
--- /dev/null
+++ b/relay/trace_test.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"oriolerelay/errkind"
+	"oriolerelay/job"
+	"oriolerelay/wire"
+)
+
+const (
+	sampledParent   = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	unsampledParent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00"
+)
+
+func tracedJob(parent string) job.Submission {
+	return job.Submission{
+		ID: "j", Queue: job.Queue{Name: "q"}, Ephemeral: true, Trace: parent,
+		Steps: []job.Step{{Count: 2, Size: wire.Resources{MilliCores: 1}}},
+	}
+}
+
+// Guards against runs that cannot be found from the caller's trace, and against a
+// refusal that looks like success in it.
+func TestJobSpan(t *testing.T) {
+	c := quicktest.New(t)
+	recorder := tracetest.NewSpanRecorder()
+	tracer := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder)).Tracer("test")
+	s := tracedJob(sampledParent)
+	_, span := startJobSpan(context.Background(), tracer, &s)
+	c.Check(s.Trace, quicktest.Matches, "00-4bf92f3577b34da6a3ce929d0e0e4736-.*-01")
+	c.Check(s.Trace, quicktest.Not(quicktest.Equals), sampledParent)
+	endJobSpan(span, "", errkind.New(errkind.QueueFull, "full"))
+	ended := recorder.Ended()
+	c.Assert(ended, quicktest.HasLen, 1)
+	c.Check(ended[0].Parent().SpanID().String(), quicktest.Equals, "00f067aa0ba902b7")
+	c.Check(ended[0].Status().Description, quicktest.Equals, string(errkind.QueueFull))
+}
+
+// Guards against bytes of traces in every message of jobs that nobody traces, and
+// against a caller's trace that ends at an entry whose own traces are off.
+func TestOnlySampledTracesTravel(t *testing.T) {
+	c := quicktest.New(t)
+	for _, tc := range []struct{ parent, want string }{{"", ""}, {"x", ""}, {unsampledParent, ""}, {sampledParent, sampledParent}} {
+		s := tracedJob(tc.parent)
+		_, span := startJobSpan(context.Background(), noop.NewTracerProvider().Tracer(""), &s)
+		span.End()
+		c.Check(s.Trace, quicktest.Equals, tc.want, quicktest.Commentf("%q", tc.parent))
+	}
+}
--- a/wire/run.go
+++ b/wire/run.go
@@ -39,13 +39,15 @@
 	// Stored runs belong to a job in the ledger: the agent keeps their ends at the
 	// endpoint until they are noted.
 	Stored bool `cbor:"6,keyasint,omitempty"`
+	// Trace is the W3C traceparent of the job; empty when it is not traced.
+	Trace string `cbor:"7,keyasint,omitempty"`
 }
 
 // IsAlike reports whether the runs of g and o can share a group: all but the runs is
 // equal.
 func (g *OrderGroup) IsAlike(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Priority == o.Priority && g.Stored == o.Stored
+		g.Priority == o.Priority && g.Stored == o.Stored && g.Trace == o.Trace
 }
 
 // RunState is the state of a run in a Report.
