coordinator, ledger: an owner that hears no agent steps down

Meanwhile nobody ran the jobs of its partitions.

Ruled out: two owners (the partition was never taken by another), ends that were lost (the agents repeated them to the other entries, which did not own the jobs).

TestOwnerWithoutAgentsStepsDown fails without it (28 tasks not done 5 s after the cut).

An owner that is cut off from some agents only can still run a task again whose end an agent has given up; next.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oriolerelay/errkind"
@@ -74,6 +75,8 @@
 	recorder    Recorder
 	startedJobs sync.Map
 	strays      map[wire.Run]stray
+	lastHeard   time.Time   // of any agent
+	outOfReach  atomic.Bool // no agent is heard
 	orders      map[*agent][]wire.OrderGroup // of the present batch
 }
 
@@ -148,6 +151,7 @@
 
 // Tick implements loop.Controller.
 func (c *Coordinator) Tick(now time.Time) {
+	c.checkReach(now)
 	c.checkAgents(now)
 	c.checkJobs(now)
 	c.forgetStrays(now)
--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -105,6 +105,42 @@
 	}
 }
 
+// Guards against jobs that wait for an owner that reaches the store and no agent, and
+// against their tasks running again after the agents gave up the ends that it did not
+// record (bench: an entry cut off from all hosts for 5 s, 38 tasks done twice).
+func TestOwnerWithoutAgentsStepsDown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, stop := context.WithCancel(context.Background())
+		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(6))
+		time.Sleep(5 * time.Second) // the partitions are taken
+		var jobs []job.Submission
+		for i := range 20 {
+			if i == 6 {
+				for a := range s.Endpoints {
+					s.Cut(0, a, true)
+				}
+			}
+			j := testJob(fmt.Sprintf("%016x", 0xc07000+i), 4, 400*time.Millisecond)
+			j.Ephemeral = false
+			c.Assert(s.Ledger(1).Accept(ctx, j) == nil, quicktest.IsTrue)
+			jobs = append(jobs, j)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		c.Check(s.CheckStored(jobs), quicktest.HasLen, 0, quicktest.Commentf("while the entry is cut off"))
+		time.Sleep(20 * time.Second) // agents keep ends for 15 s
+		for a := range s.Endpoints {
+			s.Cut(0, a, false)
+		}
+		time.Sleep(5 * time.Second)
+		c.Check(s.CheckStored(jobs), quicktest.HasLen, 0)
+		stop()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+	})
+}
+
 // Guards against a cancelled job that runs on, is run again, or is unknown.
 func TestStoredJobIsCancelled(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -44,6 +44,7 @@
 	JobAdopted       = define(656, Info, "stored job is run")
 	EntryListFailed  = define(651, Warn, "list of entries could not be read or written")
 	EntryListChanged = define(652, Info, "list of entries changed")
+	AgentsInReach    = define(661, Warn, "agents came into reach, or none is")
 	CallerLimits     = define(659, Info, "limits of callers' connections changed")
 	AcceptFailed     = define(660, Warn, "a caller's connection could not be accepted")
 	EntryRetired     = define(658, Info, "entry is served by other agents, its connection ends after its runs")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,6 +20,8 @@
 	Drop(id string)
 	// Started reports whether a task of the job has been ordered.
 	Started(id string) bool
+	// CanRun reports whether this entry can run jobs at all.
+	CanRun() bool
 	// Noted tells the runner that the progress of a job up to now is recorded.
 	Noted(id string, p job.Progress)
 }
--- a/ledger/own.go
+++ b/ledger/own.go
@@ -12,21 +12,35 @@
 
 // keepMembership keeps this entry among the owners until ctx ends.
 func (l *Ledger) keepMembership(ctx context.Context) {
+	member := false
 	for ctx.Err() == nil {
-		l.renew(ctx)
+		switch can := l.cfg.Runner.CanRun(); {
+		case can:
+			l.renew(ctx)
+			member = true
+		case member:
+			l.leave(ctx, "no agent is in reach")
+			member = false
+		}
 		select {
 		case <-time.After(l.cfg.Timing.Renewal):
 		case <-ctx.Done():
 		}
 	}
+	l.leave(context.WithoutCancel(ctx), "the process stops")
+}
+
+// leave gives up all partitions, so that others take them at once. If the call fails,
+// they take them when the membership lapses.
+func (l *Ledger) leave(ctx context.Context, why string) {
 	l.mu.Lock()
 	for _, p := range l.parts {
-		l.release(p, "the process stops")
+		l.release(p, why)
 	}
 	l.mu.Unlock()
-	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.cfg.Timing.Renewal)
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timing.Renewal)
 	defer cancel()
-	if err := l.cfg.Store.Leave(leave, l.cfg.Member); err != nil {
+	if err := l.cfg.Store.Leave(ctx, l.cfg.Member); err != nil {
 		l.cfg.Log.Log(event.StoreUnavailable, "call", "leave", "error", err)
 	}
 }
