coordinator: ends of done tasks are remembered until their job is adopted

Change: reports of done tasks are remembered for 20 s, longer than agents keep them, and count also while their agent is out of reach. Reports of failures are remembered for 0.6 s only: agents repeat those that nobody has counted every 0.4 s, and one that the former owner has counted must not count again. They are kept by job, so that adopting one does not look through all. TestEndsAreRememberedUntilAdoption fails with the old times.

Two more owners within 20 s that have heard nothing of the agent can still run the task again.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -74,9 +74,10 @@
 	// of the stored jobs of which a task was ordered, for readers off the loop.
 	recorder    Recorder
 	startedJobs sync.Map
-	strays      map[wire.Run]stray
-	lastHeard   time.Time   // of any agent
-	outOfReach  atomic.Bool // no agent is heard
+	strays      map[string][]stray           // by job
+	strayCheck  time.Time                    // when old ones were last dropped
+	lastHeard   time.Time                    // of any agent
+	outOfReach  atomic.Bool                  // no agent is heard
 	orders      map[*agent][]wire.OrderGroup // of the present batch
 }
 
@@ -89,7 +90,7 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		agents:  make(map[string]*agent),
 		jobs:    make(map[string]*run),
-		strays:  make(map[wire.Run]stray),
+		strays:  make(map[string][]stray),
 		orders:  make(map[*agent][]wire.OrderGroup),
 	}
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -128,6 +128,32 @@
 	})
 }
 
+// Guards against a task that is run again because its end was reported before its job
+// changed hands more than once, and against failures that are counted twice: by the
+// former owner, and from the memory of this one.
+func TestEndsAreRememberedUntilAdoption(t *testing.T) {
+	with(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
+		beat := func(d time.Duration) { // the agent stays heard
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				a.c.Handle(a.name, a.connection, &wire.Status{Count: a.count})
+			}
+		}
+		a.report(wire.Run{Task: "j.0.0.0", Number: 7}, wire.RunDone)
+		a.report(wire.Run{Task: "j.0.0.1", Number: 7}, wire.RunFailed) // counted by the former owner
+		beat(10 * time.Second)
+		a.report(wire.Run{Task: "j.0.0.2", Number: 7}, wire.RunFailed) // counted by nobody
+		beat(300 * time.Millisecond)
+		co.Adopt(submission("j", 3), job.Progress{Failures: map[string]int{"j.0.0.1": 1}}, 2)
+		synctest.Wait()
+		c.Assert(a.orders, quicktest.HasLen, 2)
+		c.Assert(a.orders[0].Task, quicktest.Equals, "j.0.0.1")
+		a.report(a.orders[0], wire.RunFailed) // its second failure, which the queue does not allow
+		synctest.Wait()
+		c.Check(r.reported["j"].State, quicktest.Equals, job.Failed)
+		c.Check(r.reported["j"].Failures, quicktest.DeepEquals, map[string]int{"j.0.0.1": 2, "j.0.0.2": 1})
+	})
+}
+
 // Guards against orders of an owner whose membership has lapsed while it was frozen.
 func TestLapsedOwnerOrdersNothing(t *testing.T) {
 	with(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -255,17 +255,17 @@
 func (c *Coordinator) done(t *task, now time.Time) {
 	a, number := t.agent, t.number
 	c.detach(t)
-	c.finishTask(t, a, number, now)
+	c.finishTask(t, a.name, number, now)
 }
 
 // finishTask takes note that t is done by the given run.
-func (c *Coordinator) finishTask(t *task, a *agent, number uint32, now time.Time) {
+func (c *Coordinator) finishTask(t *task, agentName string, number uint32, now time.Time) {
 	j := t.job
 	t.state = taskDone
 	j.left--
 	if j.stored != nil {
 		j.stored.progress.MarkDone(t.id.Step, t.id.Index)
-		j.recordEnd(t, a, number, 0)
+		j.recordEnd(t, agentName, number, 0)
 	}
 	switch {
 	case j.left == 0 && j.stored != nil:
@@ -286,7 +286,7 @@
 	t.failures++
 	switch {
 	case t.job.stored != nil:
-		c.countFailure(t, a, t.number)
+		c.countFailure(t, a.name, t.number)
 	case !a.failing():
 		t.counted++
 	}
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"oriolerelay/event"
@@ -80,7 +81,7 @@
 			}
 		}
 		c.admit(j, time.Now())
-		c.takeStrays(j)
+		c.takeStrays(j, time.Now())
 		if j.left == 0 {
 			c.endStored(j, job.Completed)
 		}
@@ -148,10 +149,10 @@
 
 // recordEnd takes note of an end of a stored run; failure is its number among the
 // failures of the task, 0 for a task that was done.
-func (j *run) recordEnd(t *task, a *agent, number uint32, failure int) {
+func (j *run) recordEnd(t *task, agentName string, number uint32, failure int) {
 	j.stored.dirty = true
 	j.stored.unnoted = append(j.stored.unnoted, endedRun{
-		agent: a.name, run: wire.Run{Task: t.name, Number: number}, task: t, failure: failure,
+		agent: agentName, run: wire.Run{Task: t.name, Number: number}, task: t, failure: failure,
 	})
 }
 
@@ -181,12 +182,12 @@
 		return
 	case j == nil:
 		// The job may be adopted later, and must not run this task again then.
-		c.strays[r.Run] = stray{agent: a.name, report: r, at: time.Now()}
+		c.keepStray(id.Job, stray{agent: a.name, report: r, at: time.Now()})
 		return
 	case j.stored == nil:
 		return
 	}
-	c.takeStray(j, id, a, r)
+	c.takeStray(j, id, a.name, r)
 }
 
 // stray is the report of an end whose job is not known here.
@@ -196,48 +197,84 @@
 	at     time.Time
 }
 
-// strayMemory is how long strays are remembered. Agents repeat them several times
-// while a partition is taken over.
-const strayMemory = 3 * time.Second
+const (
+	// doneMemory is how long an end of a task that is done is remembered for a job that
+	// may be adopted later. Agents keep such an end for 15 s at most, and partitions can
+	// change hands several times meanwhile.
+	doneMemory = 20 * time.Second
+	// failedMemory is the same for a failure. The owner before may have counted it, and
+	// agents repeat every 400 ms those that nobody has counted.
+	failedMemory = 600 * time.Millisecond
+)
 
-// takeStrays applies the ends that were reported before j was adopted.
-func (c *Coordinator) takeStrays(j *run) {
-	for run, s := range c.strays {
-		id, err := job.ParseTaskID(run.Task)
-		if err != nil || id.Job != j.spec.ID {
-			continue
+func (s *stray) memory() time.Duration {
+	if s.report.State == wire.RunDone {
+		return doneMemory
+	}
+	return failedMemory
+}
+
+// keepStray remembers a stray, or renews the memory of it.
+func (c *Coordinator) keepStray(id string, s stray) {
+	for i, known := range c.strays[id] {
+		if known.report.Run == s.report.Run {
+			c.strays[id][i] = s
+			return
 		}
-		delete(c.strays, run)
-		if a := c.agents[s.agent]; a != nil {
-			c.takeStray(j, id, a, s.report)
+	}
+	c.strays[id] = append(c.strays[id], s)
+}
+
+// takeStrays applies the ends that were reported before j was adopted.
+func (c *Coordinator) takeStrays(j *run, now time.Time) {
+	strays := c.strays[j.spec.ID]
+	delete(c.strays, j.spec.ID)
+	for _, s := range strays {
+		id, err := job.ParseTaskID(s.report.Run.Task)
+		if err == nil && now.Sub(s.at) <= s.memory() {
+			c.takeStray(j, id, s.agent, s.report) // also if the agent is out of reach now
 		}
 	}
 }
 
-// forgetStrays drops strays that agents do not repeat any more.
+// strayCheckInterval is the time between two searches for strays that are too old.
+const strayCheckInterval = time.Second
+
+// forgetStrays drops strays that are too old.
 func (c *Coordinator) forgetStrays(now time.Time) {
-	maps.DeleteFunc(c.strays, func(_ wire.Run, s stray) bool { return now.Sub(s.at) > strayMemory })
+	if now.Sub(c.strayCheck) < strayCheckInterval {
+		return
+	}
+	c.strayCheck = now
+	for id, strays := range c.strays {
+		strays = slices.DeleteFunc(strays, func(s stray) bool { return now.Sub(s.at) > s.memory() })
+		if len(strays) == 0 {
+			delete(c.strays, id)
+		} else {
+			c.strays[id] = strays
+		}
+	}
 }
 
 // takeStray applies the end of a run that a former owner of j ordered.
-func (c *Coordinator) takeStray(j *run, id job.TaskID, a *agent, r wire.Report) {
+func (c *Coordinator) takeStray(j *run, id job.TaskID, agentName string, r wire.Report) {
 	t := j.task(id)
-	if t == nil || j.stored.progress.State != "" || j.stored.knows(a.name, r.Run) {
+	if t == nil || j.stored.progress.State != "" || j.stored.knows(agentName, r.Run) {
 		return
 	}
 	if r.State == wire.RunFailed {
-		c.countFailure(t, a, r.Run.Number)
+		c.countFailure(t, agentName, r.Run.Number)
 		return
 	}
 	if t.state == taskDone {
-		j.recordEnd(t, a, r.Run.Number, 0)
+		j.recordEnd(t, agentName, r.Run.Number, 0)
 		return
 	}
 	if t.agent != nil {
 		c.stopRun(t)
 		c.detach(t)
 	}
-	c.finishTask(t, a, r.Run.Number, time.Now())
+	c.finishTask(t, agentName, r.Run.Number, time.Now())
 }
 
 func (s *storedRun) knows(agentName string, run wire.Run) bool {
@@ -258,7 +295,7 @@
 }
 
 // countFailure records a failed run of a stored task.
-func (c *Coordinator) countFailure(t *task, a *agent, number uint32) {
+func (c *Coordinator) countFailure(t *task, agentName string, number uint32) {
 	j := t.job
 	if t.failedRuns[number] {
 		return // reported again
@@ -273,5 +310,5 @@
 	t.counted++
 	j.stored.progress.Failures = maps.Clone(j.stored.progress.Failures)
 	j.stored.progress.Failures[t.name] = t.counted
-	j.recordEnd(t, a, number, t.counted)
+	j.recordEnd(t, agentName, number, t.counted)
 }
