ledger: jobs accepted after a takeover run at once; a former owner records what it knows

Ruled out: a record that a job begins before its first order (one more write for each job, against a limit of 800 a second); writes of former owners without a fence (an older state could replace a newer one).

Change: an owner's first write is a record of itself. A former owner that reads a higher epoch gives the partition up before it reads later jobs; jobs that are read after the owner's record, in order, are run at once. An entry takes a job that it has stored itself only if nothing before it is unread (Append returns the offset). A former owner writes for 100 ms more, under its own epoch, so that the store refuses it once the next owner has recorded itself; a process that stops waits for that. A late answer no longer counts a write of the former epoch in the sequence of the next one.

--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -93,6 +93,9 @@
 	c.loop.Post(func() {
 		if j := c.jobs[id]; j != nil && j.stored != nil {
 			c.cfg.Log.Log(event.JobAbandoned, "job", id, "stored", true, "left", j.left)
+			if j.stored.dirty && j.stored.progress.State == "" {
+				c.recorder.Report(id, j.stored.progress.Clone()) // for the next owner
+			}
 			c.forget(j)
 		}
 	})
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -48,6 +48,7 @@
 	epoch    uint64
 	sequence uint64
 	fenced   bool   // an epoch is set
+	written  uint64 // offset of the last write of the epoch
 	owner    string // member that owns the partition
 	pending  bool   // owner has not acknowledged that another one gets it
 }
@@ -105,9 +106,9 @@
 }
 
 // Append implements ledger.Store.
-func (s *Store) Append(ctx context.Context, partition int, records []ledger.Record, fence *ledger.Fence) error {
+func (s *Store) Append(ctx context.Context, partition int, records []ledger.Record, fence *ledger.Fence) (uint64, error) {
 	if err := s.reach(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,18 +116,22 @@
 	if fence != nil {
 		switch {
 		case p.fenced && fence.Epoch < p.epoch:
-			return ledger.ErrFenced
+			return 0, ledger.ErrFenced
 		case !p.fenced || fence.Epoch > p.epoch:
 			p.fenced, p.epoch, p.sequence = true, fence.Epoch, fence.Sequence
 		case len(records) == 0:
 		case fence.Sequence == p.sequence:
-			return nil // a repeat gets its first answer
+			return p.written, nil // a repeat gets its first answer
 		case fence.Sequence != p.sequence+1:
-			return ledger.ErrSequence
+			return 0, ledger.ErrSequence
 		default:
 			p.sequence = fence.Sequence
 		}
 	}
+	offset := uint64(len(p.records))
+	if fence != nil {
+		p.written = offset
+	}
 	for _, r := range records {
 		p.records = append(p.records, ledger.Record{Key: r.Key, Value: slices.Clone(r.Value)})
 	}
@@ -134,9 +139,9 @@
 	s.changed = make(chan struct{})
 	s.appends++
 	if n := s.faults.LoseEvery; n > 0 && s.appends%n == 0 {
-		return fmt.Errorf("answer was lost")
+		return 0, fmt.Errorf("answer was lost")
 	}
-	return nil
+	return offset, nil
 }
 
 // Newest implements ledger.Store.
--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -141,6 +141,43 @@
 	})
 }
 
+// Guards against jobs that wait for the runs of a former owner although none can have
+// seen them: those that are accepted after a new owner has recorded itself.
+func TestJobsAcceptedAfterATakeoverRunAtOnce(t *testing.T) {
+	for name, disturb := range map[string]func(s *System){
+		"partitions dealt anew": func(s *System) { s.Store.Rebalance(); time.Sleep(600 * time.Millisecond) },
+		"owner dies":            func(s *System) { s.KillEntry(0); time.Sleep(2200 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, stop := context.WithCancel(context.Background())
+				s := NewStoredSystem(ctx, five(), 2, nil, NewStore(6))
+				time.Sleep(5 * time.Second) // the partitions are taken
+				disturb(s)
+				var jobs []job.Submission
+				for i := range 12 {
+					j := testJob(fmt.Sprintf("%016x", 0xf4e5000+i), 2, 100*time.Millisecond)
+					j.Ephemeral = false
+					accepted := time.Now()
+					c.Assert(s.Ledger(1).Accept(ctx, j) == nil, quicktest.IsTrue)
+					for s.began(j.ID).IsZero() && time.Since(accepted) < 3*time.Second {
+						time.Sleep(2 * time.Millisecond)
+					}
+					c.Check(time.Since(accepted) <= 60*time.Millisecond, quicktest.IsTrue,
+						quicktest.Commentf("job %d began after %v", i, time.Since(accepted)))
+					jobs = append(jobs, j)
+				}
+				time.Sleep(5 * time.Second)
+				c.Check(s.CheckStored(jobs), quicktest.HasLen, 0)
+				stop()
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a cancelled job that runs on, is run again, or is unknown.
 func TestStoredJobIsCancelled(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -95,16 +95,20 @@
 	defer l.mu.Unlock()
 	p.known, p.next = true, next
 	for _, r := range records {
-		l.fold(p, r)
+		l.fold(p, r, known)
 	}
-	if p.active {
+	if p.runsJobs() {
 		l.handOver(p)
 	}
 	return nil
 }
 
-// fold takes one record.
-func (l *Ledger) fold(p *partition, r Record) {
+// fold takes one record. inOrder is false for the newest records of all keys.
+func (l *Ledger) fold(p *partition, r Record, inOrder bool) {
+	if r.Key == ownerKey {
+		l.foldOwner(p, r.Value)
+		return
+	}
 	kind, id, ok := splitKey(r.Key)
 	if !ok {
 		return // another writer's
@@ -119,6 +123,9 @@
 	}
 	switch kind {
 	case kindAccepted:
+		if e.submission == nil && inOrder && p.owned && p.ownerRead {
+			e.fresh = p.epoch
+		}
 		l.foldAccepted(e, r.Value)
 	case kindCancelled:
 		e.cancelled = len(r.Value) > 0
@@ -139,6 +146,22 @@
 	}
 }
 
+// foldOwner takes the record of an owner. A former owner gives the partition up before
+// it reads the jobs that were accepted later, so that these can be run at once.
+func (l *Ledger) foldOwner(p *partition, value []byte) {
+	epoch, err := decode[uint64](value)
+	if err != nil {
+		l.cfg.Log.Log(event.RecordIgnored, "key", ownerKey, "error", err)
+		return
+	}
+	switch {
+	case p.owned && *epoch > p.epoch:
+		l.release(p, "a later owner has taken it")
+	case p.owned && *epoch == p.epoch:
+		p.ownerRead = true
+	}
+}
+
 func (l *Ledger) foldAccepted(e *entry, value []byte) {
 	if len(value) == 0 || e.progress.State != "" {
 		e.submission = nil
@@ -186,6 +209,9 @@
 }
 
 func (l *Ledger) handOverJob(p *partition, id string, e *entry) {
+	if !p.active && e.fresh != p.epoch {
+		return // a former owner may have run it
+	}
 	switch {
 	case e.progress.State != "":
 	case e.cancelled:
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -106,11 +106,19 @@
 	owned    bool
 	epoch    uint64
 	sequence uint64
-	active   bool                    // the jobs are handed to the runner
-	dirty    map[string]job.Progress // to be recorded
-	changed  chan struct{}           // wakes the recorder
+	fenced   bool // the record of this owner is stored: former owners cannot write
+	// ownerRead is set when that record has been read. Jobs that are read after it were
+	// never run by a former owner.
+	ownerRead bool
+	active    bool                    // the runs of former owners have ended
+	dirty     map[string]job.Progress // to be recorded
+	changed   chan struct{}           // wakes the recorder
 }
 
+// runsJobs reports whether this owner runs some jobs: all, or those that no former
+// owner has run.
+func (p *partition) runsJobs() bool { return p.owned && (p.active || p.ownerRead) }
+
 // setDirty makes the recorder write the progress of a job.
 func (p *partition) setDirty(id string, progress job.Progress) {
 	p.dirty[id] = progress
@@ -130,6 +138,8 @@
 	progress   job.Progress
 	cancelled  bool
 	running    bool // handed to the runner
+	// fresh is the epoch of the first owner that may have run it, if that is known.
+	fresh uint64
 	// ended is closed when progress.State is set; nil until someone waits for it.
 	ended chan struct{}
 }
@@ -153,11 +163,13 @@
 func (l *Ledger) Run(ctx context.Context) {
 	l.ctx = ctx
 	var wg sync.WaitGroup
+	recording, stop := context.WithCancel(context.WithoutCancel(ctx)) // beyond the end of ownership
 	for _, p := range l.parts {
 		wg.Go(func() { l.follow(ctx, p) })
-		wg.Go(func() { l.record(ctx, p) })
+		wg.Go(func() { l.record(recording, p) })
 	}
-	wg.Go(func() { l.keepMembership(ctx) })
+	l.keepMembership(ctx)
+	stop()
 	wg.Wait()
 }
 
@@ -178,47 +190,50 @@
 		return errkind.New(errkind.InvalidRequest, "%w", err)
 	}
 	record := Record{Key: recordKey(kindAccepted, s.ID), Value: value}
-	if err := l.append(ctx, p, record); err != nil {
-		return err
+	offset, failure := l.append(ctx, p, record)
+	if failure != nil {
+		return failure
 	}
-	l.takeAccepted(p, record, s.ID)
+	l.takeAccepted(p, record, s.ID, offset)
 	return nil
 }
 
-// takeAccepted folds a job that this entry has just stored, instead of waiting until
-// it is read. Its owner runs it at once.
-func (l *Ledger) takeAccepted(p *partition, r Record, id string) {
+// takeAccepted folds a job that this entry has just stored and owns, instead of waiting
+// until it is read. It must be the next record: a later owner may have written before.
+func (l *Ledger) takeAccepted(p *partition, r Record, id string, offset uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !p.known {
-		return // it is read with the others
+	if !p.known || !p.runsJobs() || offset != p.next {
+		p.wakeUp()
+		return
 	}
-	l.fold(p, r)
-	if e := p.entries[id]; e != nil && p.active {
+	l.fold(p, r, true)
+	p.next = offset + 1
+	if e := p.entries[id]; e != nil {
 		l.handOverJob(p, id, e)
 	}
 }
 
 // append appends a record of a caller's wish. A write whose fate is unknown is
 // repeated, which changes nothing if it was carried out.
-func (l *Ledger) append(ctx context.Context, p *partition, r Record) *errkind.Error {
+func (l *Ledger) append(ctx context.Context, p *partition, r Record) (offset uint64, failure *errkind.Error) {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timing.AcceptTimeout)
 	defer cancel()
 	unknown := false
 	for {
-		err := l.cfg.Store.Append(ctx, p.index, []Record{r}, nil)
+		offset, err := l.cfg.Store.Append(ctx, p.index, []Record{r}, nil)
 		if err == nil {
-			return nil
+			return offset, nil
 		}
 		if !errors.Is(err, ErrNotDone) {
 			unknown = true
 		} else if !unknown {
-			return errkind.New(errkind.LogUnavailable, "the job is not stored: %w", err)
+			return 0, errkind.New(errkind.LogUnavailable, "the job is not stored: %w", err)
 		}
 		select {
 		case <-time.After(l.cfg.Timing.Retry):
 		case <-ctx.Done():
-			return errkind.New(errkind.TicketUnknown, "it is not known whether the job is stored: %w", err)
+			return 0, errkind.New(errkind.TicketUnknown, "it is not known whether the job is stored: %w", err)
 		}
 	}
 }
@@ -364,7 +379,7 @@
 		return
 	}
 	for _, r := range records {
-		l.fold(p, r)
+		l.fold(p, r, true)
 	}
 	p.next = after
 }
@@ -382,7 +397,7 @@
 		return nil
 	}
 	p := l.partition(id)
-	if err := l.append(ctx, p, Record{Key: recordKey(kindCancelled, id), Value: []byte{1}}); err != nil {
+	if _, err := l.append(ctx, p, Record{Key: recordKey(kindCancelled, id), Value: []byte{1}}); err != nil {
 		return err
 	}
 	p.wakeUp()
--- a/ledger/own.go
+++ b/ledger/own.go
@@ -38,6 +38,7 @@
 		l.release(p, why)
 	}
 	l.mu.Unlock()
+	l.flush()
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timing.Renewal)
 	defer cancel()
 	if err := l.cfg.Store.Leave(ctx, l.cfg.Member); err != nil {
@@ -45,6 +46,15 @@
 	}
 }
 
+// flush waits until nothing is left to be recorded, for closeTime at most.
+func (l *Ledger) flush() {
+	for end := time.Now().Add(closeTime); time.Now().Before(end); time.Sleep(recorderPeriod) {
+		if !slices.ContainsFunc(l.parts, l.isDirty) {
+			return
+		}
+	}
+}
+
 func (l *Ledger) renew(ctx context.Context) {
 	// The lease counts from the moment the call is sent: an answer may be read long
 	// after it was given.
@@ -98,9 +108,11 @@
 	return max(generation*acquisitionsPerGeneration, p.epoch+1)
 }
 
-// acquire takes a partition. Its jobs run after TakeOver.
+// acquire takes a partition. Jobs that are accepted after the record of this owner run
+// at once, the others after TakeOver.
 func (l *Ledger) acquire(ctx context.Context, p *partition, epoch uint64) {
-	p.owned, p.active, p.epoch, p.sequence = true, false, epoch, 1
+	p.owned, p.active, p.fenced, p.ownerRead = true, false, false, false
+	p.epoch, p.sequence = epoch, ownerSequence+1
 	p.dirty = make(map[string]job.Progress)
 	l.cfg.Log.Log(event.PartitionTaken, "partition", p.index, "epoch", epoch)
 	p.wakeUp()
@@ -113,6 +125,13 @@
 				return
 			}
 		}
+		l.mu.Lock()
+		if p.owned && p.epoch == epoch {
+			p.fenced = true
+			p.wakeRecorder()
+		}
+		l.mu.Unlock()
+		p.wakeUp()
 		select {
 		case <-time.After(begin - l.cfg.Now()):
 		case <-ctx.Done():
@@ -129,13 +148,15 @@
 			p.active = true
 			l.handOver(p)
 			p.wakeUp()
-			p.wakeRecorder() // for what became due before
 		}
 	}()
 }
 
-// fence raises the epoch of the partition, so that the former owner cannot write.
-// It returns nil when there is nothing more to do.
+// ownerSequence is the sequence number of an owner's first write, its own record.
+const ownerSequence = 1
+
+// fence records this owner, which raises the epoch of the partition, so that the former
+// owner cannot write. It returns nil when there is nothing more to do.
 func (l *Ledger) fence(ctx context.Context, p *partition, epoch uint64) error {
 	l.mu.Lock()
 	current := p.owned && p.epoch == epoch
@@ -143,33 +164,66 @@
 	if !current {
 		return nil
 	}
-	err := l.cfg.Store.Append(ctx, p.index, nil, &Fence{Epoch: epoch})
+	value, err := encode(epoch)
+	if err != nil {
+		panic(err) // a number can always be encoded
+	}
+	_, err = l.cfg.Store.Append(ctx, p.index, []Record{{Key: ownerKey, Value: value}}, &Fence{Epoch: epoch, Sequence: ownerSequence})
 	if errors.Is(err, ErrSequence) {
 		return nil // this owner has written already
 	}
 	if errors.Is(err, ErrFenced) {
 		l.mu.Lock()
-		l.release(p, "a later owner has written")
+		l.refused(p, "a later owner has written")
 		l.mu.Unlock()
 		return nil
 	}
 	return err
 }
 
-// release gives up a partition: the runs of its jobs are stopped.
+// closeTime is how long a former owner goes on recording what it knows of its jobs: two
+// calls to the store. Its writes are refused once the next owner has recorded itself,
+// which when partitions are spread anew takes longer.
+const closeTime = 100 * time.Millisecond
+
+// release gives up a partition: the runs of its jobs are stopped. What is known of them
+// is recorded meanwhile, as far as the store still takes it.
 func (l *Ledger) release(p *partition, why string) {
 	if !p.owned {
 		return
 	}
 	l.cfg.Log.Log(event.PartitionLost, "partition", p.index, "epoch", p.epoch, "why", why)
-	p.owned, p.active = false, false
-	p.dirty = make(map[string]job.Progress)
+	p.owned, p.active, p.ownerRead = false, false, false
 	for id, e := range p.entries {
 		if e.running {
 			e.running = false
 			l.cfg.Runner.Drop(id)
 		}
 	}
+	if !p.fenced {
+		p.dirty = make(map[string]job.Progress)
+		return
+	}
+	epoch := p.epoch
+	time.AfterFunc(closeTime, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if !p.owned && p.epoch == epoch {
+			p.close()
+		}
+	})
+}
+
+// close ends the writes of a former owner.
+func (p *partition) close() {
+	p.fenced = false
+	p.dirty = make(map[string]job.Progress)
+}
+
+// refused takes note that the store refuses the writes of this owner.
+func (l *Ledger) refused(p *partition, why string) {
+	p.close()
+	l.release(p, why)
 }
 
 // Report records the progress of a job that the runner runs.
@@ -177,7 +231,7 @@
 	p := l.partition(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := p.entries[id]; e != nil && p.active && e.progress.State == "" && !e.cancelled {
+	if e := p.entries[id]; e != nil && p.fenced && e.progress.State == "" && !e.cancelled {
 		p.setDirty(id, progress)
 	}
 }
@@ -209,12 +263,12 @@
 func (l *Ledger) isDirty(p *partition) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return p.active && len(p.dirty) > 0
+	return p.fenced && len(p.dirty) > 0
 }
 
 func (l *Ledger) recordOnce(ctx context.Context, p *partition) {
 	l.mu.Lock()
-	if len(p.dirty) == 0 || !p.active || !l.mayAct() {
+	if len(p.dirty) == 0 || !p.fenced || p.owned && !l.mayAct() {
 		l.mu.Unlock()
 		return
 	}
@@ -227,7 +281,7 @@
 		records = append(records, progressRecords(id, progress)...)
 	}
 	for recorded := false; !recorded; {
-		err := l.cfg.Store.Append(ctx, p.index, records, fence)
+		_, err := l.cfg.Store.Append(ctx, p.index, records, fence)
 		if err == nil {
 			recorded = true
 			continue
@@ -238,12 +292,12 @@
 		l.mu.Lock()
 		switch {
 		case errors.Is(err, ErrFenced):
-			l.release(p, "a later owner has written")
+			l.refused(p, "a later owner has written")
 		case errors.Is(err, ErrSequence):
 			// It is not known which write came last: a new epoch settles it.
-			l.release(p, "the sequence of writes is broken")
+			l.refused(p, "the sequence of writes is broken")
 		}
-		current := p.active && p.epoch == fence.Epoch
+		current := p.fenced && p.epoch == fence.Epoch
 		l.mu.Unlock()
 		if !current {
 			return
@@ -257,7 +311,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p.sequence++
+	if p.epoch == fence.Epoch {
+		p.sequence++
+	}
 	for id, progress := range batch {
 		e := p.entries[id]
 		if e == nil {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -16,8 +16,14 @@
 	kindAccepted  = 'a' // the job as it was handed in; dropped when it has ended
 	kindCancelled = 'c' // the caller's wish to cancel it
 	kindProgress  = 'p' // written by the owner only
+	// kindOwner says which epoch owns the partition. An owner that reads a higher one
+	// gives the partition up before it takes the jobs that were accepted later.
+	kindOwner = 'o'
 )
 
+// ownerKey is the key of the only record of kindOwner.
+const ownerKey = string(kindOwner) + "wner"
+
 func recordKey(kind byte, id string) string { return string(kind) + id }
 
 // splitKey is the inverse of recordKey.
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -21,9 +21,9 @@
 
 // Store is the part of the platform's store that a Ledger uses.
 type Store interface {
-	// Append appends the records to a partition, all or none. A nil fence admits any
-	// writer. Without records it only raises the epoch.
-	Append(ctx context.Context, partition int, records []Record, fence *Fence) error
+	// Append appends the records to a partition, all or none, and returns the offset of
+	// the first. A nil fence admits any writer.
+	Append(ctx context.Context, partition int, records []Record, fence *Fence) (offset uint64, err error)
 	// Newest returns the newest record of each key, and where to read on.
 	Newest(ctx context.Context, partition int) (records []Record, next uint64, err error)
 	// Read returns later records and where to read on. It waits for a record.
