ledger: answers that the store has lost are noticed after 150 ms

Ruled out: refusals of the store (none), slow answers (the rest came in milliseconds).

Change: attempts of a write and of a renewal wait 150 ms for the answer, later ones longer, up to 1.2 s, and one without an answer is repeated at once. Each of them may be repeated: a renewal and a caller's record change nothing, an owner's write keeps its number. A caller's record that is written once more seconds later is dropped with the job's state.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -52,6 +52,16 @@
 	Keep time.Duration
 	// Retry is the pause after a failed call.
 	Retry time.Duration
+	// Answer is how long the first attempts of a call wait for its answer. The store
+	// answers within 10 ms, and can lose answers; a repeated call changes nothing.
+	Answer time.Duration
+}
+
+// answerWait returns how long the nth attempt of a call, from 0, waits for its answer:
+// longer and longer, as an answer can also be slow.
+func (t Timing) answerWait(n int) time.Duration {
+	const longest = 3 // doublings
+	return t.Answer << min(n/2, longest)
 }
 
 // DefaultTiming returns the times for a store whose shortest membership is minTTL.
@@ -61,7 +71,7 @@
 		TakeOver: orphanEnd + 300*time.Millisecond,
 		OwnPoll:  400 * time.Millisecond, OtherPoll: 600 * time.Millisecond, Gap: 10 * time.Millisecond,
 		IdlePoll:      4 * time.Second,
-		AcceptTimeout: 2 * time.Second, Keep: keep + 10*time.Second, Retry: 200 * time.Millisecond,
+		AcceptTimeout: 2 * time.Second, Keep: keep + 10*time.Second, Retry: 200 * time.Millisecond, Answer: 150 * time.Millisecond,
 	}
 }
 
@@ -220,8 +230,8 @@
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timing.AcceptTimeout)
 	defer cancel()
 	unknown := false
-	for {
-		offset, err := l.cfg.Store.Append(ctx, p.index, []Record{r}, nil)
+	for n := 0; ; n++ {
+		offset, err := l.appendOnce(ctx, p, []Record{r}, nil, n)
 		if err == nil {
 			return offset, nil
 		}
@@ -231,13 +241,29 @@
 			return 0, errkind.New(errkind.LogUnavailable, "the job is not stored: %w", err)
 		}
 		select {
-		case <-time.After(l.cfg.Timing.Retry):
+		case <-time.After(l.retryPause(err)):
 		case <-ctx.Done():
 			return 0, errkind.New(errkind.TicketUnknown, "it is not known whether the job is stored: %w", err)
 		}
 	}
 }
 
+// appendOnce makes the nth attempt of a write.
+func (l *Ledger) appendOnce(ctx context.Context, p *partition, records []Record, fence *Fence, n int) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timing.answerWait(n))
+	defer cancel()
+	return l.cfg.Store.Append(ctx, p.index, records, fence)
+}
+
+// retryPause returns the pause after a failed call; one that has waited for its answer
+// in vain is repeated at once.
+func (l *Ledger) retryPause(err error) time.Duration {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return 0
+	}
+	return l.cfg.Timing.Retry
+}
+
 func (p *partition) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
--- a/ledger/own.go
+++ b/ledger/own.go
@@ -12,18 +12,24 @@
 
 // keepMembership keeps this entry among the owners until ctx ends.
 func (l *Ledger) keepMembership(ctx context.Context) {
-	member := false
+	member, failures := false, 0
 	for ctx.Err() == nil {
+		pause := l.cfg.Timing.Renewal
 		switch can := l.cfg.Runner.CanRun(); {
 		case can:
-			l.renew(ctx)
 			member = true
+			if err := l.renew(ctx, failures); err != nil {
+				failures++
+				pause = l.retryPause(err)
+			} else {
+				failures = 0
+			}
 		case member:
 			l.leave(ctx, "no agent is in reach")
 			member = false
 		}
 		select {
-		case <-time.After(l.cfg.Timing.Renewal):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -55,11 +61,12 @@
 	}
 }
 
-func (l *Ledger) renew(ctx context.Context) {
+// renew renews the membership; failures is the number of failed attempts before.
+func (l *Ledger) renew(ctx context.Context, failures int) error {
 	// The lease counts from the moment the call is sent: an answer may be read long
 	// after it was given.
 	sent := l.cfg.Now()
-	callCtx, cancel := context.WithTimeout(ctx, l.cfg.Timing.TTL)
+	callCtx, cancel := context.WithTimeout(ctx, l.cfg.Timing.answerWait(failures))
 	m, err := l.cfg.Store.Join(callCtx, l.cfg.Member, l.generation, l.cfg.Timing.TTL)
 	cancel()
 	l.mu.Lock()
@@ -70,7 +77,7 @@
 				l.release(p, "the membership was not renewed")
 			}
 		}
-		return
+		return err
 	}
 	l.generation = m.Generation
 	l.lease = sent + time.Duration(leaseShare*float64(l.cfg.Timing.TTL))
@@ -83,6 +90,7 @@
 			l.release(p, "another member owns it")
 		}
 	}
+	return nil
 }
 
 // mayAct reports whether this process may act as an owner now.
@@ -118,9 +126,13 @@
 	p.wakeUp()
 	begin := l.cfg.Now() + l.cfg.Timing.TakeOver
 	go func() {
-		for l.fence(ctx, p, epoch) != nil {
+		for n := 0; ; n++ {
+			err := l.fence(ctx, p, epoch, n)
+			if err == nil {
+				break
+			}
 			select {
-			case <-time.After(l.cfg.Timing.Retry):
+			case <-time.After(l.retryPause(err)):
 			case <-ctx.Done():
 				return
 			}
@@ -157,7 +169,7 @@
 
 // fence records this owner, which raises the epoch of the partition, so that the former
 // owner cannot write. It returns nil when there is nothing more to do.
-func (l *Ledger) fence(ctx context.Context, p *partition, epoch uint64) error {
+func (l *Ledger) fence(ctx context.Context, p *partition, epoch uint64, n int) error {
 	l.mu.Lock()
 	current := p.owned && p.epoch == epoch
 	l.mu.Unlock()
@@ -168,7 +180,8 @@
 	if err != nil {
 		panic(err) // a number can always be encoded
 	}
-	_, err = l.cfg.Store.Append(ctx, p.index, []Record{{Key: ownerKey, Value: value}}, &Fence{Epoch: epoch, Sequence: ownerSequence})
+	owner := []Record{{Key: ownerKey, Value: value}}
+	_, err = l.appendOnce(ctx, p, owner, &Fence{Epoch: epoch, Sequence: ownerSequence}, n)
 	if errors.Is(err, ErrSequence) {
 		return nil // this owner has written already
 	}
@@ -280,8 +293,9 @@
 	for id, progress := range batch {
 		records = append(records, progressRecords(id, progress)...)
 	}
-	for recorded := false; !recorded; {
-		_, err := l.cfg.Store.Append(ctx, p.index, records, fence)
+	n := 0
+	for recorded := false; !recorded; n++ {
+		_, err := l.appendOnce(ctx, p, records, fence, n)
 		if err == nil {
 			recorded = true
 			continue
@@ -305,7 +319,7 @@
 		// The same sequence again: if the write was carried out, the store says so.
 		l.cfg.Log.Log(event.StoreUnavailable, "partition", p.index, "call", "append", "error", err)
 		select {
-		case <-time.After(l.cfg.Timing.Retry):
+		case <-time.After(l.retryPause(err)):
 		case <-ctx.Done():
 		}
 	}
@@ -334,7 +348,10 @@
 // progressRecords returns the records that state the progress of a job.
 func progressRecords(id string, progress job.Progress) []Record {
 	if progress.State == dropped {
-		return []Record{{Key: recordKey(kindProgress, id)}, {Key: recordKey(kindCancelled, id)}}
+		// The caller's record can have been written once more, late.
+		return []Record{
+			{Key: recordKey(kindProgress, id)}, {Key: recordKey(kindCancelled, id)}, {Key: recordKey(kindAccepted, id)},
+		}
 	}
 	if progress.State != "" {
 		progress = job.Progress{State: progress.State}
