executor: no stored run begins while too many ends are not recorded

Cause: an agent gives an end up when 300 later ones wait behind it, since the endpoint lists its oldest 500 only.

Ruled out: a larger bound alone (ends come at 60 a second and host).

Change: from 250 waiting ends on, an agent takes no run of a stored job and says so in its status; owners place such tasks elsewhere. Runs that need no note go on, and the end is given up at 450, after what is under way has ended.

An end can still be given up after 15 s, and in a mix of stored and other jobs.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -31,6 +31,7 @@
 		Free: placement.RoomLeft(a.profile.Capacity, a.status.Used.Plus(a.status.Waiting)), Capacity: a.profile.Capacity,
 		Slowness: float64(a.status.SlownessPermille) / 1000,
 		Open:     a.send != nil && !a.silent && a.status.Closed == 0,
+		NoStored: a.status.Unrecorded,
 		Local:    a.profile.DataCentre == dataCentre,
 		Labels:   a.profile.Labels,
 	}
@@ -55,7 +56,7 @@
 	p := &placement.Task{
 		Size: t.step.Size, Declared: max(t.step.Estimate, minRunTime),
 		Budget: t.job.objective.Sub(now),
-		Label:  t.step.Label, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
+		Label:  t.step.Label, Stored: t.job.stored != nil, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
 		PerEndpoint: t.step.MaxPerEndpoint,
 	}
 	for _, a := range t.avoid {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -336,7 +336,7 @@
 	s := &wire.Status{
 		Used: x.used, Waiting: x.waitingRoom, Count: e.ordered, Closed: x.closedTo(e),
 		SlownessPermille: x.health.slownessPermille(), FailedPermille: x.health.failedPermille(),
-		Time: x.clockMillis(),
+		Time: x.clockMillis(), Unrecorded: x.unrecorded,
 	}
 	if !e.profileSent && x.profile != nil {
 		s.Profile, e.profileSent = x.profile, true
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -59,6 +59,8 @@
 	// unnoted holds the ends that the endpoint must keep, by run.
 	unnoted     map[wire.Run]unnotedEnd
 	unnotedSent time.Time
+	// unrecorded is set while too many of them wait: no stored run is taken.
+	unrecorded  bool
 	misses      int // observations in a row without an answer
 	unreachable bool
 	looking     bool // an observation beside the observer's is under way
--- a/executor/run.go
+++ b/executor/run.go
@@ -84,7 +84,7 @@
 
 // order takes one run from an entry.
 func (x *Executor) order(e *entry, id wire.Run, g *wire.OrderGroup, now time.Time) {
-	if reason := x.refusal(id, g.Size); reason != 0 {
+	if reason := x.refusal(id, g); reason != 0 {
 		x.reject(e, id, reason)
 		return
 	}
@@ -147,13 +147,17 @@
 }
 
 // refusal returns why a run is not taken, or 0.
-func (x *Executor) refusal(id wire.Run, size wire.Resources) wire.RejectReason {
+func (x *Executor) refusal(id wire.Run, g *wire.OrderGroup) wire.RejectReason {
+	size := g.Size
 	if reason := x.closed(); reason != 0 {
 		return reason
 	}
 	if x.runs[id.Task] != nil {
 		return wire.RejectBusy
 	}
+	if g.Stored && x.unrecorded {
+		return wire.RejectUnrecorded
+	}
 	if !size.Fits(x.profile.Capacity) || !x.used.Plus(x.waitingRoom).Plus(size).Fits(x.limit()) {
 		return wire.RejectRoom
 	}
--- a/executor/unnoted.go
+++ b/executor/unnoted.go
@@ -14,9 +14,13 @@
 const unnotedRepeat = 400 * time.Millisecond
 
 const (
-	// maxBacklog is the number of ends that one end without a note may hold up. The
-	// endpoint lists its oldest 500 ends; newer ones would not be seen at all.
-	maxBacklog = 300
+	// closeBacklog is the number of ends that one end without a note may hold up before
+	// no new stored run is taken, and maxBacklog the number from which that end is given
+	// up: the runs that are under way then still end, and runs that need no note go on.
+	// The endpoint lists its oldest 500 ends; newer ones would not be seen at all. A task
+	// whose end is given up can run again.
+	closeBacklog = 250
+	maxBacklog   = 450
 	// maxUnnotedAge is when an end without a note is given up. Owners of a job follow
 	// each other within a few seconds.
 	maxUnnotedAge = 15 * time.Second
@@ -38,6 +42,7 @@
 
 // noted forgets ends that the given entry says are recorded.
 func (x *Executor) noted(entry string, runs []wire.Run) {
+	defer x.checkBacklog()
 	for _, id := range runs {
 		if e, ok := x.unnoted[id]; ok {
 			delete(x.unnoted, id)
@@ -57,6 +62,23 @@
 	return last
 }
 
+// checkBacklog decides whether stored runs are taken.
+func (x *Executor) checkBacklog() {
+	if full := x.backlog() > closeBacklog; full != x.unrecorded {
+		x.unrecorded, x.statusDirty = full, true
+		x.cfg.Log.Log(event.EndsUnrecorded, "stored_runs_taken", !full, "ends", len(x.unnoted), "backlog", x.backlog())
+	}
+}
+
+// backlog returns the number of ends after the first that is not noted.
+func (x *Executor) backlog() uint64 {
+	var n uint64
+	for _, e := range x.unnoted {
+		n = max(n, x.lastEnd-e.sequence)
+	}
+	return n
+}
+
 // expireUnnoted gives up ends that nobody has noted for too long.
 func (x *Executor) expireUnnoted(now time.Time) {
 	for id, e := range x.unnoted {
@@ -66,6 +88,7 @@
 			delete(x.unnoted, id)
 		}
 	}
+	x.checkBacklog()
 }
 
 // HoldsEnds reports whether an end has waited for its note for longer than age.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,8 @@
 	Slowness float64
 	// Open is false while the endpoint takes no task.
 	Open bool
+	// NoStored endpoints take no task of a stored job.
+	NoStored bool
 	// Local endpoints are in the data centre of this process.
 	Local  bool
 	Labels []string
@@ -81,6 +83,7 @@
 	// Budget is the time left until the job misses its objective.
 	Budget   time.Duration
 	Label    string
+	Stored   bool // the job is stored
 	DataRack string
 	// FarFactor is the factor on the run time outside DataRack.
 	FarFactor float64
@@ -97,7 +100,7 @@
 
 // Allowed reports whether t may run on e at all.
 func (t *Task) Allowed(e *Endpoint) bool {
-	return t.Size.Fits(e.Capacity) && (t.Label == "" || slices.Contains(e.Labels, t.Label))
+	return t.Size.Fits(e.Capacity) && !(t.Stored && e.NoStored) && (t.Label == "" || slices.Contains(e.Labels, t.Label))
 }
 
 // RunTime is the expected run time of t on e.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -124,3 +124,14 @@
 		Choose(eps, task, uint64(i))
 	}
 }
+
+// Guards against stored tasks on an endpoint whose ends nobody records.
+func TestStoredTasksAvoidUnrecordedEnds(t *testing.T) {
+	c := quicktest.New(t)
+	size := wire.Resources{MilliCores: 1000}
+	e := Endpoint{Free: Room{MilliCores: 4000}, Capacity: wire.Resources{MilliCores: 4000}, Slowness: 1, Open: true, NoStored: true}
+	_, ok := Choose([]Endpoint{e}, &Task{Size: size, Stored: true}, 0)
+	c.Check(ok, quicktest.IsFalse)
+	_, ok = Choose([]Endpoint{e}, &Task{Size: size}, 0)
+	c.Check(ok, quicktest.IsTrue)
+}
--- a/wire/run.go
+++ b/wire/run.go
@@ -79,6 +79,7 @@
 	RejectWithdrawn   RejectReason = 8  // stopped before it had room
 	RejectRetired     RejectReason = 9  // the agent serves other entries
 	RejectStale       RejectReason = 10 // the order is based on news that are too old
+	RejectUnrecorded  RejectReason = 11 // too many ends of stored runs wait for being recorded
 )
 
 // Report is the state of one run.
@@ -125,6 +126,9 @@
 	FailedPermille uint32 `cbor:"6,keyasint,omitempty"`
 	// Time is the agent's clock in ms, which the entry returns with its orders.
 	Time uint64 `cbor:"8,keyasint"`
+	// Unrecorded is set while the endpoint takes no stored run, since too many ends of
+	// such runs wait for being recorded.
+	Unrecorded bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Stop asks an agent to stop runs, or not to start them.
@@ -207,6 +211,7 @@
 	0: "none", RejectRoom: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectBusy: "busy",
 	RejectWithdrawn: "withdrawn", RejectRetired: "serves_other_entries", RejectStale: "stale",
+	RejectUnrecorded: "ends_not_recorded",
 }
 
 // String returns the name of r for logs and metrics.
