executor: a start that had no effect is given once more

Ruled out: a second number for the repeated start; the endpoint takes a run once, and refuses it after its end.

Change: the first such start is given once more with the same number; the run is given up when that one is not listed either. Runs that an earlier process of the agent started are not started again. TestStartWithoutEffectIsRepeated fails without it.

--- a/emulator/system_test.go
+++ b/emulator/system_test.go
@@ -226,6 +226,28 @@
 	}
 }
 
+// Guards against runs that are given up for one order that had no effect: a stop and
+// another run elsewhere take longer than the same order once more.
+func TestStartWithoutEffectIsRepeated(t *testing.T) {
+	play(t, 1, five, func(c *quicktest.C, s *System) []Answer {
+		for _, e := range s.Endpoints {
+			e.SetFaults(Faults{DelayStarts: 1, DelayBy: 2 * time.Second})
+		}
+		a := submit(s, 0, testJob("00000000000000bd", 5, 100*time.Millisecond))
+		c.Check(a.State, quicktest.Equals, job.Completed)
+		time.Sleep(3 * time.Second) // late starts arrive
+		n := 0
+		for _, e := range s.Endpoints {
+			for _, r := range e.History() {
+				n++
+				c.Check(r.ID.Number, quicktest.Equals, uint32(1), quicktest.Commentf("%s", r.ID.Task))
+			}
+		}
+		c.Check(n, quicktest.Equals, 5)
+		return []Answer{a}
+	})
+}
+
 // Guards against new work on an endpoint that leaves, and against work that is cut
 // off by its leaving.
 func TestLeavingEndpointGetsNoWork(t *testing.T) {
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -301,6 +301,10 @@
 		case r.state == runStopping && r.stopped && r.stopSent.Before(sent):
 			x.finish(r, stoppedState(r), r.reason, "stopped")
 		case r.state == runStarting && r.looked && now.Sub(r.sent) > x.cfg.Timing.StartTimeout:
+			if r.starts > 0 && r.starts < maxStarts { // not a run that an earlier process started
+				x.sendStart(r, now)
+				continue
+			}
 			// The start may still be carried out; the stop refuses it in advance.
 			x.stop(r, wire.RejectUnanswered, now)
 		case r.state == runRunning && r.started.Before(sent):
--- a/executor/run.go
+++ b/executor/run.go
@@ -58,7 +58,8 @@
 	estimate time.Duration
 	state    runState
 	ordered  time.Time
-	sent     time.Time // when the start was sent; zero while it waits for a worker
+	sent     time.Time // when the start was last sent; zero while it waits for a worker
+	starts   int       // attempts to start it
 	leaseEnd time.Duration
 	started  time.Time
 	priority int32
@@ -138,6 +139,18 @@
 func (x *Executor) start(r *run, now time.Time) {
 	r.state = runStarting
 	x.used = x.used.Plus(r.size)
+	x.sendStart(r, now)
+}
+
+// maxStarts bounds the attempts to start a run. An order that gets no answer and is not
+// carried out can be lost, or be carried out seconds later; the endpoint takes a run
+// once, however often it is told to start it.
+const maxStarts = 2
+
+// sendStart sends a start of r.
+func (x *Executor) sendStart(r *run, now time.Time) {
+	r.starts++
+	r.looked = false
 	r.leaseEnd = x.extendLease(now)
 	x.starts <- startCall{run: r, order: endpointapi.StartOrder{
 		Instance: x.profile.Instance, Run: r.id, Payload: r.payload, LeaseEnd: r.leaseEnd,
