executor: lost answers of the endpoint are noticed sooner

An agent saw no end for 220 ms after each lost observation: 100 ms of wait and 120 ms for the answer, and an agent makes more than ten a second. A lost start was looked up after 40 ms.

Ruled out: lost stops (3 a second in all); CPU of the agents (0.002 of a core).

Change: an observation that waits for an end is given up 30 ms after its wait, a start is looked up after 15 ms; the endpoint is on the same host and answers within 2 ms. It counts as unreachable after three misses instead of two, which takes as long as before. TestLostObservationDelaysNoAnswer fails with the old limit.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -35,6 +35,9 @@
 	// out after DelayBy.
 	DelayStarts int
 	DelayBy     time.Duration
+	// LoseWaits is the number of coming observations that wait for an end and get no
+	// answer.
+	LoseWaits int
 }
 
 // Run is a run as an observer of the endpoint saw it.
@@ -366,6 +369,13 @@
 		}
 	}
 	e.ended = slices.DeleteFunc(e.ended, func(r endpointapi.EndedRun) bool { return r.Sequence <= e.acked })
+	if o.Wait > 0 && e.faults.LoseWaits > 0 {
+		e.faults.LoseWaits--
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		return endpointapi.Observation{}, errNoAnswer
+	}
 	if o.Wait > 0 && len(e.ended) == 0 {
 		changed, timer := e.changed, time.NewTimer(o.Wait)
 		e.mu.Unlock()
--- a/emulator/system_test.go
+++ b/emulator/system_test.go
@@ -248,6 +248,22 @@
 	})
 }
 
+// Guards against answers that are late since an agent waits long for the answer to one
+// observation: it sees no end meanwhile.
+func TestLostObservationDelaysNoAnswer(t *testing.T) {
+	play(t, 1, five, func(c *quicktest.C, s *System) []Answer {
+		for _, e := range s.Endpoints {
+			e.SetFaults(Faults{LoseWaits: 1})
+		}
+		j := testJob("00000000000000be", 5, 60*time.Millisecond)
+		a := submit(s, 0, j)
+		c.Check(a.State, quicktest.Equals, job.Completed)
+		objective := j.Queue.Objective(j.Steps[0].Estimate)
+		c.Check(a.At.Sub(a.Sent) <= objective, quicktest.IsTrue, quicktest.Commentf("took %v of %v", a.At.Sub(a.Sent), objective))
+		return []Answer{a}
+	})
+}
+
 // Guards against new work on an endpoint that leaves, and against work that is cut
 // off by its leaving.
 func TestLeavingEndpointGetsNoWork(t *testing.T) {
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -12,7 +12,7 @@
 
 // missesUnreachable is the number of observations in a row without an answer
 // after which the endpoint takes no new run.
-const missesUnreachable = 2
+const missesUnreachable = 3
 
 func (x *Executor) wakeObserver() {
 	select {
@@ -51,7 +51,11 @@
 }
 
 func (x *Executor) observeOnce(ctx context.Context, order endpointapi.ObserveOrder, sent time.Time) {
-	callCtx, cancel := context.WithTimeout(ctx, order.Wait+x.cfg.Timing.AnswerTimeout)
+	limit := x.cfg.Timing.AnswerTimeout
+	if order.Wait > 0 {
+		limit = order.Wait + x.cfg.Timing.WaitSlack
+	}
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	seen, err := x.cfg.Endpoint.Observe(callCtx, order)
 	x.cfg.Metrics.observations.Inc()
--- a/executor/timing.go
+++ b/executor/timing.go
@@ -17,6 +17,9 @@
 	// AnswerTimeout is how long an answer of the endpoint, which is on the same
 	// host, may take beyond the time that it was asked to wait.
 	AnswerTimeout time.Duration
+	// WaitSlack is how much longer an observation may take that waits for an end. Ends
+	// are not seen while one without an answer is waited for.
+	WaitSlack time.Duration
 	// StartTimeout is when a start without an answer is looked up.
 	StartTimeout time.Duration
 	// OrderAge is the greatest age of the news of this agent that an order may be
@@ -51,7 +54,8 @@
 		ObserveGap:     8 * time.Millisecond,
 		LookGap:        30 * time.Millisecond,
 		AnswerTimeout:  120 * time.Millisecond,
-		StartTimeout:   40 * time.Millisecond,
+		WaitSlack:      30 * time.Millisecond,
+		StartTimeout:   15 * time.Millisecond,
 		OrderAge:       600 * time.Millisecond,
 		EntrySilence:   450 * time.Millisecond,
 		StatusInterval: 15 * time.Millisecond,
