executor: observations wait 60 ms instead of 100 ms

Cause: while the answer to an observation is lost its agent sees no end; with 5.5% of them lost, the wait was most of that time.

Change: ObserveWait 60 ms.

--- a/executor/timing.go
+++ b/executor/timing.go
@@ -50,7 +50,7 @@
 func DefaultTiming(maxLease time.Duration) Timing {
 	return Timing{
 		Lease:          min(700*time.Millisecond, maxLease),
-		ObserveWait:    100 * time.Millisecond,
+		ObserveWait:    60 * time.Millisecond,
 		ObserveGap:     8 * time.Millisecond,
 		LookGap:        30 * time.Millisecond,
 		AnswerTimeout:  120 * time.Millisecond,
