--- a/executor/timing.go
+++ b/executor/timing.go
@@ -50,11 +50,11 @@
 func DefaultTiming(maxLease time.Duration) Timing {
 	return Timing{
 		Lease:          min(700*time.Millisecond, maxLease),
-		ObserveWait:    60 * time.Millisecond,
+		ObserveWait:    30 * time.Millisecond,
 		ObserveGap:     8 * time.Millisecond,
 		LookGap:        30 * time.Millisecond,
 		AnswerTimeout:  120 * time.Millisecond,
-		WaitSlack:      30 * time.Millisecond,
+		WaitSlack:      20 * time.Millisecond,
 		StartTimeout:   15 * time.Millisecond,
 		OrderAge:       600 * time.Millisecond,
 		EntrySilence:   450 * time.Millisecond,
