ledger: ends reach owners that do not hear the agent, and are noted by all

Ruled out: ends that the agents did not report (all other entries had them); releases of partitions in the seconds after the fault (none).

Change: an entry that has heard of the end of a done task for 1.1 s and does not own its job records it in the partition; the owner takes it like the agent's report and drops the record with the job. A job's end that is read counts as recorded, an owner's record that is read as the answer to its write, and an end before that is kept. Every entry notes the ends of jobs that are recorded as over, not only their owner. Tests that fail without: TestStoredJobs/owner_cut_off_from_some_agents, TestReadRecordOfAnEndIsNoted, TestEndBeforeTheFenceIsAnsweredIsRecorded, TestEveryEntryKnowsWhatIsOver; TestLateAnswerLeavesTheNextSequence now reaches the write.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -58,13 +58,18 @@
 	c        *Coordinator
 	reported map[string]job.Progress
 	mayAct   bool
+	ends     []wire.Run
 }
 
 func (r *fakeRecorder) Report(id string, p job.Progress) {
 	r.reported[id] = p
 	r.c.Noted(id, p)
 }
-func (r *fakeRecorder) MayAct() bool     { return r.mayAct }
+func (r *fakeRecorder) MayAct() bool { return r.mayAct }
+func (r *fakeRecorder) RecordEnd(agent string, run wire.Run) bool {
+	r.ends = append(r.ends, run)
+	return true
+}
 func (r *fakeRecorder) Over(string) bool { return false }
 
 // with runs f with a coordinator, an agent and a recorder in a bubble.
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -16,6 +16,9 @@
 	Report(id string, p job.Progress)
 	// MayAct reports whether this process still owns its stored jobs.
 	MayAct() bool
+	// RecordEnd records that a run has done its task, for the owner of its job. It
+	// reports whether that is under way.
+	RecordEnd(agent string, run wire.Run) bool
 	// Over reports whether a job that this process would own has ended or is unknown.
 	Over(id string) bool
 }
@@ -185,7 +188,7 @@
 		return
 	case j == nil:
 		// The job may be adopted later, and must not run this task again then.
-		c.keepStray(id.Job, stray{agent: a.name, report: r, at: time.Now()})
+		c.keepStray(id.Job, stray{agent: a.name, report: r}, time.Now())
 		return
 	case j.stored == nil:
 		return
@@ -193,13 +196,36 @@
 	c.takeStray(j, id, a.name, r)
 }
 
+// Ended takes note that a run on the given agent has done its task, as another entry
+// has recorded.
+func (c *Coordinator) Ended(agentName string, run wire.Run) {
+	c.loop.Post(func() {
+		id, err := job.ParseTaskID(run.Task)
+		if err != nil {
+			return
+		}
+		report := wire.Report{Run: run, State: wire.RunDone}
+		if j := c.jobs[id.Job]; j != nil && j.stored != nil {
+			c.takeStray(j, id, agentName, report)
+		}
+	})
+}
+
 // stray is the report of an end whose job is not known here.
 type stray struct {
 	agent  string
 	report wire.Report
-	at     time.Time
+	first  time.Time // when it was first reported
+	at     time.Time // when it was last reported
+	// recorded is set when it is recorded for the owner of its job.
+	recorded bool
 }
 
+// recordAge is the age from which the end of a task that is done is recorded for the
+// owner of its job, which may be cut off from the agent: it has not noted the end in
+// three of the agent's reports, and would run the task again 3.8 s after it lost the agent.
+const recordAge = 1100 * time.Millisecond
+
 const (
 	// doneMemory is how long an end of a task that is done is remembered for a job that
 	// may be adopted later. Agents keep such an end for 15 s at most, and partitions can
@@ -218,12 +244,18 @@
 }
 
 // keepStray remembers a stray, or renews the memory of it.
-func (c *Coordinator) keepStray(id string, s stray) {
-	for i, known := range c.strays[id] {
-		if known.report.Run == s.report.Run {
-			c.strays[id][i] = s
-			return
+func (c *Coordinator) keepStray(id string, s stray, now time.Time) {
+	s.first, s.at = now, now
+	for i := range c.strays[id] {
+		known := &c.strays[id][i]
+		if known.report.Run != s.report.Run {
+			continue
 		}
+		known.agent, known.report, known.at = s.agent, s.report, now
+		if known.report.State == wire.RunDone && !known.recorded && now.Sub(known.first) >= recordAge {
+			known.recorded = c.recorder.RecordEnd(s.agent, s.report.Run)
+		}
+		return
 	}
 	c.strays[id] = append(c.strays[id], s)
 }
--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -90,6 +90,17 @@
 			s.Store.SetFaults(StoreFaults{Deaf: true})
 			time.AfterFunc(2*time.Second, func() { s.Store.SetFaults(StoreFaults{}) })
 		},
+		// The agents keep ends that their owner does not hear of and would run again.
+		"owner cut off from some agents": func(s *System) {
+			for a := range 3 {
+				s.Cut(0, a, true)
+			}
+			time.AfterFunc(8*time.Second, func() {
+				for a := range 3 {
+					s.Cut(0, a, false)
+				}
+			})
+		},
 		"owner cut off": func(s *System) {
 			for a := range s.Endpoints {
 				s.Cut(0, a, true)
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -46,6 +46,7 @@
 	EntryListChanged = define(652, Info, "list of entries changed")
 	AgentsInReach    = define(661, Warn, "agents came into reach, or none is")
 	EndsUnrecorded   = define(662, Warn, "stored runs are refused, or taken again: their ends are not recorded")
+	EndRecorded      = define(663, Info, "end of a run is recorded for the owner of its job")
 	CallerLimits     = define(659, Info, "limits of callers' connections changed")
 	AcceptFailed     = define(660, Warn, "a caller's connection could not be accepted")
 	EntryRetired     = define(658, Info, "entry is served by other agents, its connection ends after its runs")
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -94,9 +94,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p.known, p.next = true, next
+	var ends []Record // the newest records come in any order, and ends belong to jobs
 	for _, r := range records {
+		if kind, _, ok := splitKey(r.Key); ok && kind == kindEnd {
+			ends = append(ends, r)
+			continue
+		}
 		l.fold(p, r, known)
 	}
+	for _, r := range ends {
+		l.foldEnd(p, r)
+	}
 	if p.runsJobs() {
 		l.handOver(p)
 	}
@@ -110,8 +118,12 @@
 		return
 	}
 	kind, id, ok := splitKey(r.Key)
-	if !ok {
+	switch {
+	case !ok:
 		return // another writer's
+	case kind == kindEnd:
+		l.foldEnd(p, r)
+		return
 	}
 	e := p.entries[id]
 	if e == nil {
@@ -141,6 +153,9 @@
 		}
 		e.progress = *progress
 		if progress.State != "" {
+			if e.running { // the answer to the write may be lost
+				l.cfg.Runner.Noted(id, *progress)
+			}
 			l.over(p, id, e)
 		}
 	}
@@ -158,7 +173,7 @@
 	case p.owned && *epoch > p.epoch:
 		l.release(p, "a later owner has taken it")
 	case p.owned && *epoch == p.epoch:
-		p.ownerRead = true
+		p.ownerRead, p.fenced = true, true // also if the answer to the write is lost
 	}
 }
 
@@ -230,5 +245,8 @@
 		}
 		l.cfg.Log.Log(event.JobAdopted, "job", id, "partition", p.index, "epoch", p.epoch)
 		l.cfg.Runner.Adopt(s, e.progress, p.epoch)
+		for _, end := range e.ends {
+			l.cfg.Runner.Ended(end.Agent, end.Run)
+		}
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/job"
+	"oriolerelay/wire"
 )
 
 // Runner runs the jobs of the partitions that this entry owns. Its methods must not
@@ -20,6 +21,8 @@
 	Drop(id string)
 	// Started reports whether a task of the job has been ordered.
 	Started(id string) bool
+	// Ended tells the runner that a run on the given agent has done its task.
+	Ended(agent string, run wire.Run)
 	// CanRun reports whether this entry can run jobs at all.
 	CanRun() bool
 	// Noted tells the runner that the progress of a job up to now is recorded.
@@ -99,6 +102,8 @@
 	ctx   context.Context
 	parts []*partition
 
+	endWrites chan struct{} // holds a value for each end that is being recorded
+
 	mu         sync.Mutex
 	generation uint64
 	lease      time.Duration // until which this process may act as an owner, on cfg.Now
@@ -122,6 +127,7 @@
 	ownerRead bool
 	active    bool                    // the runs of former owners have ended
 	dirty     map[string]job.Progress // to be recorded
+	lateEnds  []string                // keys of ends to be dropped
 	changed   chan struct{}           // wakes the recorder
 }
 
@@ -150,6 +156,7 @@
 	running    bool // handed to the runner
 	// fresh is the epoch of the first owner that may have run it, if that is known.
 	fresh uint64
+	ends  []endRecord // recorded by other entries
 	// ended is closed when progress.State is set; nil until someone waits for it.
 	ended chan struct{}
 }
@@ -159,7 +166,7 @@
 
 // New returns a Ledger. It reads and owns nothing until Run.
 func New(cfg Config) *Ledger {
-	l := &Ledger{cfg: cfg}
+	l := &Ledger{cfg: cfg, endWrites: make(chan struct{}, maxEndWrites)}
 	for i := range cfg.Partitions {
 		l.parts = append(l.parts, &partition{
 			index: i, wake: make(chan struct{}, 1),
@@ -311,14 +318,17 @@
 	return e.progress.State != ""
 }
 
-// Over reports whether this entry owns the partition of a job that has ended, or
-// that is not stored: ends of its runs need not be kept any more.
+// Over reports whether ends of runs of a job need not be kept any more: its end is
+// recorded, or this entry owns its partition and the job is cancelled or not stored.
 func (l *Ledger) Over(id string) bool {
 	p := l.partition(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := p.entries[id]
-	return p.active && (e == nil || e.progress.State != "" || e.cancelled)
+	if e != nil && e.progress.State != "" {
+		return true
+	}
+	return p.active && (e == nil || e.cancelled)
 }
 
 // stateWait is how long the state of a job that has not ended is held back, in case
--- a/ledger/own.go
+++ b/ledger/own.go
@@ -230,7 +230,7 @@
 // close ends the writes of a former owner.
 func (p *partition) close() {
 	p.fenced = false
-	p.dirty = make(map[string]job.Progress)
+	p.dirty, p.lateEnds = make(map[string]job.Progress), nil
 }
 
 // refused takes note that the store refuses the writes of this owner.
@@ -244,7 +244,7 @@
 	p := l.partition(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := p.entries[id]; e != nil && p.fenced && e.progress.State == "" && !e.cancelled {
+	if e := p.entries[id]; e != nil && (p.owned || p.fenced) && e.progress.State == "" && !e.cancelled {
 		p.setDirty(id, progress)
 	}
 }
@@ -276,23 +276,29 @@
 func (l *Ledger) isDirty(p *partition) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return p.fenced && len(p.dirty) > 0
+	return p.fenced && len(p.dirty)+len(p.lateEnds) > 0
 }
 
 func (l *Ledger) recordOnce(ctx context.Context, p *partition) {
 	l.mu.Lock()
-	if len(p.dirty) == 0 || !p.fenced || p.owned && !l.mayAct() {
+	if len(p.dirty)+len(p.lateEnds) == 0 || !p.fenced || p.owned && !l.mayAct() {
 		l.mu.Unlock()
 		return
 	}
-	batch := p.dirty
-	p.dirty = make(map[string]job.Progress)
+	batch, endKeys := p.dirty, p.lateEnds
+	p.dirty, p.lateEnds = make(map[string]job.Progress), nil
 	fence := &Fence{Epoch: p.epoch, Sequence: p.sequence}
-	l.mu.Unlock()
 	var records []Record
 	for id, progress := range batch {
 		records = append(records, progressRecords(id, progress)...)
+		if e := p.entries[id]; e != nil && progress.State != "" {
+			endKeys = append(endKeys, e.endKeys()...)
+		}
+	}
+	for _, key := range endKeys {
+		records = append(records, Record{Key: key})
 	}
+	l.mu.Unlock()
 	n := 0
 	for recorded := false; !recorded; n++ {
 		_, err := l.appendOnce(ctx, p, records, fence, n)
--- a/ledger/own_test.go
+++ b/ledger/own_test.go
@@ -76,6 +76,7 @@
 		Partitions: 1, Store: store, Runner: runner, Timing: DefaultTiming(time.Second, time.Second, time.Second),
 		Now: func() time.Duration { return 0 },
 	})
+	l.lease = time.Second
 	p := l.parts[0]
 	p.owned, p.active, p.fenced, p.epoch, p.sequence = true, true, true, 16, 2
 	p.entries["j"] = &entry{submission: &job.Submission{ID: "j"}, running: true}
@@ -112,7 +113,67 @@
 	p.dirty["j"] = job.Progress{}
 	store.during = func() { p.epoch, p.sequence = 32, 2 }
 	l.recordOnce(context.Background(), p)
-	if p.sequence != 2 {
-		t.Errorf("the next write of the new epoch has the number %d, not 2", p.sequence)
+	if len(store.keys) == 0 || p.sequence != 2 {
+		t.Errorf("wrote %v; the next write of the new epoch has the number %d, not 2", store.keys, p.sequence)
+	}
+}
+
+// Guards against ends that are never noted: the owner read its record of a job's end
+// before the answer to its write, lost the partition meanwhile and never told the runner,
+// and the agents took no stored run for 15 s.
+func TestReadRecordOfAnEndIsNoted(t *testing.T) {
+	runner := &notedRunner{}
+	l, p := ownedPartition(&recordingStore{}, runner)
+	value, err := encode(job.Progress{State: job.Completed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Lock()
+	l.fold(p, Record{Key: recordKey(kindProgress, "j"), Value: value}, true)
+	l.release(p, "the membership was not renewed")
+	l.mu.Unlock()
+	if runner.noted != 1 {
+		t.Errorf("noted %d times", runner.noted)
+	}
+}
+
+// Guards against ends that are never recorded: a job that was accepted after a takeover
+// ended before the answer to the owner's first write.
+func TestEndBeforeTheFenceIsAnsweredIsRecorded(t *testing.T) {
+	store := &recordingStore{}
+	l, p := ownedPartition(store, &lastReport{})
+	p.active, p.fenced = false, false
+	l.Report("j", job.Progress{State: job.Completed})
+	l.recordOnce(context.Background(), p)
+	if len(store.keys) != 0 {
+		t.Errorf("wrote %v before its own record", store.keys)
+	}
+	value, err := encode(p.epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Lock()
+	l.fold(p, Record{Key: ownerKey, Value: value}, true)
+	l.mu.Unlock()
+	l.recordOnce(context.Background(), p)
+	if len(store.keys) == 0 {
+		t.Error("the end is not recorded")
+	}
+}
+
+// Guards against ends that wait for the next owner although the end of their job is
+// recorded: agents take no stored run while too many wait.
+func TestEveryEntryKnowsWhatIsOver(t *testing.T) {
+	l, p := ownedPartition(&recordingStore{}, &lastReport{})
+	p.owned, p.active, p.fenced = false, false, false
+	p.entries["done"] = &entry{progress: job.Progress{State: job.Completed}}
+	for id, want := range map[string]bool{"j": false, "done": true, "unknown": false} {
+		if got := l.Over(id); got != want {
+			t.Errorf("job %s: over %v, not %v", id, got, want)
+		}
+	}
+	p.active = true
+	if !l.Over("unknown") {
+		t.Error("the owner does not know that a job is not stored")
 	}
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -16,6 +16,9 @@
 	kindAccepted  = 'a' // the job as it was handed in; dropped when it has ended
 	kindCancelled = 'c' // the caller's wish to cancel it
 	kindProgress  = 'p' // written by the owner only
+	// kindEnd is the end of a run that an entry has learned from an agent and that the
+	// owner of the job may not hear of. Its key holds the task instead of the job.
+	kindEnd = 'e'
 	// kindOwner says which epoch owns the partition. An owner that reads a higher one
 	// gives the partition up before it takes the jobs that were accepted later.
 	kindOwner = 'o'
