soak: a job whose task failed as often as its queue allows may fail

Ruled out: a job that is lost (its end was recorded and noted).

Change: a stored job that is shown as failed needs a task with that many failed runs at the endpoints; without one that is an error of its own. A job that is neither completed nor failed is one as before.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -99,6 +99,7 @@
 	sent      time.Time
 	accepted  bool // a stored job
 	completed bool
+	failed    bool // a stored job that was shown as failed
 }
 
 // Result is the outcome of a soak.
@@ -290,17 +291,15 @@
 		time.Sleep(retryAfter)
 		w.submit(again, h)
 	}
-	for end := time.Now().Add(w.Length + healTime); !j.Ephemeral && h.accepted && !h.completed && time.Now().Before(end); {
+	for end := time.Now().Add(w.Length + healTime); !j.Ephemeral && h.accepted && !h.completed && !h.failed && time.Now().Before(end); {
 		time.Sleep(askPause)
 		ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 		a, err := again.State(ctx, j.ID)
 		cancel()
-		if err == nil && a.State == job.Completed {
-			w.mu.Lock()
-			h.completed = true
-			w.mu.Unlock()
-			return
-		}
+		w.mu.Lock()
+		h.completed = err == nil && a.State == job.Completed
+		h.failed = err == nil && a.State == job.Failed
+		w.mu.Unlock()
 	}
 }
 
@@ -365,15 +364,19 @@
 }
 
 // checkTasks finds completed jobs with tasks that were not done, stored jobs that
-// were never completed, and their tasks that began again after they were done, if that
-// end was taken note of.
+// were never completed, although none of their tasks has failed as often as the queue
+// allows, and their tasks that began again after they were done, if that end was taken
+// note of.
 func (w *world) checkTasks() (broken []string) {
-	done := make(map[string]bool)
+	done, failures := make(map[string]bool), make(map[string]int)
 	noted := make(map[string]emulator.Run) // the first such end of each task
 	var runs []emulator.Run
 	for _, e := range w.endpoints {
 		for _, r := range e.History() {
 			runs = append(runs, r)
+			if r.How == endpointapi.EndFailed {
+				failures[r.ID.Task]++
+			}
 			if r.How != endpointapi.EndDone {
 				continue
 			}
@@ -384,13 +387,18 @@
 		}
 	}
 	for _, h := range w.jobs {
+		hopeless := false
 		for i := range h.Tasks {
 			task := job.TaskID{Job: h.ID, Index: i}.String()
+			hopeless = hopeless || failures[task] >= standin.Attempts
 			if h.completed && !done[task] {
 				broken = append(broken, fmt.Sprintf("job %s is completed, and task %s is not done", h.ID, task))
 			}
 		}
-		if !h.Ephemeral && h.accepted && !h.completed {
+		if h.failed && !hopeless {
+			broken = append(broken, fmt.Sprintf("stored job %s is shown as failed without cause", h.ID))
+		}
+		if !h.Ephemeral && h.accepted && !h.completed && !h.failed {
 			broken = append(broken, fmt.Sprintf("stored job %s of %.3f s is not completed", h.ID, h.sent.Sub(w.begun).Seconds()))
 		}
 	}
