ledger, tests: states in a file of their own; one buffer for logs in tests

Change: the lookup of states moved to ledger/state.go unchanged. Records of ends are put last where they are read in any order, instead of two loops over the records. internal/syncbuf replaces the copies in agent, devstack, relay and transport; withStored and storedJob set up the tests of stored jobs. No check or bound is changed.

--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -13,22 +13,39 @@
 	"oriolerelay/job"
 )
 
+// withStored runs f in a bubble with two entries that share stored jobs, when they have
+// taken their partitions.
+func withStored(t *testing.T, partitions int, f func(ctx context.Context, c *quicktest.C, s *System)) {
+	t.Helper()
+	bubble.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(partitions))
+		time.Sleep(5 * time.Second)
+		f(ctx, quicktest.New(t), s)
+		stop()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// storedJob is a stored job of n tasks.
+func storedJob(id, n int, work time.Duration) job.Submission {
+	j := testJob(fmt.Sprintf("%016x", id), n, work)
+	j.Ephemeral = false
+	return j
+}
+
 // playStored stores 24 jobs at two entries, one each 100 ms, lets disturb act at the
 // sixth, and checks that each is run to its end, once.
 func playStored(t *testing.T, disturb func(s *System)) {
 	t.Helper()
-	bubble.Test(t, func(t *testing.T) {
-		c := quicktest.New(t)
-		ctx, stop := context.WithCancel(context.Background())
-		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(6))
-		time.Sleep(5 * time.Second) // the partitions are taken
+	withStored(t, 6, func(ctx context.Context, c *quicktest.C, s *System) {
 		var jobs []job.Submission
 		for i := range 24 {
 			if i == 6 {
 				disturb(s)
 			}
-			j := testJob(fmt.Sprintf("%016x", 0xabc000+i), 4, 400*time.Millisecond)
-			j.Ephemeral = false
+			j := storedJob(0xabc000+i, 4, 400*time.Millisecond)
 			for {
 				if err := s.Ledger(i%2).Accept(ctx, j); err == nil {
 					break
@@ -48,9 +65,6 @@
 			}
 			c.Check(s.Ledger(0).Pending("q"), quicktest.Equals, 0)
 		}
-		stop()
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
 	})
 }
 
@@ -120,11 +134,7 @@
 // against their tasks running again after the agents gave up the ends that it did not
 // record (bench: an entry cut off from all hosts for 5 s, 38 tasks done twice).
 func TestOwnerWithoutAgentsStepsDown(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		c := quicktest.New(t)
-		ctx, stop := context.WithCancel(context.Background())
-		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(6))
-		time.Sleep(5 * time.Second) // the partitions are taken
+	withStored(t, 6, func(ctx context.Context, c *quicktest.C, s *System) {
 		var jobs []job.Submission
 		for i := range 20 {
 			if i == 6 {
@@ -132,8 +142,7 @@
 					s.Cut(0, a, true)
 				}
 			}
-			j := testJob(fmt.Sprintf("%016x", 0xc07000+i), 4, 400*time.Millisecond)
-			j.Ephemeral = false
+			j := storedJob(0xc07000+i, 4, 400*time.Millisecond)
 			c.Assert(s.Ledger(1).Accept(ctx, j) == nil, quicktest.IsTrue)
 			jobs = append(jobs, j)
 			time.Sleep(100 * time.Millisecond)
@@ -146,9 +155,6 @@
 		}
 		time.Sleep(5 * time.Second)
 		c.Check(s.CheckStored(jobs), quicktest.HasLen, 0)
-		stop()
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
 	})
 }
 
@@ -160,16 +166,11 @@
 		"owner dies":            func(s *System) { s.KillEntry(0); time.Sleep(2200 * time.Millisecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			bubble.Test(t, func(t *testing.T) {
-				c := quicktest.New(t)
-				ctx, stop := context.WithCancel(context.Background())
-				s := NewStoredSystem(ctx, five(), 2, nil, NewStore(6))
-				time.Sleep(5 * time.Second) // the partitions are taken
+			withStored(t, 6, func(ctx context.Context, c *quicktest.C, s *System) {
 				disturb(s)
 				var jobs []job.Submission
 				for i := range 12 {
-					j := testJob(fmt.Sprintf("%016x", 0xf4e5000+i), 2, 100*time.Millisecond)
-					j.Ephemeral = false
+					j := storedJob(0xf4e5000+i, 2, 100*time.Millisecond)
 					accepted := time.Now()
 					c.Assert(s.Ledger(1).Accept(ctx, j) == nil, quicktest.IsTrue)
 					for s.began(j.ID).IsZero() && time.Since(accepted) < 3*time.Second {
@@ -181,9 +182,6 @@
 				}
 				time.Sleep(5 * time.Second)
 				c.Check(s.CheckStored(jobs), quicktest.HasLen, 0)
-				stop()
-				time.Sleep(5 * time.Second)
-				synctest.Wait()
 			})
 		})
 	}
@@ -191,11 +189,7 @@
 
 // Guards against a cancelled job that runs on, is run again, or is unknown.
 func TestStoredJobIsCancelled(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		c := quicktest.New(t)
-		ctx, stop := context.WithCancel(context.Background())
-		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(4))
-		time.Sleep(5 * time.Second)
+	withStored(t, 4, func(ctx context.Context, c *quicktest.C, s *System) {
 		j := testJob("00000000000000ca", 6, 5*time.Second)
 		j.Ephemeral = false
 		c.Assert(s.Ledger(0).Accept(ctx, j) == nil, quicktest.IsTrue)
@@ -215,9 +209,6 @@
 		_, err := s.Ledger(0).State(ctx, "00000000000000cb")
 		c.Assert(err, quicktest.Not(quicktest.IsNil))
 		c.Check(err.Answer().Status, quicktest.Equals, 410)
-		stop()
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
 	})
 }
 
@@ -225,14 +216,9 @@
 // that the job runs, and comes back much later: the end is recorded within the time
 // for which the answer is held.
 func TestStateIsHeldForTheEnd(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		c := quicktest.New(t)
-		ctx, stop := context.WithCancel(context.Background())
-		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(4))
-		time.Sleep(5 * time.Second) // the partitions are taken
+	withStored(t, 4, func(ctx context.Context, c *quicktest.C, s *System) {
 		for i := range 8 {
-			j := testJob(fmt.Sprintf("%016x", 0xe0d000+i), 3, 200*time.Millisecond)
-			j.Ephemeral = false
+			j := storedJob(0xe0d000+i, 3, 200*time.Millisecond)
 			c.Assert(s.Ledger(i%2).Accept(ctx, j) == nil, quicktest.IsTrue)
 			time.Sleep(50 * time.Millisecond)
 			for s.running() > 0 {
@@ -244,23 +230,15 @@
 			c.Check(state, quicktest.Equals, job.Completed, quicktest.Commentf("job %d", i))
 			c.Check(time.Since(asked) < 100*time.Millisecond, quicktest.IsTrue)
 		}
-		stop()
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
 	})
 }
 
 // Guards against jobs that wait for their owner's long read to end when the store tells
 // waiting reads nothing, as while it drops its history: their objectives are shorter.
 func TestStoredJobBeginsWhileReadsHearNothing(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		c := quicktest.New(t)
-		ctx, stop := context.WithCancel(context.Background())
-		s := NewStoredSystem(ctx, five(), 2, nil, NewStore(4))
-		time.Sleep(5 * time.Second) // the partitions are taken
+	withStored(t, 4, func(ctx context.Context, c *quicktest.C, s *System) {
 		accept := func(i int) job.Submission {
-			j := testJob(fmt.Sprintf("%016x", 0xdeaf000+i), 1, 200*time.Millisecond)
-			j.Ephemeral = false
+			j := storedJob(0xdeaf000+i, 1, 200*time.Millisecond)
 			c.Assert(s.Ledger(i%2).Accept(ctx, j) == nil, quicktest.IsTrue)
 			return j
 		}
@@ -281,9 +259,6 @@
 		c.Check(latest <= 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("latest begin after %v", latest))
 		// The entry that took the job is its owner half of the time, and knows of it.
 		c.Check(late/40 <= 150*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("mean begin after %v", late/40))
-		stop()
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
 	})
 }
 
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"oriolerelay/event"
@@ -94,23 +95,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p.known, p.next = true, next
-	var ends []Record // the newest records come in any order, and ends belong to jobs
+	if !known { // the newest records come in any order, and ends belong to jobs
+		slices.SortStableFunc(records, func(a, b Record) int { return compareEndsLast(a.Key, b.Key) })
+	}
 	for _, r := range records {
-		if kind, _, ok := splitKey(r.Key); ok && kind == kindEnd {
-			ends = append(ends, r)
-			continue
-		}
 		l.fold(p, r, known)
 	}
-	for _, r := range ends {
-		l.foldEnd(p, r)
-	}
 	if p.runsJobs() {
 		l.handOver(p)
 	}
 	return nil
 }
 
+// compareEndsLast orders the keys of ends after all others.
+func compareEndsLast(a, b string) int {
+	rank := func(key string) int {
+		if kind, _, ok := splitKey(key); ok && kind == kindEnd {
+			return 1
+		}
+		return 0
+	}
+	return rank(a) - rank(b)
+}
+
 // fold takes one record. inOrder is false for the newest records of all keys.
 func (l *Ledger) fold(p *partition, r Record, inOrder bool) {
 	if r.Key == ownerKey {
--- /dev/null
+++ b/ledger/state.go
@@ -0,0 +1,169 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"oriolerelay/errkind"
+	"oriolerelay/job"
+)
+
+// find returns a job, after reading on in its partition if it is not known.
+func (l *Ledger) find(ctx context.Context, id string) (*entry, *errkind.Error) {
+	p := l.partition(id)
+	l.mu.Lock()
+	e, known, next := p.entries[id], p.known, p.next
+	l.mu.Unlock()
+	if e != nil && (l.owns(p) || l.isOver(e)) {
+		return e, nil
+	}
+	if !known {
+		return nil, errkind.New(errkind.LogUnavailable, "the stored jobs are not read yet")
+	}
+	// Another entry may have recorded the job, or its end, since the last read.
+	records, after, err := l.cfg.Store.Read(ctx, p.index, next, 0)
+	if err != nil && e == nil {
+		return nil, errkind.New(errkind.LogUnavailable, "the stored jobs cannot be read: %w", err)
+	}
+	if err == nil {
+		l.foldRead(p, records, next, after)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := p.entries[id]; e != nil {
+		return e, nil
+	}
+	return nil, errkind.New(errkind.JobUnknown, "no such job is stored")
+}
+
+func (l *Ledger) owns(p *partition) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return p.owned
+}
+
+func (l *Ledger) isOver(e *entry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return e.progress.State != ""
+}
+
+// Over reports whether ends of runs of a job need not be kept any more: its end is
+// recorded, or this entry owns its partition and the job is cancelled or not stored.
+func (l *Ledger) Over(id string) bool {
+	p := l.partition(id)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := p.entries[id]
+	if e != nil && e.progress.State != "" {
+		return true
+	}
+	return p.active && (e == nil || e.cancelled)
+}
+
+// stateWait is how long the state of a job that has not ended is held back, in case
+// it ends meanwhile. Callers ask just after the last task has ended, which is known
+// here, recorded and visible at every entry within about 40 ms: recorderPeriod, two
+// calls to the store of 4 to 10 ms and the messages between the processes.
+const stateWait = 80 * time.Millisecond
+
+// shortestLook is the shortest time for which another entry's partition is read: an
+// answer of the store takes about as long.
+const shortestLook = 5 * time.Millisecond
+
+// State returns the state of a job. A job that has not ended is answered after at
+// most stateWait.
+func (l *Ledger) State(ctx context.Context, id string) (job.State, *errkind.Error) {
+	e, err := l.find(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	p := l.partition(id)
+	for deadline := time.Now().Add(stateWait); ; {
+		state, ended := l.state(e, id)
+		left := time.Until(deadline)
+		if ended == closed || state == job.Cancelled || left < shortestLook {
+			return state, nil
+		}
+		wake := time.NewTimer(left)
+		if !l.owns(p) && l.lookOn(ctx, p, left) {
+			wake.Stop()
+			continue
+		}
+		select {
+		case <-ended:
+		case <-wake.C:
+		case <-ctx.Done():
+			wake.Stop()
+			return state, nil
+		}
+		wake.Stop()
+	}
+}
+
+// state returns the state of a job as it is known, and a channel that is closed when
+// the job ends.
+func (l *Ledger) state(e *entry, id string) (job.State, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.ended == nil {
+		e.ended = make(chan struct{})
+	}
+	switch {
+	case e.progress.State != "":
+		return e.progress.State, closed
+	case e.cancelled:
+		return job.Cancelled, e.ended
+	case e.running && l.cfg.Runner.Started(id):
+		return job.Running, e.ended
+	}
+	return job.Queued, e.ended
+}
+
+// lookOn waits for records of another entry's partition for at most the given time.
+// It reports whether the partition was read.
+func (l *Ledger) lookOn(ctx context.Context, p *partition, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait+shortestLook)
+	defer cancel()
+	l.mu.Lock()
+	next := p.next
+	l.mu.Unlock()
+	records, after, err := l.cfg.Store.Read(ctx, p.index, next, wait)
+	if err != nil {
+		return false
+	}
+	l.foldRead(p, records, next, after)
+	return true
+}
+
+// foldRead takes the records that were read from an offset on, unless others have
+// been taken since.
+func (l *Ledger) foldRead(p *partition, records []Record, from, after uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.next != from {
+		return
+	}
+	for _, r := range records {
+		l.fold(p, r, true)
+	}
+	p.next = after
+}
+
+// Pending returns the number of jobs of a queue of which no task has started. Of
+// another owner's jobs all that are not over count, since nothing is recorded when
+// a job begins.
+func (l *Ledger) Pending(queue string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, p := range l.parts {
+		for id, e := range p.entries {
+			if e.submission != nil && e.submission.Queue.Name == queue && e.progress.State == "" && !e.cancelled &&
+				!(e.running && l.cfg.Runner.Started(id)) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,38 +9,21 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"oriolerelay/internal/syncbuf"
 	"oriolerelay/platform/standin"
 )
 
-// logBuffer is a log that can be read while it is written.
-type logBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(b)
-}
-
-// has reports whether a line holds all the words.
-func (l *logBuffer) has(words ...string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for line := range strings.Lines(l.b.String()) {
-		found := true
-		for _, w := range words {
-			found = found && strings.Contains(line, w)
-		}
-		if found {
+// logged reports whether a line of the log holds all the words.
+func logged(log *syncbuf.Buffer, words ...string) bool {
+	for line := range strings.Lines(log.String()) {
+		if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) }) {
 			return true
 		}
 	}
@@ -81,7 +63,7 @@
 	c.Assert(err, quicktest.IsNil)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	c.Assert(os.WriteFile(path, settings, 0o600), quicktest.IsNil)
-	var log logBuffer
+	var log syncbuf.Buffer
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	ended := make(chan error, 1)
@@ -93,12 +75,12 @@
 		return err == nil && a.Status == http.StatusOK
 	}
 	eventually(t, "a job is accepted", func() bool { return accepted("00000000000000a1") })
-	eventually(t, "it is run", func() bool { return log.has("event=656", "00000000000000a1") })
+	eventually(t, "it is run", func() bool { return logged(&log, "event=656", "00000000000000a1") })
 	stop()
-	eventually(t, "the entry drains", func() bool { return log.has("event=501") })
+	eventually(t, "the entry drains", func() bool { return logged(&log, "event=501") })
 	eventually(t, "a job is accepted in the drain", func() bool { return accepted("00000000000000a2") })
-	eventually(t, "it is run", func() bool { return log.has("event=656", "00000000000000a2") })
-	c.Check(log.has("event=655"), quicktest.IsFalse)
+	eventually(t, "it is run", func() bool { return logged(&log, "event=656", "00000000000000a2") })
+	c.Check(logged(&log, "event=655"), quicktest.IsFalse)
 	c.Assert(<-ended, quicktest.IsNil)
-	c.Check(log.has("event=655", "the process stops"), quicktest.IsTrue)
+	c.Check(logged(&log, "event=655", "the process stops"), quicktest.IsTrue)
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -1,7 +1,6 @@
 package transport_test
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"path/filepath"
@@ -14,6 +13,7 @@
 
 	"oriolerelay/event"
 	"oriolerelay/ids"
+	"oriolerelay/internal/syncbuf"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -137,29 +137,11 @@
 	panic("unreachable")
 }
 
-// syncBuffer collects log lines from several goroutines.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // Guards against peers without a valid certificate of the authority, on either
 // side, and against their refusal going unlogged.
 func TestStrangersAreRefused(t *testing.T) {
 	a, other := authority(t), authority(t)
-	var log syncBuffer
+	var log syncbuf.Buffer
 	opts := optionsOf(t, a, "entry-1")
 	opts.Log = event.NewLogger(&log, "entry-1")
 	s := listen(t, opts)
