--- a/emulator/store.go
+++ b/emulator/store.go
@@ -25,6 +25,8 @@
 	KeepMembers bool
 	// LoseEvery is n when every n-th append is carried out and not answered.
 	LoseEvery int
+	// LoseNext is the number of coming appends that are carried out and not answered.
+	LoseNext int
 	// Deaf makes reads that wait hear nothing of what is appended meanwhile.
 	Deaf bool
 }
@@ -95,16 +97,21 @@
 	case f.Down:
 		return fmt.Errorf("store is down: %w", ledger.ErrNotDone)
 	case f.Mute:
-		select {
-		case <-time.After(storeTimeout): // of the client's call
-			return errNoAnswer
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		return noAnswer(ctx)
 	}
 	return nil
 }
 
+// noAnswer waits until the client gives the call up.
+func noAnswer(ctx context.Context) error {
+	select {
+	case <-time.After(storeTimeout):
+		return errNoAnswer
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Append implements ledger.Store.
 func (s *Store) Append(ctx context.Context, partition int, records []ledger.Record, fence *ledger.Fence) (uint64, error) {
 	if err := s.reach(ctx); err != nil {
@@ -138,8 +145,15 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 	s.appends++
-	if n := s.faults.LoseEvery; n > 0 && s.appends%n == 0 {
-		return 0, fmt.Errorf("answer was lost")
+	lost := s.faults.LoseNext > 0
+	if lost {
+		s.faults.LoseNext--
+	}
+	if n := s.faults.LoseEvery; lost || n > 0 && s.appends%n == 0 {
+		s.mu.Unlock()
+		err := noAnswer(ctx)
+		s.mu.Lock()
+		return 0, err
 	}
 	return offset, nil
 }
--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -130,6 +130,20 @@
 	}
 }
 
+// Guards against callers that wait for seconds because the store has lost the answer to
+// a write: the write is repeated while the job can still end in time.
+func TestLostAnswersOfTheStoreAreNoticed(t *testing.T) {
+	withStored(t, 4, func(ctx context.Context, c *quicktest.C, s *System) {
+		for i := range 20 {
+			s.Store.SetFaults(StoreFaults{LoseNext: 1})
+			j, sent := storedJob(0x105e000+i, 1, 200*time.Millisecond), time.Now()
+			c.Assert(s.Ledger(i%2).Accept(ctx, j) == nil, quicktest.IsTrue)
+			objective := j.Queue.Objective(j.Steps[0].Estimate)
+			c.Check(time.Since(sent) < objective, quicktest.IsTrue, quicktest.Commentf("accepted after %v of %v", time.Since(sent), objective))
+		}
+	})
+}
+
 // Guards against jobs that wait for an owner that reaches the store and no agent, and
 // against their tasks running again after the agents gave up the ends that it did not
 // record (bench: an entry cut off from all hosts for 5 s, 38 tasks done twice).
