ledger: an owner's own records need not be read

Change: after a write whose offset is the next one to be read, the owner reads on behind it. A read that was under way no longer moves the position back, and progress that is read after the end of its job is ignored, which otherwise showed the job as running again.

Ruled out: shorter reads while the store is deaf, which cost calls in every partition.

Before: the two new tests fail (reads on from 7, not 8; state of an ended job lost).

--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -94,6 +94,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if known {
+		next = max(next, p.next) // this process has written meanwhile
+	}
 	p.known, p.next = true, next
 	if !known { // the newest records come in any order, and ends belong to jobs
 		slices.SortStableFunc(records, func(a, b Record) int { return compareEndsLast(a.Key, b.Key) })
@@ -158,6 +161,9 @@
 			l.cfg.Log.Log(event.RecordIgnored, "key", r.Key, "error", err)
 			return
 		}
+		if e.progress.State != "" && progress.State == "" {
+			return // read after the end of the job was written
+		}
 		e.progress = *progress
 		if progress.State != "" {
 			if e.running { // the answer to the write may be lost
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -225,7 +225,7 @@
 		return
 	}
 	l.fold(p, r, true)
-	p.next = offset + 1
+	p.knowsWritten(offset, 1)
 	if e := p.entries[id]; e != nil {
 		l.handOverJob(p, id, e)
 	}
--- a/ledger/own.go
+++ b/ledger/own.go
@@ -299,12 +299,11 @@
 		records = append(records, Record{Key: key})
 	}
 	l.mu.Unlock()
-	n := 0
-	for recorded := false; !recorded; n++ {
-		_, err := l.appendOnce(ctx, p, records, fence, n)
-		if err == nil {
-			recorded = true
-			continue
+	var offset uint64
+	for n := 0; ; n++ {
+		var err error
+		if offset, err = l.appendOnce(ctx, p, records, fence, n); err == nil {
+			break
 		}
 		if ctx.Err() != nil {
 			return // the next owner takes the ends that agents keep
@@ -334,6 +333,7 @@
 	if p.epoch == fence.Epoch {
 		p.sequence++
 	}
+	p.knowsWritten(offset, len(records))
 	for id, progress := range batch {
 		e := p.entries[id]
 		if e == nil {
@@ -351,6 +351,14 @@
 	}
 }
 
+// knowsWritten takes note that n records of this process, the first of them at offset,
+// need not be read. A record of another process before them must be read first.
+func (p *partition) knowsWritten(offset uint64, n int) {
+	if p.known && offset == p.next {
+		p.next += uint64(n)
+	}
+}
+
 // progressRecords returns the records that state the progress of a job.
 func progressRecords(id string, progress job.Progress) []Record {
 	if progress.State == dropped {
--- a/ledger/own_test.go
+++ b/ledger/own_test.go
@@ -50,6 +50,7 @@
 	keys []string
 	// during runs while an append is under way.
 	during func()
+	offset uint64 // returned for each append
 }
 
 func (s *recordingStore) Append(_ context.Context, _ int, records []Record, _ *Fence) (uint64, error) {
@@ -59,7 +60,7 @@
 	for _, r := range records {
 		s.keys = append(s.keys, r.Key)
 	}
-	return 0, nil
+	return s.offset, nil
 }
 
 // lastReport is a runner that reports the progress of jobs that it is told to drop.
@@ -177,3 +178,42 @@
 		t.Error("the owner does not know that a job is not stored")
 	}
 }
+
+// Guards against jobs that wait for the owner's next read, up to 400 ms while waiting
+// reads hear nothing: its own records of progress counted as unread, and a job that it
+// has stored itself runs at once only if nothing before it is unread.
+func TestOwnRecordsNeedNotBeRead(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		offset, want uint64
+	}{
+		{"next record", 7, 8},
+		{"behind a record of another process", 8, 7},
+		{"read already", 6, 7},
+	} {
+		l, p := ownedPartition(&recordingStore{offset: tc.offset}, &lastReport{})
+		p.known, p.next = true, 7
+		p.dirty["j"] = job.Progress{}
+		l.recordOnce(context.Background(), p)
+		if p.next != tc.want {
+			t.Errorf("%s: reads on from %d, not %d", tc.name, p.next, tc.want)
+		}
+	}
+}
+
+// Guards against a job that is shown as running again: the owner wrote its end while a
+// read was under way that had seen only the progress before.
+func TestProgressReadAfterTheEndIsIgnored(t *testing.T) {
+	l, p := ownedPartition(&recordingStore{}, &lastReport{})
+	p.entries["j"] = &entry{progress: job.Progress{State: job.Completed}}
+	value, err := encode(job.Progress{Done: []job.TaskSet{{1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Lock()
+	l.fold(p, Record{Key: recordKey(kindProgress, "j"), Value: value}, true)
+	l.mu.Unlock()
+	if got := p.entries["j"].progress.State; got != job.Completed {
+		t.Errorf("state %q", got)
+	}
+}
