--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -79,6 +79,8 @@
 	lastHeard   time.Time                    // of any agent
 	outOfReach  atomic.Bool                  // no agent is heard
 	orders      map[*agent][]wire.OrderGroup // of the present batch
+	rooms       atomic.Pointer[[]wire.ServiceRoom]
+	roomsAt     time.Time // when rooms was last computed
 }
 
 // New returns a Coordinator that does not run yet.
@@ -165,6 +167,7 @@
 		c.plan(now)
 	}
 	c.flush(now)
+	c.updateRooms(now)
 	c.cfg.Metrics.observe(c)
 }
 
--- /dev/null
+++ b/coordinator/rooms.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"oriolerelay/wire"
+)
+
+// roomsInterval is the shortest time between two computations of the room. Other entries
+// are told of it at intervals of 20 ms.
+const roomsInterval = 10 * time.Millisecond
+
+// Rooms returns the room at the agents that take tasks, by service.
+func (c *Coordinator) Rooms() []wire.ServiceRoom {
+	if rooms := c.rooms.Load(); rooms != nil {
+		return *rooms
+	}
+	return nil
+}
+
+// updateRooms computes what Rooms returns.
+func (c *Coordinator) updateRooms(now time.Time) {
+	if now.Sub(c.roomsAt) < roomsInterval {
+		return
+	}
+	c.roomsAt = now
+	byService := make(map[string]*wire.ServiceRoom)
+	room := func(service string) *wire.ServiceRoom {
+		if byService[service] == nil {
+			byService[service] = &wire.ServiceRoom{Service: service}
+		}
+		return byService[service]
+	}
+	for _, a := range c.agents {
+		if a.profile == nil {
+			continue
+		}
+		e := a.endpoint(c.cfg.DataCentre, c.cfg.Timing, now)
+		if !e.Open {
+			continue
+		}
+		r := room(a.profile.Service)
+		r.Capacity += uint64(e.Capacity.MilliCores)
+		r.Used += uint64(max(int64(e.Capacity.MilliCores)-e.Free.MilliCores, 0))
+	}
+	for _, j := range c.waiting {
+		room(j.spec.Queue.Service).Waiting += j.waitingMilliCores()
+	}
+	rooms := make([]wire.ServiceRoom, 0, len(byService))
+	for _, r := range byService {
+		if r.Capacity > 0 {
+			rooms = append(rooms, *r)
+		}
+	}
+	slices.SortFunc(rooms, func(a, b wire.ServiceRoom) int { return strings.Compare(a.Service, b.Service) })
+	c.rooms.Store(&rooms)
+}
+
+// waitingMilliCores returns what the tasks of j need that wait for room.
+func (j *run) waitingMilliCores() (n uint64) {
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if t.state == taskWaiting {
+				n += uint64(t.step.Size.MilliCores)
+			}
+		}
+	}
+	return n
+}
+
+// Leave tells the agents that this process will stop, so that they serve another entry.
+// Jobs that it has are run to their end.
+func (c *Coordinator) Leave() {
+	c.loop.Do(func() {
+		for _, a := range c.agents {
+			c.sendTo(a, &wire.Leaving{}, time.Now())
+		}
+	})
+}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -83,7 +83,7 @@
 
 // newRun returns a run of s that has not begun.
 func newRun(s job.Submission, now time.Time, ended chan outcome) *run {
-	j := &run{spec: s, arrived: now, ended: ended}
+	j := &run{spec: s, arrived: now.Add(-s.Elapsed), ended: ended}
 	for si := range s.Steps {
 		st := &j.spec.Steps[si]
 		tasks := make([]*task, st.Count)
@@ -103,9 +103,9 @@
 	endpoints, _ := c.snapshot(&s.Queue, now)
 	typical := placement.TypicalSlowness(endpoints)
 	j.needs = time.Duration(typical * float64(j.chain()))
-	j.objective = now.Add(s.Queue.Objective(j.needs))
+	j.objective = j.arrived.Add(s.Queue.Objective(j.needs))
 	if s.Patience > 0 {
-		j.giveUp = now.Add(s.Patience)
+		j.giveUp = j.arrived.Add(s.Patience)
 	}
 	c.jobs[s.ID] = j
 	c.release(j)
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -10,6 +10,14 @@
 	TaskRetried  = define(605, Info, "task waits for another run")
 	TaskMoved    = define(606, Info, "slow run is stopped, task runs elsewhere")
 
+	JobPassed       = define(607, Info, "job passed on to the entry that places it")
+	JobAnswered     = define(608, Info, "passed job answered")
+	JobTaken        = define(609, Info, "job of another entry taken")
+	PlacerConnected = define(610, Info, "connected to an entry that may place jobs")
+	PlacerLost      = define(611, Warn, "entry that may place jobs lost")
+	ClientLost      = define(612, Warn, "entry that passed jobs on lost, they are stopped")
+	RoutingChanged  = define(613, Info, "jobs are passed on, or not any more")
+
 	RunEnded     = define(620, Info, "run ended")
 	RunRefused   = define(621, Info, "run refused")
 	RunStop      = define(622, Info, "run is stopped for its entry")
@@ -49,5 +57,7 @@
 	EndRecorded      = define(663, Info, "end of a run is recorded for the owner of its job")
 	CallerLimits     = define(659, Info, "limits of callers' connections changed")
 	AcceptFailed     = define(660, Warn, "a caller's connection could not be accepted")
+	EntryLeaving     = define(664, Info, "entry will stop, another one is served")
+	PeerClosed       = define(665, Info, "connection to an entry that may place jobs closed")
 	EntryRetired     = define(658, Info, "entry is served by other agents, its connection ends after its runs")
 )
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -10,7 +10,7 @@
 
 // Sender sends a message to an entry without blocking for long. An error ends
 // the use of the connection.
-type Sender func(m wire.Message) error
+type Sender = func(m wire.Message) error
 
 // entry is an entry that is, or was, connected.
 type entry struct {
--- a/job/job.go
+++ b/job/job.go
@@ -28,6 +28,9 @@
 	Repeat int
 	// Patience is how long the caller waits for an answer; 0 when not stated.
 	Patience time.Duration
+	// Elapsed is the time since the caller's request arrived, for a job that another entry
+	// has passed on.
+	Elapsed time.Duration `cbor:",omitempty"`
 	// Trace is the W3C traceparent below which the job runs; empty when it is not traced.
 	Trace string `cbor:",omitempty"`
 }
@@ -58,6 +61,24 @@
 	return n
 }
 
+// LongestTask returns the longest declared run time of a task.
+func (s *Submission) LongestTask() (longest time.Duration) {
+	for i := range s.Steps {
+		longest = max(longest, s.Steps[i].Estimate)
+	}
+	return longest
+}
+
+// MilliCores returns what the tasks need that can begin at once, in thousandths of a core.
+func (s *Submission) MilliCores() (n uint64) {
+	for i := range s.Steps {
+		if st := &s.Steps[i]; len(st.After) == 0 {
+			n += uint64(st.Count) * uint64(st.Size.MilliCores)
+		}
+	}
+	return n
+}
+
 // Unsupported names the first feature of the job that this version does not run,
 // or returns an empty string.
 func (s *Submission) Unsupported() string {
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -48,13 +48,13 @@
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, life := errgroup.WithContext(life)
-	links := newLinks(p, x)
+	links := newServedEntries(p, x).links
 	links.setSeeds(s.seedEntries())
 	g.Go(func() error { restoreEndpoint(life, p, store, x); return nil })
 	g.Go(func() error { saveEndpoint(life, p, store, saves); return nil })
 	g.Go(func() error { x.Run(life); return nil })
 	g.Go(func() error { links.run(life); return nil })
-	g.Go(func() error { store.WatchEntries(life, p.log, links.recorded); return nil })
+	g.Go(func() error { store.WatchEntries(life, p.log, links.pace, links.recorded); return nil })
 	g.Go(func() error { p.serveMetrics(life); return nil })
 	g.Go(func() error {
 		p.watchSettings(life, reload, func(s Settings) { links.setSeeds(s.seedEntries()) })
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -19,6 +19,7 @@
 	"oriolerelay/job"
 	"oriolerelay/ledger"
 	"oriolerelay/platform"
+	"oriolerelay/router"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -32,8 +33,9 @@
 	// other entries: two calls to the store, of which one may not be answered.
 	entryStopMargin = 300 * time.Millisecond
 	entryLeaveTime  = 500 * time.Millisecond
-	// entryRefresh is the time between two records of this entry in the list.
-	entryRefresh = 20 * time.Second
+	// entryRefresh is the time between two records of this entry in the list. Each is read
+	// by all other processes.
+	entryRefresh = 5 * time.Minute
 	// entryRetry is the time after which a failed record is repeated.
 	entryRetry = time.Second
 )
@@ -47,10 +49,13 @@
 	// jobs keeps the stored jobs; nil where the store has no partitions.
 	jobs    *ledger.Ledger
 	callers *callersServer
+	router  *router.Router
+	peers   *peers
 	// jobsEnd ends the ownership of stored jobs, and jobsEnded is closed after it.
 	jobsEnd   context.CancelFunc
 	jobsEnded chan struct{}
 	draining  atomic.Bool
+	unlisted  chan struct{} // wakes publish
 	ready     atomic.Bool
 }
 
@@ -76,6 +81,10 @@
 		}),
 		store: platform.NewStore(s.StoreAddress),
 	}
+	e.unlisted = make(chan struct{}, 1)
+	e.router = router.New(router.Config{Local: e.c, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
+	e.peers = newPeers(p, e.router)
+	e.peers.links.setSeeds(s.seedEntries())
 	e.callers = newCallersServer(platform.NewCallersHandler(e), p.log)
 	if s.StorePartitions > 0 {
 		e.jobs = ledger.New(ledger.Config{
@@ -97,13 +106,16 @@
 	s := &e.p.settings
 	l, err := transport.Listen(s.internalAddress(s.Address), transport.Options{
 		IdleTimeout: linkIdleTimeout, ResetSecret: s.Node + s.Address,
-		Hello: e.p.hello(wire.RoleEntry, nil), Stats: e.p.stats, Log: e.p.log,
+		Hello: e.p.hello(wire.RoleEntry), Stats: e.p.stats, Log: e.p.log,
 	})
 	if err != nil {
 		return err
 	}
 	defer l.Close()
 	g.Go(func() error { e.c.Run(life); return nil })
+	g.Go(func() error { e.router.Run(life); return nil })
+	g.Go(func() error { e.peers.links.run(life); return nil })
+	g.Go(func() error { e.store.WatchEntries(life, e.p.log, e.peers.links.pace, e.recorded); return nil })
 	jobsLife, jobsEnd := context.WithCancel(life)
 	defer jobsEnd()
 	e.jobsEnd, e.jobsEnded = jobsEnd, make(chan struct{})
@@ -116,9 +128,12 @@
 	})
 	g.Go(func() error { return l.Serve(life, e.newHandler) })
 	g.Go(func() error { e.store.WatchConfig(life, e.p.log, e.takeConfig); return nil })
-	g.Go(func() error { e.publish(life, s.internalAddress(s.Address)); return nil })
+	g.Go(func() error { e.publish(life); return nil })
 	g.Go(func() error { e.p.serveMetrics(life); return nil })
-	g.Go(func() error { e.p.watchSettings(life, reload, func(Settings) {}); return nil })
+	g.Go(func() error {
+		e.p.watchSettings(life, reload, func(s Settings) { e.peers.links.setSeeds(s.seedEntries()) })
+		return nil
+	})
 	g.Go(func() error { return serveHTTP(life, s.ReadyAddress, platform.NewReadyHandler(e.isReady)) })
 	g.Go(func() error { return e.serveCallers(ctx, life, stop) })
 	return g.Wait()
@@ -152,6 +167,8 @@
 func (e *entry) drain(life context.Context, callers net.Listener) {
 	begun := time.Now()
 	e.draining.Store(true)
+	e.router.Close()
+	e.c.Leave()
 	e.p.log.Log(event.ProcessDraining, "jobs", e.c.Load())
 	ctx, cancel := context.WithTimeout(life, e.p.settings.stopGrace()-entryStopMargin-entryLeaveTime)
 	defer cancel()
@@ -174,8 +191,11 @@
 }
 
 // publish keeps this entry in the list of entries.
-func (e *entry) publish(ctx context.Context, address string) {
-	self := wire.EntryAddress{Node: e.p.node, Address: address, Region: e.p.settings.Region}
+func (e *entry) publish(ctx context.Context) {
+	self := wire.EntryAddress{
+		Node: e.p.node, Address: e.peers.self, Region: e.p.settings.Region,
+		MilliCores: uint32(1000 * e.p.settings.ProcessorShare),
+	}
 	for !e.draining.Load() {
 		pause := entryRefresh
 		if err := e.store.PublishEntry(ctx, self); err != nil && ctx.Err() == nil {
@@ -184,12 +204,24 @@
 		}
 		select {
 		case <-time.After(pause):
+		case <-e.unlisted:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// recorded takes changes of the list of entries. The record of this process may have been
+// replaced by a late write of the one before it.
+func (e *entry) recorded(changes []platform.EntryChange) {
+	for _, ch := range changes {
+		if ch.Entry.Address == e.peers.self && (!ch.Present || ch.Entry.Node != e.p.node) {
+			replace(e.unlisted, struct{}{})
+		}
+	}
+	e.peers.links.recorded(changes)
+}
+
 // takeConfig puts a configuration in force unless it is older than the present one.
 func (e *entry) takeConfig(encoded []byte) {
 	cfg, err := platform.DecodeConfig(encoded)
@@ -208,7 +240,7 @@
 
 // isReady reports whether callers can be served.
 func (e *entry) isReady() bool {
-	ready := !e.draining.Load() && e.config.Load() != nil && e.c.Ready()
+	ready := !e.draining.Load() && e.config.Load() != nil && (e.c.Ready() || e.router.Ready())
 	if e.ready.Swap(ready) != ready {
 		e.p.log.Log(event.Readiness, "ready", ready, "draining", e.draining.Load(), "configured", e.config.Load() != nil)
 	}
@@ -231,7 +263,7 @@
 		return "", errkind.New(errkind.NoEndpoint, "this version does not run a %s", what)
 	}
 	if s.Ephemeral {
-		return e.c.Submit(ctx, s)
+		return e.router.Submit(ctx, s)
 	}
 	if e.jobs == nil {
 		return "", errkind.New(errkind.LogUnavailable, "this deployment does not store jobs")
@@ -289,8 +321,11 @@
 	return n, nil
 }
 
-// newHandler returns the handler of an agent's connection.
+// newHandler returns the handler of a connection of an agent or of another entry.
 func (e *entry) newHandler(c *transport.Conn) transport.Handler {
+	if c.PeerHello.Role == wire.RoleEntry {
+		return newClient(c, e.router)
+	}
 	h := &entryHandler{e: e, agent: c.PeerHello.Node.Name}
 	h.connection = e.c.Connected(h.agent, sender(c))
 	return h
--- a/relay/links.go
+++ b/relay/links.go
@@ -4,16 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"oriolerelay/event"
-	"oriolerelay/executor"
 	"oriolerelay/ids"
-	"oriolerelay/internal/rendezvous"
 	"oriolerelay/platform"
+	"oriolerelay/router"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -24,24 +22,20 @@
 	redialMax   = 2 * time.Second
 	// entryForgotten is how long an entry that is listed nowhere is dialled.
 	entryForgotten = time.Minute
-	// fewEntries is the number of entries up to which an agent serves all of them, so
-	// that none has to do without an endpoint of the dozen that such a deployment has.
-	fewEntries = 6
-	// entriesServed is the number of entries that an agent serves when there are more.
-	// An agent reports to each of them in turn, so that with fewer the views are newer
-	// and fewer entries take the same room: docs/decisions.md has the figures for two
-	// to six. With two, an entry may have too few endpoints for its callers.
-	entriesServed = 3
+	// placersServed is the number of entries that an agent serves where only some of the
+	// entries place jobs. One alone knows what is free at its endpoints; two that order
+	// at the same endpoint take the same room.
+	placersServed = 1
 	// entryDown is when an entry that cannot be reached is replaced by another.
-	entryDown = time.Second
+	entryDown = 150 * time.Millisecond
 	// linkCheck is the time between two checks of the entries that are served.
 	linkCheck = 250 * time.Millisecond
-	// endsNotedWithin is when an end that is not recorded is offered to all entries.
-	// An owner that works records within two calls to the store of some ms.
-	endsNotedWithin = 300 * time.Millisecond
-	// retireCheck is the time between two checks for the end of the last run of an
-	// entry that is not served any more. It is longer than orders are under way.
-	retireCheck = 500 * time.Millisecond
+	// listWait is how long a process that starts waits for the list of entries before it
+	// dials those of its settings, which may not be the ones that it is to serve.
+	listWait = 100 * time.Millisecond
+	// listPause and listUrgentPause are the times between two reads of the list of entries.
+	listPause       = time.Second
+	listUrgentPause = 50 * time.Millisecond
 	// linkIdleTimeout is when a silent connection between entry and agent is given
 	// up. Agents say something every 150 to 300 ms.
 	linkIdleTimeout = time.Second
@@ -64,21 +58,34 @@
 	}
 }
 
-// links keeps connections to the entries: to all of them while they are few, to a
-// part of them when they are many.
+// linkOwner is the part of a process that uses the connections to entries.
+type linkOwner interface {
+	// choose returns the addresses to connect to.
+	choose(entries []router.Entry, down map[string]bool) []string
+	// attach returns the handler of a new connection.
+	attach(c *transport.Conn) transport.Handler
+	// retire ends the use of a connection with its handler, and returns when it can be
+	// closed.
+	retire(ctx context.Context, c *transport.Conn, h transport.Handler)
+}
+
+// links keeps the connections of a process to entries.
 type links struct {
-	p *process
-	x *executor.Executor
+	p     *process
+	owner linkOwner
+	role  wire.Role
 
 	mu      sync.Mutex
 	seeds   map[string]bool
 	known   map[string]*link // by internal address
 	changed chan struct{}    // wakes run
+	listed  chan struct{}    // closed when the list of entries is read
+	once    sync.Once
 }
 
 // link is one entry address.
 type link struct {
-	address string
+	router.Entry
 	process ids.Incarnation // as recorded in the list of entries
 	// kept is set while a goroutine keeps a connection; retire then ends it.
 	kept      bool
@@ -86,19 +93,20 @@
 	retiring  bool
 	connected bool
 	lost      time.Time // since when it is kept and not connected
+	leaving   bool      // it has said that it will stop
 	// started carries the news that a process of the entry has started.
 	started chan struct{}
 }
 
 // isDown reports whether another entry should serve in the place of this one.
 func (k *link) isDown(now time.Time) bool {
-	return k.kept && !k.connected && now.Sub(k.lost) > entryDown
+	return k.leaving || k.kept && !k.connected && now.Sub(k.lost) > entryDown
 }
 
-func newLinks(p *process, x *executor.Executor) *links {
+func newLinks(p *process, owner linkOwner, role wire.Role) *links {
 	return &links{
-		p: p, x: x, seeds: make(map[string]bool), known: make(map[string]*link),
-		changed: make(chan struct{}, 1),
+		p: p, owner: owner, role: role, seeds: make(map[string]bool), known: make(map[string]*link),
+		changed: make(chan struct{}, 1), listed: make(chan struct{}),
 	}
 }
 
@@ -115,6 +123,7 @@
 
 // recorded takes changes of the list of entries.
 func (l *links) recorded(changes []platform.EntryChange) {
+	defer l.once.Do(func() { close(l.listed) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, ch := range changes {
@@ -130,7 +139,10 @@
 			default:
 			}
 		}
-		k.process = ch.Entry.Node
+		if k.process = ch.Entry.Node; k.Region != ch.Entry.Region || k.MilliCores != ch.Entry.MilliCores {
+			k.Region, k.MilliCores = ch.Entry.Region, ch.Entry.MilliCores
+			l.wake()
+		}
 	}
 }
 
@@ -139,7 +151,9 @@
 	if l.known[address] != nil {
 		return
 	}
-	l.known[address] = &link{address: address, started: make(chan struct{}, 1)}
+	l.known[address] = &link{
+		Entry: router.Entry{Address: address, Region: l.p.settings.Region}, started: make(chan struct{}, 1),
+	}
 	l.p.log.Log(event.EntryListChanged, "address", address, "known", len(l.known))
 	l.wake()
 }
@@ -153,14 +167,16 @@
 
 // run keeps the connections until ctx ends.
 func (l *links) run(ctx context.Context) {
+	select {
+	case <-l.listed:
+	case <-time.After(listWait):
+	case <-ctx.Done():
+		return
+	}
 	check := time.NewTicker(linkCheck)
 	defer check.Stop()
 	for {
-		if l.settle(ctx, time.Now()) {
-			check.Reset(linkCheck)
-		} else {
-			check.Stop() // all entries are served, whatever happens to them
-		}
+		l.settle(ctx, time.Now())
 		select {
 		case <-l.changed:
 		case <-check.C:
@@ -170,13 +186,19 @@
 	}
 }
 
-// settle begins and ends connections as choose says. It reports whether there are
-// more entries than an agent serves.
-func (l *links) settle(ctx context.Context, now time.Time) (many bool) {
-	holds := l.x.HoldsEnds(endsNotedWithin)
+// settle begins and ends connections as the owner chooses.
+func (l *links) settle(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	entries := make([]router.Entry, 0, len(l.known))
+	down := make(map[string]bool)
+	for address, k := range l.known {
+		entries = append(entries, k.Entry)
+		down[address] = k.isDown(now)
+	}
+	l.mu.Unlock()
+	chosen := l.owner.choose(entries, down)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	chosen := l.choose(now, holds)
 	for address, k := range l.known {
 		switch serve := slices.Contains(chosen, address); {
 		case serve && !k.kept:
@@ -188,22 +210,6 @@
 			l.p.log.Log(event.EntryRetired, "address", address, "known", len(l.known))
 		}
 	}
-	return len(l.known) > fewEntries
-}
-
-// choose returns the addresses to serve: all while they are few, or while this agent
-// holds ends that no entry has recorded, since their new owner may be any; otherwise
-// entriesServed that are not down.
-func (l *links) choose(now time.Time, holdsEnds bool) []string {
-	all := slices.Collect(maps.Keys(l.known))
-	if holdsEnds || len(all) <= fewEntries {
-		return all
-	}
-	down := make(map[string]bool)
-	for address, k := range l.known {
-		down[address] = k.isDown(now)
-	}
-	return rendezvous.Choose(l.p.settings.Node, all, down, entriesServed, len(all))
 }
 
 // keep keeps a connection to one entry until it is retired.
@@ -212,22 +218,25 @@
 	pause := redialPause
 	unreachable := false
 	for ctx.Err() == nil {
-		c, err := l.connectUntilStarted(ctx, k)
+		c, h, err := l.connectUntilStarted(ctx, k)
 		if err != nil {
 			if !unreachable && ctx.Err() == nil {
 				unreachable = true
-				l.p.log.Log(event.EntryUnreachable, "address", k.address, "error", err)
+				l.p.log.Log(event.EntryUnreachable, "address", k.Address, "error", err)
 			}
 			if l.forget(k) {
 				return
 			}
 		} else {
 			unreachable, pause = false, redialPause
+			l.setProcess(k, c.PeerHello.Node)
 			l.setConnected(k, true)
 			select {
 			case <-c.Done():
 			case <-k.retire:
-				l.finish(ctx, c)
+				l.owner.retire(ctx, c, h)
+				_ = c.Close()
+				<-c.Done()
 				return
 			}
 			l.setConnected(k, false)
@@ -244,30 +253,47 @@
 	}
 }
 
-// finish ends a connection after the runs that came by it. The entry is told first
-// that it gets no more.
-func (l *links) finish(ctx context.Context, c *transport.Conn) {
-	node := c.PeerHello.Node.String()
-	for l.x.Retire(node); ; {
-		select {
-		case <-time.After(retireCheck):
-			if l.x.Served(node) == 0 {
-				_ = c.Close()
-				<-c.Done()
-				return
-			}
-		case <-c.Done():
-			return
-		case <-ctx.Done():
-			return
+func (l *links) setConnected(k *link, connected bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k.connected, k.lost = connected, time.Now()
+	if connected {
+		k.leaving = false
+	} else {
+		time.AfterFunc(entryDown+time.Millisecond, l.wake)
+	}
+}
+
+// setProcess takes note of the process that answers at the address of k.
+func (l *links) setProcess(k *link, process ids.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k.process = process
+}
+
+// left takes note that the entry with the given process will stop.
+func (l *links) left(process ids.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.known {
+		if k.connected && k.process == process {
+			k.leaving = true
+			l.p.log.Log(event.EntryLeaving, "entry", process, "address", k.Address)
+			l.wake()
 		}
 	}
 }
 
-func (l *links) setConnected(k *link, connected bool) {
+// isSettled reports whether all connections that are kept are open.
+func (l *links) isSettled() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k.connected, k.lost = connected, time.Now()
+	for _, k := range l.known {
+		if k.kept && !k.connected {
+			return false
+		}
+	}
+	return true
 }
 
 // released takes note that k is not kept any more.
@@ -280,7 +306,7 @@
 
 // connectUntilStarted makes one attempt to connect. The attempt is given up when a
 // new process of the entry has started, which did not see its first packets.
-func (l *links) connectUntilStarted(ctx context.Context, k *link) (*transport.Conn, error) {
+func (l *links) connectUntilStarted(ctx context.Context, k *link) (*transport.Conn, transport.Handler, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -298,54 +324,39 @@
 func (l *links) forget(k *link) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.seeds[k.address] || time.Since(k.lost) < entryForgotten {
+	if l.seeds[k.Address] || time.Since(k.lost) < entryForgotten {
 		return false
 	}
-	delete(l.known, k.address)
-	l.p.log.Log(event.EntryListChanged, "address", k.address, "forgotten", true)
+	delete(l.known, k.Address)
+	l.p.log.Log(event.EntryListChanged, "address", k.Address, "forgotten", true)
 	return true
 }
 
-func (l *links) connect(ctx context.Context, k *link) (*transport.Conn, error) {
-	opts := transport.Options{IdleTimeout: linkIdleTimeout, Hello: l.p.hello(wire.RoleAgent, nil), Stats: l.p.stats, Log: l.p.log}
-	c, err := transport.Dial(ctx, k.address, opts, func(c *transport.Conn) transport.Handler {
-		return &agentHandler{links: l, node: c.PeerHello.Node.String()}
+func (l *links) connect(ctx context.Context, k *link) (c *transport.Conn, h transport.Handler, err error) {
+	opts := transport.Options{IdleTimeout: linkIdleTimeout, Hello: l.p.hello(l.role), Stats: l.p.stats, Log: l.p.log}
+	c, err = transport.Dial(ctx, k.Address, opts, func(c *transport.Conn) transport.Handler {
+		h = l.owner.attach(c)
+		return h
 	})
 	if err != nil {
-		return nil, fmt.Errorf("entry: %w", err)
+		return nil, nil, fmt.Errorf("entry: %w", err)
 	}
-	for _, e := range c.PeerHello.Entries {
-		l.mu.Lock()
-		l.addLocked(e.Address)
-		l.mu.Unlock()
+	l.p.log.Log(event.EntryConnected, "entry", c.PeerHello.Node, "address", k.Address)
+	return c, h, nil
+}
+
+// pace returns the pause between two reads of the list of entries: short while a change
+// can tell where to connect, long otherwise, since each change is read by all processes.
+func (l *links) pace() time.Duration {
+	if l.isSettled() {
+		return listPause
 	}
-	l.x.Connected(c.PeerHello.Node.String(), sender(c))
-	l.p.log.Log(event.EntryConnected, "entry", c.PeerHello.Node, "address", k.address)
-	return c, nil
+	return listUrgentPause
 }
 
 // hello returns the first message of this process on a connection.
-func (p *process) hello(role wire.Role, entries func() []wire.EntryAddress) func() wire.Hello {
+func (p *process) hello(role wire.Role) func() wire.Hello {
 	return func() wire.Hello {
-		h := wire.Hello{Node: p.node, Role: role, Region: p.settings.Region, DataCentre: p.settings.DataCentre}
-		if entries != nil {
-			h.Entries = entries()
-		}
-		return h
+		return wire.Hello{Node: p.node, Role: role, Region: p.settings.Region, DataCentre: p.settings.DataCentre}
 	}
 }
-
-// agentHandler takes the messages of an entry.
-type agentHandler struct {
-	links *links
-	node  string
-}
-
-// Handle implements transport.Handler.
-func (h *agentHandler) Handle(_ *transport.Conn, f wire.Frame) { h.links.x.Handle(h.node, f.Body) }
-
-// Closed implements transport.Handler.
-func (h *agentHandler) Closed(_ *transport.Conn, err error) {
-	h.links.p.log.Log(event.EntryLost, "entry", h.node, "error", err)
-	h.links.x.Disconnected(h.node)
-}
--- a/relay/links_test.go
+++ b/relay/links_test.go
@@ -15,6 +15,7 @@
 	"oriolerelay/executor"
 	"oriolerelay/ids"
 	"oriolerelay/internal/rendezvous"
+	"oriolerelay/router"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -116,7 +117,7 @@
 		Metrics: executor.NewMetrics(prometheus.NewRegistry()),
 	})
 	p := &process{settings: Settings{Node: node}, node: ids.NewIncarnation(node)}
-	l := newLinks(p, x)
+	l := newServedEntries(p, x).links
 	l.setSeeds(addresses)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
@@ -166,39 +167,48 @@
 
 // Guards against an entry of a small deployment that has to do without an endpoint.
 func TestAgentServesFewEntriesAll(t *testing.T) {
-	entries, changed := testEntries(t, fewEntries)
+	entries, changed := testEntries(t, router.FewEntries)
 	testAgent(t, "side-1", addressesOf(entries))
-	waitFor(t, changed, "connections to all entries", func() bool { return connected(entries) == fewEntries })
+	waitFor(t, changed, "connections to all entries", func() bool { return connected(entries) == router.FewEntries })
 }
 
 // Guards against agents that cost every entry a connection when there are many, and
 // against an agent that does not replace an entry that is gone.
 func TestAgentServesPartOfManyEntries(t *testing.T) {
-	entries, changed := testEntries(t, fewEntries+2)
+	entries, changed := testEntries(t, router.FewEntries+2)
 	testAgent(t, "side-1", addressesOf(entries))
-	waitFor(t, changed, "connections to the chosen entries", func() bool { return connected(entries) == entriesServed })
+	waitFor(t, changed, "connections to the chosen entries", func() bool { return connected(entries) == placersServed })
 	i := slices.IndexFunc(entries, func(e *testEntry) bool { return e.connection() != nil })
 	qt.Assert(t, entries[i].listener.Close(), qt.IsNil)
 	entries = slices.Delete(entries, i, i+1)
-	waitFor(t, changed, "a connection to another entry", func() bool { return connected(entries) == entriesServed })
+	waitFor(t, changed, "a connection to another entry", func() bool { return connected(entries) == placersServed })
 }
 
 // Guards against runs that are lost because the agent drops their entry for another
 // one, and against orders to an agent that is about to drop the connection.
 func TestRetiredEntryKeepsItsRuns(t *testing.T) {
 	c := qt.New(t)
-	entries, changed := testEntries(t, fewEntries+2)
-	known, added := addressesOf(entries[:fewEntries+1]), entries[fewEntries+1]
-	// A node that ranks the added entry among the chosen ones.
-	node, chosen := "", []string(nil)
-	for n := 0; !slices.Contains(chosen, added.address); n++ {
-		node = fmt.Sprintf("side-%d", n)
-		chosen = rendezvous.Choose(node, addressesOf(entries), nil, entriesServed, len(entries))
+	entries, changed := testEntries(t, router.FewEntries+2)
+	var listed []router.Entry
+	for _, a := range addressesOf(entries) {
+		listed = append(listed, router.Entry{Address: a})
+	}
+	placers := router.Placers(listed, "", nil)
+	i := slices.IndexFunc(entries, func(e *testEntry) bool { return e.address == placers[0] })
+	added := entries[i]
+	known := addressesOf(slices.Delete(slices.Clone(entries), i, i+1))
+	// A node that ranks the added entry first.
+	node := ""
+	for n := 0; node == ""; n++ {
+		name := fmt.Sprintf("side-%d", n)
+		if rendezvous.Choose(name, placers, nil, placersServed, len(placers))[0] == added.address {
+			node = name
+		}
 	}
 	l := testAgent(t, node, known)
-	waitFor(t, changed, "connections to the chosen entries", func() bool { return connected(entries) == entriesServed })
+	waitFor(t, changed, "connections to the chosen entries", func() bool { return connected(entries) == placersServed })
 	replaced := entries[slices.IndexFunc(entries, func(e *testEntry) bool {
-		return e.connection() != nil && !slices.Contains(chosen, e.address)
+		return e.connection() != nil && e != added
 	})]
 	id := wire.Run{Task: "0123456789abcdef.0.0.0", Number: 1}
 	waitFor(t, changed, "an open endpoint", func() bool {
--- /dev/null
+++ b/relay/peers.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"slices"
+
+	"oriolerelay/event"
+	"oriolerelay/router"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
+)
+
+// peers connects an entry to the entries that place its callers' jobs.
+type peers struct {
+	p      *process
+	router *router.Router
+	links  *links
+	self   string // internal address of this entry
+}
+
+func newPeers(p *process, r *router.Router) *peers {
+	e := &peers{p: p, router: r, self: p.settings.internalAddress(p.settings.Address)}
+	e.links = newLinks(p, e, wire.RoleEntry)
+	return e
+}
+
+// choose implements linkOwner: the entries that place jobs, of each region. An entry that
+// is not listed is not known to the agents and has to pass jobs on.
+func (e *peers) choose(entries []router.Entry, down map[string]bool) (chosen []string) {
+	isSelf := func(r router.Entry) bool { return r.Address == e.self }
+	many := len(entries) > router.FewEntries || !slices.ContainsFunc(entries, isSelf)
+	e.router.Enable(many)
+	if !many {
+		return nil
+	}
+	for _, region := range regions(entries) {
+		chosen = append(chosen, router.Placers(entries, region, down)...)
+	}
+	slices.Sort(chosen)
+	chosen = slices.Compact(chosen)
+	return slices.DeleteFunc(chosen, func(a string) bool { return a == e.self })
+}
+
+func regions(entries []router.Entry) (out []string) {
+	for _, e := range entries {
+		if !slices.Contains(out, e.Region) {
+			out = append(out, e.Region)
+		}
+	}
+	return out
+}
+
+// attach implements linkOwner.
+func (e *peers) attach(c *transport.Conn) transport.Handler {
+	h := &placingPeer{e: e}
+	h.connection = e.router.Connected(c.PeerHello.Node.String(), c.PeerHello.Region, sender(c))
+	return h
+}
+
+// retire implements linkOwner. The jobs that the peer has end with the connection, so it
+// stays open until they are answered.
+func (e *peers) retire(ctx context.Context, _ *transport.Conn, h transport.Handler) {
+	if peer, ok := h.(*placingPeer); ok {
+		e.router.Retire(ctx, peer.connection)
+	}
+}
+
+// placingPeer takes the messages of an entry that places jobs.
+type placingPeer struct {
+	e          *peers
+	connection uint64
+}
+
+// Handle implements transport.Handler.
+func (h *placingPeer) Handle(c *transport.Conn, f wire.Frame) {
+	if !h.e.router.Handle(h.connection, f.Body) {
+		_ = c.Close()
+	}
+}
+
+// Closed implements transport.Handler.
+func (h *placingPeer) Closed(_ *transport.Conn, err error) {
+	h.e.p.log.Log(event.PeerClosed, "connection", h.connection, "error", err)
+	h.e.router.Disconnected(h.connection)
+}
+
+// client takes the messages of an entry that passes jobs on to this one.
+type client struct {
+	router     *router.Router
+	connection uint64
+}
+
+func newClient(c *transport.Conn, r *router.Router) transport.Handler {
+	return &client{router: r, connection: r.ClientConnected(c.PeerHello.Node.String(), sender(c))}
+}
+
+// Handle implements transport.Handler.
+func (h *client) Handle(c *transport.Conn, f wire.Frame) {
+	if !h.router.HandleClient(h.connection, f.Body) {
+		_ = c.Close()
+	}
+}
+
+// Closed implements transport.Handler.
+func (h *client) Closed(*transport.Conn, error) { h.router.ClientDisconnected(h.connection) }
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -35,6 +35,9 @@
 	KeepStateS float64 `json:"keep_state_s"`
 	// MemoryMiB is the memory that the process may use.
 	MemoryMiB int `json:"memory_mib"`
+	// ProcessorShare is the part of a core that the host may use, in cores; 0 when it is
+	// not known. The entries on the largest hosts place jobs where there are many.
+	ProcessorShare float64 `json:"processor_share"`
 	// MaxLeaseMS is the longest lease of an endpoint in ms.
 	MaxLeaseMS float64 `json:"max_lease_ms"`
 	// StopGraceS is the time between the request to stop and the kill, in seconds.
@@ -71,6 +74,9 @@
 	if s.StorePartitions < 0 {
 		p.Add("store_partitions", "%d is negative", s.StorePartitions)
 	}
+	if s.ProcessorShare < 0 {
+		p.Add("processor_share", "%v is negative", s.ProcessorShare)
+	}
 	if s.MaxLeaseMS < 100 {
 		p.Add("max_lease_ms", "%v is below 100 ms", s.MaxLeaseMS)
 	}
--- /dev/null
+++ b/router/choose.go
@@ -0,0 +1,78 @@
+// Package router hands jobs to the entries that place them. Where there are many
+// entries, a few of them order the tasks at all endpoints, each at its own part of them:
+// an entry that ordered from its own part would have a dozen endpoints, whatever its
+// callers need. The others pass their callers' jobs on.
+package router
+
+import "math/rand/v2"
+
+// Candidate is an entry that may place a job, and its room at the endpoints of the job's
+// service in thousandths of a core.
+type Candidate struct {
+	Capacity uint64
+	// Used is what runs use, Waiting what tasks wait for, and Sent what the jobs need
+	// that it was sent since it said so.
+	Used, Waiting, Sent uint64
+	// Far is set for an entry in another region, which gets a job only if none in this
+	// region can run any.
+	Far bool
+}
+
+// load returns the demand relative to the capacity.
+func (c *Candidate) load() float64 {
+	return float64(c.Used+c.Waiting+c.Sent) / float64(c.Capacity)
+}
+
+// Choose returns the index of the candidate that gets a job: the less loaded of two that
+// are drawn at random in proportion to their capacity. All entries that see the same
+// loads would otherwise send their jobs to the same place until it says that it is full.
+// ok is false when none has any capacity. tried is the index of one that has refused the
+// job, or -1: the least loaded of the others is chosen then.
+func Choose(candidates []Candidate, tried int, random *rand.Rand) (index int, ok bool) {
+	var near, far []int
+	for i := range candidates {
+		switch c := &candidates[i]; {
+		case c.Capacity == 0 || i == tried:
+		case c.Far:
+			far = append(far, i)
+		default:
+			near = append(near, i)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return 0, false
+	}
+	if tried >= 0 {
+		return leastLoaded(candidates, near), true
+	}
+	return leastLoaded(candidates, []int{draw(candidates, near, random), draw(candidates, near, random)}), true
+}
+
+func leastLoaded(candidates []Candidate, among []int) int {
+	best := among[0]
+	for _, i := range among[1:] {
+		if candidates[i].load() < candidates[best].load() {
+			best = i
+		}
+	}
+	return best
+}
+
+// draw returns one of among, each with a probability in proportion to its capacity.
+func draw(candidates []Candidate, among []int, random *rand.Rand) int {
+	var total uint64
+	for _, i := range among {
+		total += candidates[i].Capacity
+	}
+	x := random.Uint64N(total)
+	for _, i := range among {
+		if x < candidates[i].Capacity {
+			return i
+		}
+		x -= candidates[i].Capacity
+	}
+	return among[len(among)-1]
+}
--- /dev/null
+++ b/router/client.go
@@ -0,0 +1,170 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oriolerelay/errkind"
+	"oriolerelay/event"
+	"oriolerelay/job"
+	"oriolerelay/wire"
+)
+
+// client is an entry that passes jobs on to this one.
+type client struct {
+	connection uint64
+	node       string
+	send       Sender
+	heard      time.Time
+	sentAt     time.Time
+	taken      uint64                        // number of the last job
+	stated     uint64                        // the last number that it was told
+	jobs       map[uint64]context.CancelFunc // that run here
+}
+
+// ClientConnected takes a connection of an entry that passes jobs on.
+func (r *Router) ClientConnected(node string, send Sender) (connection uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.number++
+	c := &client{
+		connection: r.number, node: node, send: send, heard: time.Now(), jobs: make(map[uint64]context.CancelFunc),
+	}
+	r.clients[c.connection] = c
+	r.state(c, r.rooms(), time.Now())
+	return c.connection
+}
+
+// ClientDisconnected takes note that the connection of such an entry has ended.
+func (r *Router) ClientDisconnected(connection uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c := r.clients[connection]; c != nil {
+		r.loseClient(c, "the connection has ended")
+	}
+}
+
+// loseClient stops the jobs of an entry whose callers get no answer any more. r.mu is
+// held.
+func (r *Router) loseClient(c *client, why string) {
+	delete(r.clients, c.connection)
+	if len(c.jobs) > 0 {
+		r.cfg.Log.Log(event.ClientLost, "entry", c.node, "why", why, "jobs", len(c.jobs),
+			"heard_ms_ago", time.Since(c.heard).Milliseconds())
+	}
+	for n, cancel := range c.jobs {
+		delete(c.jobs, n)
+		cancel()
+	}
+}
+
+// HandleClient takes a message of an entry that passes jobs on. It reports whether the
+// connection is still in use; one that was silent is not.
+func (r *Router) HandleClient(connection uint64, m wire.Message) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.clients[connection]
+	if c == nil {
+		return false
+	}
+	c.heard = time.Now()
+	switch m := m.(type) {
+	case *wire.Place:
+		r.run(c, m)
+	case *wire.Withdraw:
+		for _, n := range m.Numbers {
+			if cancel := c.jobs[n]; cancel != nil {
+				delete(c.jobs, n)
+				cancel()
+			}
+		}
+	}
+	return true
+}
+
+// run runs a job for c. r.mu is held.
+func (r *Router) run(c *client, m *wire.Place) {
+	c.taken = max(c.taken, m.Number)
+	var s job.Submission
+	if err := cbor.Unmarshal(m.Job, &s); err != nil {
+		r.answer(c, m.Number, outcome{err: errkind.New(errkind.InvalidRequest, "decode the job: %w", err)})
+		return
+	}
+	r.cfg.Metrics.taken.Inc()
+	r.cfg.Log.Log(event.JobTaken, "job", s.ID, "entry", c.node, "number", m.Number, "elapsed_ms", s.Elapsed.Milliseconds())
+	ctx, cancel := context.WithCancel(context.Background())
+	c.jobs[m.Number] = cancel
+	go func() {
+		defer cancel()
+		state, err := r.cfg.Local.Submit(ctx, s)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if c.jobs[m.Number] == nil {
+			return // withdrawn
+		}
+		delete(c.jobs, m.Number)
+		r.answer(c, m.Number, outcome{state, err})
+	}()
+}
+
+// answer sends the outcome of a job to c. r.mu is held.
+func (r *Router) answer(c *client, number uint64, o outcome) {
+	m := &wire.Placed{Number: number, State: string(o.state)}
+	if o.err != nil {
+		m.Kind, m.Detail, m.RetryAfterMillis = string(o.err.Kind), o.err.Detail, uint32(o.err.RetryAfter.Milliseconds())
+	}
+	r.sendClient(c, m)
+}
+
+func (r *Router) sendClient(c *client, m wire.Message) {
+	c.sentAt = time.Now()
+	if err := c.send(m); err != nil && r.clients[c.connection] == c {
+		r.loseClient(c, "it cannot be sent to")
+	}
+}
+
+// Close tells the others that this entry places no more jobs. Those that it has go on.
+func (r *Router) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, c := range r.clients {
+		r.state(c, nil, time.Now())
+	}
+}
+
+// rooms returns the room here. r.mu is held.
+func (r *Router) rooms() []wire.ServiceRoom {
+	if r.closed {
+		return nil
+	}
+	return r.cfg.Local.Rooms()
+}
+
+// state tells c the room here. r.mu is held.
+func (r *Router) state(c *client, rooms []wire.ServiceRoom, now time.Time) {
+	c.stated = c.taken
+	r.sendClient(c, &wire.Rooms{Services: rooms, Taken: c.taken, Closed: r.closed})
+}
+
+// checkClients stops the jobs of silent entries and tells the others of changes. r.mu is
+// held.
+func (r *Router) checkClients(now time.Time) {
+	if len(r.clients) == 0 {
+		return
+	}
+	rooms := r.rooms()
+	changed := !slices.Equal(rooms, r.stated)
+	r.stated = rooms
+	for _, c := range r.clients {
+		switch {
+		case len(c.jobs) > 0 && now.Sub(c.heard) > peerSilence:
+			r.loseClient(c, "it is silent")
+		case changed || c.stated != c.taken || now.Sub(c.sentAt) > roomIdle:
+			r.state(c, rooms, now)
+		}
+	}
+}
--- /dev/null
+++ b/router/placers.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// FewEntries is the number of entries up to which every entry places its own jobs
+	// and every agent serves all of them, so that none has to do without an endpoint of
+	// the dozen that such a deployment has.
+	FewEntries = 6
+	// entriesPerPlacer is the number of entries for one that places jobs, and
+	// minPlacers the least number of those: the loss of one takes its agents out of
+	// service for the time that they need to notice it.
+	entriesPerPlacer = 6
+	minPlacers       = 4
+)
+
+// Entry is an entry as it is listed.
+type Entry struct {
+	Address string
+	Region  string
+	// MilliCores is the processor share of its host.
+	MilliCores uint32
+}
+
+// Placers returns the addresses of the entries that place jobs at the endpoints of a
+// region: all of a few, and of many those on the largest hosts there. Where all of these
+// are down, the next in rank take their place. Processes that know the same entries
+// choose the same.
+func Placers(entries []Entry, region string, down map[string]bool) []string {
+	ranked := slices.Clone(entries)
+	if len(entries) > FewEntries {
+		ranked = slices.DeleteFunc(ranked, func(e Entry) bool { return e.Region != region })
+	}
+	slices.SortFunc(ranked, func(a, b Entry) int {
+		return cmp.Or(
+			cmp.Compare(b.MilliCores, a.MilliCores),
+			cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)),
+			cmp.Compare(a.Address, b.Address),
+		)
+	})
+	n := len(ranked)
+	if n > FewEntries {
+		n = max(minPlacers, n/entriesPerPlacer)
+	}
+	var chosen []string
+	for from := 0; from < len(ranked); from += n {
+		up := false
+		for _, e := range ranked[from:min(from+n, len(ranked))] {
+			chosen = append(chosen, e.Address)
+			up = up || !down[e.Address]
+		}
+		if up {
+			break
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,416 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"oriolerelay/errkind"
+	"oriolerelay/event"
+	"oriolerelay/job"
+	"oriolerelay/wire"
+)
+
+// Sender queues a message to a peer without blocking for long. An error means that the
+// message is not sent and that the connection is of no more use.
+type Sender = func(m wire.Message) error
+
+// Jobs runs jobs at the endpoints whose agents serve this process.
+type Jobs interface {
+	Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error)
+	// Rooms returns the room there.
+	Rooms() []wire.ServiceRoom
+}
+
+const (
+	// peerSilence is when jobs at a silent peer are given up, by both sides. Callers send
+	// such a job again 1,300 ms later, when its runs must have ended: this time, and the
+	// time after which agents stop the runs of a silent entry, have passed by then.
+	peerSilence = 450 * time.Millisecond
+	// heartbeat is the longest silence towards a peer while jobs are under way.
+	heartbeat = 120 * time.Millisecond
+	// roomInterval is the shortest time between two statements of the room, and
+	// roomIdle the longest.
+	roomInterval = 20 * time.Millisecond
+	roomIdle     = 150 * time.Millisecond
+	// holdShare is the share of its latency objective for which a job waits until an
+	// entry that can place it is connected. It is the share for which a job may wait
+	// for room.
+	holdShare = 0.25
+)
+
+// Config holds what a Router needs.
+type Config struct {
+	Local   Jobs
+	Region  string
+	Log     *event.Logger
+	Metrics *Metrics
+}
+
+// Router passes the jobs of callers on to the entries that place them, and runs those
+// that others pass on to this one. It is safe for concurrent use.
+type Router struct {
+	cfg Config
+
+	mu      sync.Mutex
+	enabled bool
+	closed  bool // this process places no more jobs
+	random  *rand.Rand
+	local   *placer            // this process
+	number  uint64             // of the last connection
+	placers map[uint64]*placer // by connection
+	clients map[uint64]*client // by connection
+	changed chan struct{}      // closed when a placer may have become usable
+	stated  []wire.ServiceRoom // the room that the clients were told last
+}
+
+// placer is an entry that this one passes jobs on to.
+type placer struct {
+	connection uint64
+	node       string
+	far        bool
+	send       Sender
+	heard      time.Time
+	sentAt     time.Time
+	// retired is set when the connection gets no more jobs.
+	retired bool
+	rooms   wire.Rooms
+	number  uint64 // of the last job
+	calls   map[uint64]*call
+}
+
+// call is a job that a placer has.
+type call struct {
+	ended      chan outcome
+	service    string
+	milliCores uint64
+}
+
+type outcome struct {
+	state job.State
+	err   *errkind.Error
+}
+
+// New returns a Router that passes nothing on until it is enabled.
+func New(cfg Config) *Router {
+	return &Router{
+		cfg: cfg, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), local: &placer{node: "local"},
+		placers: make(map[uint64]*placer), clients: make(map[uint64]*client), changed: make(chan struct{}),
+	}
+}
+
+// Enable makes this process pass jobs on, where there are many entries, or place all
+// jobs of its callers itself.
+func (r *Router) Enable(enabled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.enabled == enabled {
+		return
+	}
+	r.enabled = enabled
+	r.notify()
+	r.cfg.Log.Log(event.RoutingChanged, "enabled", enabled)
+}
+
+// notify wakes the jobs that wait for a placer. r.mu is held.
+func (r *Router) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Connected takes a connection to an entry that may place jobs.
+func (r *Router) Connected(node, region string, send Sender) (connection uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.number++
+	r.placers[r.number] = &placer{
+		connection: r.number, node: node, far: region != r.cfg.Region, send: send, heard: time.Now(),
+		calls: make(map[uint64]*call),
+	}
+	r.cfg.Log.Log(event.PlacerConnected, "entry", node, "connection", r.number)
+	return r.number
+}
+
+// Disconnected takes note that a connection has ended.
+func (r *Router) Disconnected(connection uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.placers[connection]; p != nil {
+		r.lose(p, "the connection has ended")
+	}
+}
+
+// lose gives up the jobs that a placer has. r.mu is held.
+func (r *Router) lose(p *placer, why string) {
+	delete(r.placers, p.connection)
+	r.cfg.Log.Log(event.PlacerLost, "entry", p.node, "why", why, "jobs", len(p.calls),
+		"heard_ms_ago", time.Since(p.heard).Milliseconds())
+	for n, c := range p.calls {
+		delete(p.calls, n)
+		r.cfg.Metrics.lost.Inc()
+		c.ended <- outcome{err: errkind.New(errkind.HomeLost, "the entry that placed the job was lost: %s", why)}
+	}
+}
+
+// Handle takes a message of an entry that places jobs. It reports whether the connection
+// is still in use; one that was silent is not.
+func (r *Router) Handle(connection uint64, m wire.Message) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.placers[connection]
+	if p == nil {
+		return false
+	}
+	p.heard = time.Now()
+	switch m := m.(type) {
+	case *wire.Rooms:
+		p.rooms = *m
+		r.notify()
+	case *wire.Placed:
+		c := p.calls[m.Number]
+		if c != nil { // otherwise its caller has gone
+			delete(p.calls, m.Number)
+			c.ended <- placedOutcome(m)
+		}
+	}
+	return true
+}
+
+func placedOutcome(m *wire.Placed) outcome {
+	if m.Kind == "" {
+		return outcome{state: job.State(m.State)}
+	}
+	err := errkind.New(errkind.Kind(m.Kind), "%s", m.Detail)
+	err.RetryAfter = time.Duration(m.RetryAfterMillis) * time.Millisecond
+	return outcome{err: err}
+}
+
+// Submit runs a job of a caller and returns its outcome.
+func (r *Router) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
+	arrived := time.Now()
+	hold := time.NewTimer(time.Duration(holdShare * float64(s.Queue.Objective(s.LongestTask()))))
+	defer hold.Stop()
+	var refusal *errkind.Error
+	tried := ""
+	for {
+		p, ok, changed := r.choose(&s, tried)
+		switch {
+		case ok:
+			o, sent := r.submitTo(ctx, p, s, arrived)
+			if !sent {
+				continue
+			}
+			if o.err == nil || o.err.Kind != errkind.QueueFull || tried != "" {
+				return o.state, o.err
+			}
+			// Room changes while the job is under way, and another entry may have some.
+			refusal, tried = o.err, p.node
+			continue
+		case tried != "":
+			return "", refusal
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			r.cfg.Log.Log(event.JobRefused, "job", s.ID, "queue", s.Queue.Name, "kind", errkind.NoEndpoint,
+				"why", "no entry that places jobs is connected", "waited_ms", time.Since(arrived).Milliseconds())
+			return "", errkind.New(errkind.NoEndpoint, "no entry that can place the job is connected")
+		case <-ctx.Done():
+			return "", errkind.New(errkind.CancelledRunning, "the caller has gone")
+		}
+	}
+}
+
+// choose returns the entry that gets a job, if there is one. changed is closed when
+// another attempt is worth while.
+func (r *Router) choose(s *job.Submission, tried string) (p *placer, ok bool, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.enabled {
+		return r.local, tried == "", r.changed
+	}
+	service := s.Queue.Service
+	var peers []*placer
+	var candidates []Candidate
+	triedIndex := -1
+	add := func(p *placer, c Candidate) {
+		if p.node == tried {
+			triedIndex = len(peers)
+		}
+		peers, candidates = append(peers, p), append(candidates, c)
+	}
+	for _, p := range r.placers {
+		if !p.rooms.Closed && !p.retired {
+			add(p, p.candidate(service))
+		}
+	}
+	if !r.closed {
+		own := Candidate{}
+		own.take(r.cfg.Local.Rooms(), service)
+		add(r.local, own)
+	}
+	i, ok := Choose(candidates, triedIndex, r.random)
+	if !ok {
+		return nil, false, r.changed
+	}
+	return peers[i], true, r.changed
+}
+
+// take sets the room of c to that of a service.
+func (c *Candidate) take(rooms []wire.ServiceRoom, service string) {
+	for _, s := range rooms {
+		if s.Service == service {
+			c.Capacity, c.Used, c.Waiting = s.Capacity, s.Used, s.Waiting
+		}
+	}
+}
+
+// candidate describes p to Choose. What it was sent and has not yet taken counts as sent.
+func (p *placer) candidate(service string) Candidate {
+	c := Candidate{Far: p.far}
+	c.take(p.rooms.Services, service)
+	for n, call := range p.calls {
+		if n > p.rooms.Taken && call.service == service {
+			c.Sent += call.milliCores
+		}
+	}
+	return c
+}
+
+// submitTo runs a job at p and waits for its outcome; sent is false when it could not be
+// sent.
+func (r *Router) submitTo(ctx context.Context, p *placer, s job.Submission, arrived time.Time) (o outcome, sent bool) {
+	s.Elapsed += time.Since(arrived)
+	if p == r.local {
+		state, err := r.cfg.Local.Submit(ctx, s)
+		return outcome{state, err}, true
+	}
+	encoded, err := cbor.Marshal(s)
+	if err != nil {
+		return outcome{err: errkind.New(errkind.Internal, "encode the job: %w", err)}, true
+	}
+	c := &call{ended: make(chan outcome, 1), service: s.Queue.Service, milliCores: s.MilliCores()}
+	n, ok := r.place(p, c, encoded)
+	if !ok {
+		return outcome{}, false
+	}
+	r.cfg.Metrics.passed.Inc()
+	r.cfg.Log.Log(event.JobPassed, "job", s.ID, "queue", s.Queue.Name, "entry", p.node, "number", n,
+		"waited_ms", time.Since(arrived).Milliseconds())
+	select {
+	case o = <-c.ended:
+	case <-ctx.Done():
+		r.withdraw(p, n)
+		o = outcome{err: errkind.New(errkind.CancelledRunning, "the caller has gone")}
+	}
+	r.cfg.Log.Log(event.JobAnswered, "job", s.ID, "entry", p.node, "state", o.state, "error", o.err,
+		"took_ms", time.Since(arrived).Milliseconds())
+	return o, true
+}
+
+// place sends a job to p.
+func (r *Router) place(p *placer, c *call, encoded []byte) (number uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.placers[p.connection] != p {
+		return 0, false
+	}
+	p.number++
+	if !r.sendTo(p, &wire.Place{Number: p.number, Job: encoded}) {
+		return 0, false
+	}
+	p.calls[p.number] = c
+	return p.number, true
+}
+
+// sendTo sends m to p, which is lost if that fails. r.mu is held.
+func (r *Router) sendTo(p *placer, m wire.Message) bool {
+	p.sentAt = time.Now()
+	if err := p.send(m); err != nil {
+		r.lose(p, fmt.Sprintf("it cannot be sent to: %v", err))
+		return false
+	}
+	return true
+}
+
+func (r *Router) withdraw(p *placer, number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.calls[number] == nil {
+		return
+	}
+	delete(p.calls, number)
+	if r.placers[p.connection] == p {
+		r.sendTo(p, &wire.Withdraw{Numbers: []uint64{number}})
+	}
+}
+
+// Ready reports whether an entry that can place jobs is connected.
+func (r *Router) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.placers {
+		if !p.rooms.Closed && len(p.rooms.Services) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Retire sends no more jobs by a connection, and returns when those that were sent are
+// answered.
+func (r *Router) Retire(ctx context.Context, connection uint64) {
+	const check = 100 * time.Millisecond
+	for {
+		r.mu.Lock()
+		p := r.placers[connection]
+		done := p == nil || len(p.calls) == 0
+		if p != nil {
+			p.retired = true
+		}
+		r.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-time.After(check):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Run keeps the connections alive and states the room until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	tick := time.NewTicker(roomInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			now := time.Now()
+			r.mu.Lock()
+			r.checkPlacers(now)
+			r.checkClients(now)
+			r.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// checkPlacers gives up the jobs at silent placers. r.mu is held.
+func (r *Router) checkPlacers(now time.Time) {
+	for _, p := range r.placers {
+		switch {
+		case len(p.calls) == 0:
+		case now.Sub(p.heard) > peerSilence:
+			r.lose(p, "it is silent")
+		case now.Sub(p.sentAt) > heartbeat:
+			r.sendTo(p, &wire.Heartbeat{})
+		}
+	}
+}
--- /dev/null
+++ b/wire/place.go
@@ -0,0 +1,82 @@
+package wire
+
+// Messages between an entry that has taken a job from a caller and an entry that
+// places its tasks.
+
+// Message types of job placement.
+const (
+	TypePlace    Type = 23
+	TypePlaced   Type = 24
+	TypeWithdraw Type = 25
+	TypeRooms    Type = 26
+	TypeLeaving  Type = 27
+)
+
+// Place asks an entry to run a job. It is answered by Placed.
+type Place struct {
+	// Number is the number of the job on this connection; it rises from 1.
+	Number uint64 `cbor:"1,keyasint"`
+	// Job is the encoded submission.
+	Job []byte `cbor:"2,keyasint"`
+}
+
+// Placed is the outcome of a job.
+type Placed struct {
+	Number uint64 `cbor:"1,keyasint"`
+	State  string `cbor:"2,keyasint,omitempty"`
+	// Kind is the error kind; empty when State is set.
+	Kind             string `cbor:"3,keyasint,omitempty"`
+	Detail           string `cbor:"4,keyasint,omitempty"`
+	RetryAfterMillis uint32 `cbor:"5,keyasint,omitempty"`
+}
+
+// Withdraw ends jobs whose callers have gone.
+type Withdraw struct {
+	Numbers []uint64 `cbor:"1,keyasint"`
+}
+
+// Rooms states the room that an entry can place tasks in.
+type Rooms struct {
+	Services []ServiceRoom `cbor:"1,keyasint,omitempty"`
+	// Taken is the highest Number that the sender has taken on this connection.
+	Taken uint64 `cbor:"2,keyasint,omitempty"`
+	// Closed is set when the sender takes no more jobs.
+	Closed bool `cbor:"3,keyasint,omitempty"`
+}
+
+// ServiceRoom is the room at the endpoints of a service, in thousandths of a core.
+type ServiceRoom struct {
+	Service  string `cbor:"1,keyasint"`
+	Capacity uint64 `cbor:"2,keyasint"`
+	// Used is what runs use, and Waiting what tasks wait for.
+	Used    uint64 `cbor:"3,keyasint"`
+	Waiting uint64 `cbor:"4,keyasint"`
+}
+
+// Leaving tells agents that the entry that sends it will stop, so that they serve
+// another one.
+type Leaving struct{}
+
+// MessageType implements Message.
+func (*Place) MessageType() Type    { return TypePlace }
+func (*Placed) MessageType() Type   { return TypePlaced }
+func (*Withdraw) MessageType() Type { return TypeWithdraw }
+func (*Rooms) MessageType() Type    { return TypeRooms }
+func (*Leaving) MessageType() Type  { return TypeLeaving }
+
+// newPlaceMessage returns an empty message of a type of this file, or nil.
+func newPlaceMessage(t Type) Message {
+	switch t {
+	case TypePlace:
+		return new(Place)
+	case TypePlaced:
+		return new(Placed)
+	case TypeWithdraw:
+		return new(Withdraw)
+	case TypeRooms:
+		return new(Rooms)
+	case TypeLeaving:
+		return new(Leaving)
+	}
+	return nil
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -47,6 +47,7 @@
 	TypeForwarded: "forwarded", TypeAck: "ack", TypeFetch: "fetch", TypeSponsor: "sponsor",
 	TypeOrders: "orders", TypeReports: "reports", TypeStatus: "status", TypeStop: "stop",
 	TypeClaim: "claim", TypeNoted: "noted",
+	TypePlace: "place", TypePlaced: "placed", TypeWithdraw: "withdraw", TypeRooms: "rooms", TypeLeaving: "leaving",
 }
 
 // String returns the lower-case message name used in metrics.
@@ -92,6 +93,8 @@
 	Node    ids.Incarnation `cbor:"1,keyasint"`
 	Address string          `cbor:"2,keyasint"`
 	Region  string          `cbor:"3,keyasint,omitempty"`
+	// MilliCores is the processor share of the host in thousandths of a core.
+	MilliCores uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // State carries the whole configuration in force, as JSON of the ticket
@@ -323,7 +326,10 @@
 	case TypeSponsor:
 		return new(Sponsor)
 	}
-	return newRunMessage(t)
+	if m := newRunMessage(t); m != nil {
+		return m
+	}
+	return newPlaceMessage(t)
 }
 
 // Frame is a decoded frame. CallID is zero for a one-way message.
