ledger: partitions of others are read on request; endpoints' records are spread

Each agent read the records of all endpoints at its start, 57,600 records where 240 start together.

Change: an entry follows its own partitions, and another's only for 10 s after it was asked for a job there. Owners publish how many jobs of each queue wait when that changes, which all entries read, so that pending needs no partition of others. An entry owns stored jobs only while it hears an agent, also at its start, since most entries hear none where a few place the jobs. The records of endpoints are spread over the partitions of their topic.

Ruled out: asking the owner over connections between entries, which only those to placing entries have; jobs are looked up in the store as before.

TestStoppingEntryRunsStoredJobs now has an agent: the entry of the test heard none and would own nothing.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -85,7 +85,7 @@
 
 // New returns a Coordinator that does not run yet.
 func New(cfg Config) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		cfg:     cfg,
 		started: time.Now(),
 		loop:    loop.New(),
@@ -95,6 +95,8 @@
 		strays:  make(map[string][]stray),
 		orders:  make(map[*agent][]wire.OrderGroup),
 	}
+	c.outOfReach.Store(true) // until one is heard
+	return c
 }
 
 // Run serves until ctx ends.
--- a/coordinator/reach.go
+++ b/coordinator/reach.go
@@ -14,18 +14,17 @@
 // checkReach takes note of whether any agent is heard. An entry that is cut off from
 // all of them cannot run the jobs that it owns, and another one can.
 func (c *Coordinator) checkReach(now time.Time) {
-	heard := len(c.agents) == 0 && c.lastHeard.IsZero() // none has connected yet
 	for _, a := range c.agents {
 		if a.heard.After(c.lastHeard) {
 			c.lastHeard = a.heard
 		}
 	}
-	heard = heard || now.Sub(c.lastHeard) <= c.cfg.Timing.AgentSilence+reachGrace
+	heard := now.Sub(c.lastHeard) <= c.cfg.Timing.AgentSilence+reachGrace
 	if c.outOfReach.Swap(!heard) == heard {
 		c.cfg.Log.Log(event.AgentsInReach, "in_reach", heard, "silent_ms", now.Sub(c.lastHeard).Milliseconds())
 	}
 }
 
-// CanRun reports whether this entry can run stored jobs: it hears an agent, or has
-// only just started.
+// CanRun reports whether this entry can run stored jobs: it hears an agent. Where a few
+// entries place the jobs of all, the others hear none.
 func (c *Coordinator) CanRun() bool { return !c.outOfReach.Load() }
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
 	"time"
 
+	"oriolerelay/event"
 	"oriolerelay/ledger"
 )
 
@@ -43,6 +45,7 @@
 	appends    int
 	changed    chan struct{}
 	shift      int // moves the partitions among the members
+	counts     map[int]map[string]int
 }
 
 type storePart struct {
@@ -252,6 +255,38 @@
 	return nil
 }
 
+// PutCounts implements ledger.Store.
+func (s *Store) PutCounts(ctx context.Context, counts map[int]map[string]int) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := maps.Clone(s.counts)
+	if all == nil {
+		all = make(map[int]map[string]int)
+	}
+	maps.Copy(all, counts)
+	s.counts = all
+	return nil
+}
+
+// WatchCounts implements ledger.Store.
+func (s *Store) WatchCounts(ctx context.Context, _ *event.Logger, pace func() time.Duration, take func(map[int]map[string]int)) {
+	for ctx.Err() == nil {
+		if s.reach(ctx) == nil {
+			s.mu.Lock()
+			counts := s.counts
+			s.mu.Unlock()
+			take(counts)
+		}
+		select {
+		case <-time.After(pace()):
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (s *Store) removeLocked(name string) {
 	if s.members[name] == nil {
 		return
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -57,6 +57,7 @@
 	EndRecorded      = define(663, Info, "end of a run is recorded for the owner of its job")
 	CallerLimits     = define(659, Info, "limits of callers' connections changed")
 	AcceptFailed     = define(660, Warn, "a caller's connection could not be accepted")
+	CountsPublished  = define(666, Info, "counts of waiting jobs cannot be published, or can again")
 	EntryLeaving     = define(664, Info, "entry will stop, another one is served")
 	PeerClosed       = define(665, Info, "connection to an entry that may place jobs closed")
 	EntryRetired     = define(658, Info, "entry is served by other agents, its connection ends after its runs")
--- /dev/null
+++ b/ledger/counts.go
@@ -0,0 +1,95 @@
+package ledger
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"oriolerelay/event"
+)
+
+// Owners publish how many jobs of each queue wait in their partitions, so that every
+// entry can tell without reading the partitions of others.
+
+// Pending returns the number of jobs of a queue of which no task has started: those of
+// this entry's partitions, and those of others as their owners have counted them last.
+func (l *Ledger) Pending(queue string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.parts {
+		if p.owned && p.known {
+			n += l.waiting(p)[queue]
+		} else {
+			n += p.published[queue]
+		}
+	}
+	return n
+}
+
+// waiting returns the jobs of p that wait, by queue. l.mu is held.
+func (l *Ledger) waiting(p *partition) map[string]int {
+	counts := make(map[string]int)
+	for id, e := range p.entries {
+		if e.submission != nil && e.progress.State == "" && !e.cancelled && !(e.running && l.cfg.Runner.Started(id)) {
+			counts[e.submission.Queue.Name]++
+		}
+	}
+	return counts
+}
+
+// publishCounts publishes the counts of the partitions of this entry until ctx ends.
+func (l *Ledger) publishCounts(ctx context.Context) {
+	tick := time.NewTicker(l.cfg.Timing.Count)
+	defer tick.Stop()
+	failing := false
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		changed := l.changedCounts()
+		if len(changed) == 0 {
+			continue
+		}
+		err := l.cfg.Store.PutCounts(ctx, changed)
+		if failing != (err != nil) && ctx.Err() == nil {
+			failing = err != nil
+			l.cfg.Log.Log(event.CountsPublished, "partitions", len(changed), "error", err)
+		}
+		if err == nil {
+			l.takeCounts(changed)
+		}
+	}
+}
+
+// changedCounts returns the counts of the partitions of this entry that differ from those
+// that are published.
+func (l *Ledger) changedCounts() map[int]map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := make(map[int]map[string]int)
+	for _, p := range l.parts {
+		if !p.owned || !p.known || !l.mayAct() {
+			continue
+		}
+		if counts := l.waiting(p); !maps.Equal(counts, p.published) {
+			changed[p.index] = counts
+		}
+	}
+	return changed
+}
+
+// takeCounts takes counts that are published.
+func (l *Ledger) takeCounts(counts map[int]map[string]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for index, c := range counts {
+		if index >= 0 && index < len(l.parts) {
+			l.parts[index].published = c
+		}
+	}
+}
+
+// countPace is the pause between two reads of the counts.
+func (l *Ledger) countPace() time.Duration { return l.cfg.Timing.Count }
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -10,10 +10,18 @@
 	"oriolerelay/job"
 )
 
-// follow folds the records of a partition until ctx ends.
+// follow folds the records of a partition until ctx ends, while this entry owns it or is
+// asked for its jobs.
 func (l *Ledger) follow(ctx context.Context, p *partition) {
 	failing, failures := false, 0
 	for ctx.Err() == nil {
+		if l.setAside(p) {
+			select {
+			case <-p.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		l.mu.Lock()
 		known, next, owned := p.known, p.next, p.owned
 		l.mu.Unlock()
@@ -40,6 +48,28 @@
 	}
 }
 
+// setAside reports whether p need not be followed now, and forgets what is known of it
+// then: with many entries, reads of all partitions by all of them would grow with the
+// product of both.
+func (l *Ledger) setAside(p *partition) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.owned || p.fenced || time.Since(p.asked) < l.cfg.Timing.Asked {
+		return false
+	}
+	p.known = false
+	p.entries = make(map[string]*entry)
+	return true
+}
+
+// ask takes note that this entry was asked for a job of p. l.mu is held.
+func (p *partition) ask(timing Timing) {
+	if !p.owned && time.Since(p.asked) > timing.OtherPoll {
+		p.wakeUp()
+	}
+	p.asked = time.Now()
+}
+
 // maxRetryDoublings bounds the pause between attempts while the store is away: each
 // refused call has its price, and there is one reader for each partition.
 const maxRetryDoublings = 4
@@ -52,16 +82,15 @@
 		return l.cfg.Timing.IdlePoll
 	case failures > 0:
 		return l.cfg.Timing.Retry << min(failures-1, maxRetryDoublings)
-	case !owned && idle:
-		return l.cfg.Timing.IdlePoll
 	case !owned:
-		return l.cfg.Timing.OtherPoll
+		return l.cfg.Timing.IdlePoll
 	}
 	return l.cfg.Timing.Gap
 }
 
-// idle reports whether a partition has no jobs. Idle partitions are read seldom,
-// since each call to the store has its price; jobs that are asked for are looked up.
+// idle reports whether a partition has no jobs. Idle partitions and those of others are
+// read seldom, since each call to the store has its price; jobs that are asked for are
+// looked up.
 func (l *Ledger) idle(p *partition) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/ledger/follow_test.go
@@ -0,0 +1,153 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolerelay/event"
+	"oriolerelay/internal/bubble"
+	"oriolerelay/job"
+)
+
+// countingStore counts the reads of partitions, and holds one job that another entry
+// owns.
+type countingStore struct {
+	Store
+	job job.Submission
+
+	mu     sync.Mutex
+	reads  int
+	counts map[int]map[string]int
+	put    map[int]map[string]int
+}
+
+func (s *countingStore) read() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+}
+
+func (s *countingStore) readSoFar() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+func (s *countingStore) Newest(_ context.Context, partition int) ([]Record, uint64, error) {
+	s.read()
+	if partition != partitionOf(s.job.ID, partitions) {
+		return nil, 0, nil
+	}
+	value, err := encode(s.job)
+	return []Record{{Key: recordKey(kindAccepted, s.job.ID), Value: value}}, 1, err
+}
+
+func (s *countingStore) Read(ctx context.Context, _ int, from uint64, wait time.Duration) ([]Record, uint64, error) {
+	s.read()
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return nil, from, ctx.Err()
+}
+
+func (*countingStore) Join(context.Context, string, uint64, time.Duration) (Membership, error) {
+	return Membership{Generation: 1}, nil
+}
+
+func (*countingStore) Leave(context.Context, string) error { return nil }
+
+func (s *countingStore) PutCounts(_ context.Context, counts map[int]map[string]int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put = counts
+	return nil
+}
+
+func (s *countingStore) WatchCounts(ctx context.Context, _ *event.Logger, pace func() time.Duration, take func(map[int]map[string]int)) {
+	for ctx.Err() == nil {
+		take(s.counts)
+		select {
+		case <-time.After(pace()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// idleRunner can run jobs and has none.
+type idleRunner struct{ Runner }
+
+func (idleRunner) CanRun() bool        { return true }
+func (idleRunner) Started(string) bool { return false }
+
+const partitions = 48
+
+// Guards against reads that grow with the product of entries and partitions: 55 entries
+// that followed 48 partitions each made 660 calls a second with nothing stored.
+func TestPartitionsOfOthersAreReadOnRequest(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		store := &countingStore{
+			job:    job.Submission{ID: "00000000000000a1", Queue: job.Queue{Name: "q"}, Steps: []job.Step{{Count: 1}}},
+			counts: map[int]map[string]int{3: {"q": 7}, 5: {"q": 2, "other": 1}},
+		}
+		begun := time.Now()
+		l := New(Config{
+			Partitions: partitions, Store: store, Runner: idleRunner{},
+			Timing: DefaultTiming(time.Second, time.Second, time.Second), Now: func() time.Duration { return time.Since(begun) },
+		})
+		done := make(chan struct{})
+		go func() { l.Run(ctx); close(done) }()
+		time.Sleep(time.Minute)
+		if n := store.readSoFar(); n > 0 {
+			t.Errorf("%d reads in a minute, nobody asked", n)
+		}
+		if n := l.Pending("q"); n != 9 {
+			t.Errorf("%d jobs wait, not the 9 that their owners have counted", n)
+		}
+		for range 3 {
+			if state, err := l.State(ctx, store.job.ID); err != nil || state != job.Queued {
+				t.Errorf("state %q, error %v", state, err)
+			}
+		}
+		if _, err := l.State(ctx, "00000000000000a2"); err == nil {
+			t.Error("a job that is not stored is known")
+		}
+		time.Sleep(time.Minute)
+		asked := store.readSoFar()
+		if asked > 40 {
+			t.Errorf("%d reads for four questions", asked)
+		}
+		time.Sleep(time.Minute)
+		if n := store.readSoFar(); n > asked {
+			t.Errorf("%d reads a minute after the last question", n-asked)
+		}
+		stop()
+		synctest.Wait()
+		<-done
+	})
+}
+
+// Guards against jobs that no entry counts: an owner publishes its count when it changes,
+// and only then.
+func TestOwnersPublishCounts(t *testing.T) {
+	store := &countingStore{}
+	l, p := ownedPartition(store, idleRunner{})
+	p.known = true
+	p.entries["j"].submission.Queue.Name = "q"
+	changed := l.changedCounts()
+	if changed[0]["q"] != 1 || l.Pending("q") != 1 {
+		t.Errorf("counts %v, pending %d; one job waits", changed, l.Pending("q"))
+	}
+	l.takeCounts(changed)
+	if again := l.changedCounts(); len(again) > 0 {
+		t.Errorf("counts %v are published again", again)
+	}
+	delete(p.entries, "j")
+	if gone := l.changedCounts(); len(gone[0]) != 0 || len(gone) != 1 {
+		t.Errorf("counts %v after the last job", gone)
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -39,14 +39,20 @@
 	// of the former owner have ended by then, and agents have reported ends that were
 	// not recorded.
 	TakeOver time.Duration
-	// OwnPoll is how long a read of an owned partition waits for a record, and
-	// OtherPoll the pause between reads of another's partition. A waiting read hears
-	// nothing for a second while the store drops its history, and jobs have objectives
-	// of a few hundred milliseconds.
-	OwnPoll   time.Duration
+	// OwnPoll is how long a read of an owned partition waits for a record. A waiting read
+	// hears nothing for a second while the store drops its history, and jobs have
+	// objectives of a few hundred milliseconds.
+	OwnPoll time.Duration
+	// OtherPoll is the shortest time between two reads of another's partition for ends
+	// that this entry hears of.
 	OtherPoll time.Duration
-	// IdlePoll replaces both while the partition has no jobs.
+	// IdlePoll is the time between reads of a partition that has no jobs or another owner.
 	IdlePoll time.Duration
+	// Asked is how long another's partition is followed after this entry was asked for
+	// one of its jobs.
+	Asked time.Duration
+	// Count is the time between two counts of the jobs that wait, which owners publish.
+	Count time.Duration
 	// Gap is the shortest time between two reads of an owned partition.
 	Gap time.Duration
 	// AcceptTimeout bounds the recording of a job whose fate is unknown.
@@ -73,7 +79,7 @@
 		TTL: max(1500*time.Millisecond, minTTL), Renewal: 400 * time.Millisecond,
 		TakeOver: orphanEnd + 300*time.Millisecond,
 		OwnPoll:  400 * time.Millisecond, OtherPoll: 600 * time.Millisecond, Gap: 10 * time.Millisecond,
-		IdlePoll:      4 * time.Second,
+		IdlePoll: 4 * time.Second, Asked: 10 * time.Second, Count: 500 * time.Millisecond,
 		AcceptTimeout: 2 * time.Second, Keep: keep + 10*time.Second, Retry: 200 * time.Millisecond, Answer: 150 * time.Millisecond,
 	}
 }
@@ -115,6 +121,7 @@
 	wake  chan struct{}
 
 	// The fields below are guarded by Ledger.mu.
+	asked    time.Time // when this entry was last asked for a job
 	known    bool
 	next     uint64 // offset up to which the records are folded
 	entries  map[string]*entry
@@ -129,6 +136,8 @@
 	dirty     map[string]job.Progress // to be recorded
 	lateEnds  []string                // keys of ends to be dropped
 	changed   chan struct{}           // wakes the recorder
+	// published holds the jobs that wait, by queue, as the owner has published them.
+	published map[string]int
 }
 
 // runsJobs reports whether this owner runs some jobs: all, or those that no former
@@ -185,6 +194,8 @@
 		wg.Go(func() { l.follow(ctx, p) })
 		wg.Go(func() { l.record(recording, p) })
 	}
+	wg.Go(func() { l.publishCounts(ctx) })
+	wg.Go(func() { l.cfg.Store.WatchCounts(ctx, l.cfg.Log, l.countPace, l.takeCounts) })
 	l.keepMembership(ctx)
 	stop()
 	wg.Wait()
--- a/ledger/own.go
+++ b/ledger/own.go
@@ -27,6 +27,8 @@
 		case member:
 			l.leave(ctx, "no agent is in reach")
 			member = false
+		default:
+			pause = reachCheck
 		}
 		select {
 		case <-time.After(pause):
@@ -36,6 +38,10 @@
 	l.leave(context.WithoutCancel(ctx), "the process stops")
 }
 
+// reachCheck is the time between two looks whether this entry can run jobs, before it
+// becomes a member.
+const reachCheck = 50 * time.Millisecond
+
 // leave gives up all partitions, so that others take them at once. If the call fails,
 // they take them when the membership lapses.
 func (l *Ledger) leave(ctx context.Context, why string) {
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -12,13 +12,17 @@
 func (l *Ledger) find(ctx context.Context, id string) (*entry, *errkind.Error) {
 	p := l.partition(id)
 	l.mu.Lock()
+	p.ask(l.cfg.Timing)
 	e, known, next := p.entries[id], p.known, p.next
 	l.mu.Unlock()
 	if e != nil && (l.owns(p) || l.isOver(e)) {
 		return e, nil
 	}
 	if !known {
-		return nil, errkind.New(errkind.LogUnavailable, "the stored jobs are not read yet")
+		if err := l.readOn(ctx, p, false, 0, false); err != nil {
+			return nil, errkind.New(errkind.LogUnavailable, "the stored jobs cannot be read: %w", err)
+		}
+		return l.known(p, id)
 	}
 	// Another entry may have recorded the job, or its end, since the last read.
 	records, after, err := l.cfg.Store.Read(ctx, p.index, next, 0)
@@ -28,6 +32,11 @@
 	if err == nil {
 		l.foldRead(p, records, next, after)
 	}
+	return l.known(p, id)
+}
+
+// known returns a job of p, whose records are read.
+func (l *Ledger) known(p *partition, id string) (*entry, *errkind.Error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := p.entries[id]; e != nil {
@@ -54,6 +63,7 @@
 	p := l.partition(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	p.ask(l.cfg.Timing)
 	e := p.entries[id]
 	if e != nil && e.progress.State != "" {
 		return true
@@ -149,21 +159,3 @@
 	}
 	p.next = after
 }
-
-// Pending returns the number of jobs of a queue of which no task has started. Of
-// another owner's jobs all that are not over count, since nothing is recorded when
-// a job begins.
-func (l *Ledger) Pending(queue string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for _, p := range l.parts {
-		for id, e := range p.entries {
-			if e.submission != nil && e.submission.Queue.Name == queue && e.progress.State == "" && !e.cancelled &&
-				!(e.running && l.cfg.Runner.Started(id)) {
-				n++
-			}
-		}
-	}
-	return n
-}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"oriolerelay/event"
 )
 
 // Record is a record of a partition. An empty Value drops the key.
@@ -34,6 +36,11 @@
 	Join(ctx context.Context, member string, generation uint64, ttl time.Duration) (Membership, error)
 	// Leave ends the membership.
 	Leave(ctx context.Context, member string) error
+	// PutCounts publishes the jobs that wait in partitions, by queue.
+	PutCounts(ctx context.Context, counts map[int]map[string]int) error
+	// WatchCounts calls take with the published counts and with later ones until ctx ends.
+	// It pauses between two reads for the time that pace returns.
+	WatchCounts(ctx context.Context, log *event.Logger, pace func() time.Duration, take func(map[int]map[string]int))
 }
 
 // Membership is the answer to Join.
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -30,7 +30,7 @@
 	}); err != nil {
 		return err
 	}
-	store := platform.NewStore(s.StoreAddress)
+	store := platform.NewStore(s.StoreAddress, s.StorePartitions)
 	saves := make(chan endpointapi.Announcement, 1)
 	x := executor.New(executor.Config{
 		Save:     func(a endpointapi.Announcement) { replace(saves, a) },
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -16,8 +16,11 @@
 
 	"github.com/frankban/quicktest"
 
+	"oriolerelay/ids"
 	"oriolerelay/internal/syncbuf"
 	"oriolerelay/platform/standin"
+	"oriolerelay/transport"
+	"oriolerelay/wire"
 )
 
 // logged reports whether a line of the log holds all the words.
@@ -40,6 +43,29 @@
 	}
 }
 
+// idleAgent is an agent that takes no task. An entry owns stored jobs only while it hears
+// an agent.
+func idleAgent(ctx context.Context, entry string) {
+	ctx = context.WithoutCancel(ctx) // it outlives the entry
+	hello := func() wire.Hello { return wire.Hello{Node: ids.NewIncarnation("side-1"), Role: wire.RoleAgent} }
+	for end := time.Now().Add(waitBound); time.Now().Before(end); {
+		c, err := transport.Dial(ctx, entry, transport.Options{Hello: hello}, func(*transport.Conn) transport.Handler { return ignore{} })
+		if err != nil {
+			continue
+		}
+		for c.Send(ctx, &wire.Status{Closed: wire.RejectUnreachable}) == nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+		return
+	}
+}
+
+// ignore takes no message.
+type ignore struct{}
+
+func (ignore) Handle(*transport.Conn, wire.Frame) {}
+func (ignore) Closed(*transport.Conn, error)      {}
+
 // Guards against stored jobs that nobody runs while entries are stopped one after the
 // other: a stopping entry gave its partitions up at once, although it lives for seconds
 // and the ones that follow had not started (bench: worth 0.39 on a day with a roll).
@@ -75,6 +101,7 @@
 		return err == nil && a.Status == http.StatusOK
 	}
 	eventually(t, "a job is accepted", func() bool { return accepted("00000000000000a1") })
+	go idleAgent(ctx, address("7720"))
 	eventually(t, "it is run", func() bool { return logged(&log, "event=656", "00000000000000a1") })
 	stop()
 	eventually(t, "the entry drains", func() bool { return logged(&log, "event=501") })
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -79,7 +79,7 @@
 			DataCentre: s.DataCentre, Timing: coordinator.DefaultTiming(orphanEnd, s.FarFactor),
 			Log: p.log, Metrics: coordinator.NewMetrics(p.registry),
 		}),
-		store: platform.NewStore(s.StoreAddress),
+		store: platform.NewStore(s.StoreAddress, s.StorePartitions),
 	}
 	e.unlisted = make(chan struct{}, 1)
 	e.router = router.New(router.Config{Local: e.c, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
