router: fewer messages between entries

Change: an entry passes jobs on to four of the placing entries; the room is told every 50 ms, and only when it has changed by 5% of the capacity; an agent with a single entry sends its status every 40 ms, since that entry knows its own orders and ends are reported at once.

Ruled out: the room with each answer only, of which an entry gets two or three a second from each placing entry.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -300,6 +300,9 @@
 // this agent is alive.
 func (x *Executor) sendStatus(now time.Time) {
 	interval := max(x.cfg.Timing.StatusInterval, time.Duration(len(x.entries))*x.cfg.Timing.StatusPerEntry)
+	if len(x.entries) == 1 {
+		interval = x.cfg.Timing.StatusAlone
+	}
 	due := x.statusDirty && now.Sub(x.statusSent) >= interval
 	busy := make(map[string]bool, len(x.entries))
 	for _, r := range x.runs {
--- a/executor/timing.go
+++ b/executor/timing.go
@@ -33,6 +33,9 @@
 	// connected entry: the messages of an agent then do not grow with the entries.
 	StatusInterval time.Duration
 	StatusPerEntry time.Duration
+	// StatusAlone is the same towards an only entry. It knows its own orders, and ends
+	// are reported to it at once.
+	StatusAlone time.Duration
 	// StatusMax is the longest time between two messages to an entry with runs here,
 	// and StatusIdle to an entry without.
 	StatusMax  time.Duration
@@ -60,6 +63,7 @@
 		EntrySilence:   450 * time.Millisecond,
 		StatusInterval: 15 * time.Millisecond,
 		StatusPerEntry: 6 * time.Millisecond,
+		StatusAlone:    40 * time.Millisecond,
 		StatusMax:      150 * time.Millisecond,
 		StatusIdle:     300 * time.Millisecond,
 		AdoptWindow:    400 * time.Millisecond,
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -5,11 +5,17 @@
 	"slices"
 
 	"oriolerelay/event"
+	"oriolerelay/internal/rendezvous"
 	"oriolerelay/router"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
 
+// placersUsed is the number of entries in each region that an entry passes jobs on to. A
+// choice between two of four spreads the jobs nearly as well as between two of all, and
+// what an entry that places jobs tells the others does not grow with all of them.
+const placersUsed = 4
+
 // peers connects an entry to the entries that place its callers' jobs.
 type peers struct {
 	p      *process
@@ -34,11 +40,10 @@
 		return nil
 	}
 	for _, region := range regions(entries) {
-		chosen = append(chosen, router.Placers(entries, region, down)...)
+		placers := slices.DeleteFunc(router.Placers(entries, region, down), func(a string) bool { return a == e.self })
+		chosen = append(chosen, rendezvous.Choose(e.self, placers, down, placersUsed, len(placers))...)
 	}
-	slices.Sort(chosen)
-	chosen = slices.Compact(chosen)
-	return slices.DeleteFunc(chosen, func(a string) bool { return a == e.self })
+	return chosen
 }
 
 func regions(entries []router.Entry) (out []string) {
--- a/router/client.go
+++ b/router/client.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -146,7 +146,6 @@
 
 // state tells c the room here. r.mu is held.
 func (r *Router) state(c *client, rooms []wire.ServiceRoom, now time.Time) {
-	c.stated = c.taken
 	r.sendClient(c, &wire.Rooms{Services: rooms, Taken: c.taken, Closed: r.closed})
 }
 
@@ -157,14 +156,31 @@
 		return
 	}
 	rooms := r.rooms()
-	changed := !slices.Equal(rooms, r.stated)
-	r.stated = rooms
+	changed := now.Sub(r.told) >= roomInterval && differ(rooms, r.stated)
+	if changed {
+		r.stated, r.told = rooms, now
+	}
 	for _, c := range r.clients {
 		switch {
 		case len(c.jobs) > 0 && now.Sub(c.heard) > peerSilence:
 			r.loseClient(c, "it is silent")
-		case changed || c.stated != c.taken || now.Sub(c.sentAt) > roomIdle:
+		case changed || now.Sub(c.sentAt) > roomIdle:
 			r.state(c, rooms, now)
 		}
 	}
 }
+
+// differ reports whether a difference of the room matters to those that choose by it.
+func differ(a, b []wire.ServiceRoom) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	for i := range a {
+		demand := func(s wire.ServiceRoom) float64 { return float64(s.Used + s.Waiting) }
+		if a[i].Service != b[i].Service || a[i].Capacity != b[i].Capacity ||
+			math.Abs(demand(a[i])-demand(b[i])) > roomChange*float64(a[i].Capacity) {
+			return true
+		}
+	}
+	return false
+}
--- a/router/router.go
+++ b/router/router.go
@@ -34,9 +34,12 @@
 	// heartbeat is the longest silence towards a peer while jobs are under way.
 	heartbeat = 120 * time.Millisecond
 	// roomInterval is the shortest time between two statements of the room, and
-	// roomIdle the longest.
-	roomInterval = 20 * time.Millisecond
+	// roomIdle the longest. A change by less than roomChange of the capacity waits.
+	roomInterval = 50 * time.Millisecond
 	roomIdle     = 150 * time.Millisecond
+	roomChange   = 0.05
+	// checkInterval is the time between two checks of the peers.
+	checkInterval = 25 * time.Millisecond
 	// holdShare is the share of its latency objective for which a job waits until an
 	// entry that can place it is connected. It is the share for which a job may wait
 	// for room.
@@ -66,6 +69,7 @@
 	clients map[uint64]*client // by connection
 	changed chan struct{}      // closed when a placer may have become usable
 	stated  []wire.ServiceRoom // the room that the clients were told last
+	told    time.Time          // when they were told
 }
 
 // placer is an entry that this one passes jobs on to.
@@ -386,7 +390,7 @@
 
 // Run keeps the connections alive and states the room until ctx ends.
 func (r *Router) Run(ctx context.Context) {
-	tick := time.NewTicker(roomInterval)
+	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 	for {
 		select {
