--- /dev/null
+++ b/router/choose_test.go
@@ -0,0 +1,110 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func listed(n int, region string, milliCores ...uint32) (out []Entry) {
+	for i := range n {
+		out = append(out, Entry{Address: fmt.Sprintf("10.0.%s.%d:7000", region, i), Region: region, MilliCores: milliCores[i%len(milliCores)]})
+	}
+	return out
+}
+
+// Guards against processes that disagree about who places jobs, and against placing
+// entries on hosts that are too small for it.
+func TestPlacers(t *testing.T) {
+	c := qt.New(t)
+	few := listed(FewEntries, "1", 800, 144)
+	c.Check(Placers(few, "1", nil), qt.HasLen, FewEntries)
+	c.Check(Placers(few, "2", nil), qt.HasLen, FewEntries)
+
+	many := append(listed(30, "1", 800, 144, 480), listed(30, "2", 144, 800)...)
+	chosen := Placers(many, "1", nil)
+	c.Check(chosen, qt.HasLen, 30/entriesPerPlacer)
+	for _, e := range many {
+		if slices.Contains(chosen, e.Address) {
+			c.Check(e.MilliCores, qt.Equals, uint32(800))
+			c.Check(e.Region, qt.Equals, "1")
+		}
+	}
+	shuffled := slices.Clone(many)
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	c.Check(Placers(shuffled, "1", nil), qt.DeepEquals, chosen)
+
+	c.Check(Placers(listed(12, "1", 144), "1", nil), qt.HasLen, minPlacers)
+}
+
+// Guards against a deployment without an entry that places jobs when all that should are
+// gone, and against a new set of them for each one that is down.
+func TestPlacersThatAreDown(t *testing.T) {
+	c := qt.New(t)
+	many := listed(30, "1", 800)
+	chosen := Placers(many, "1", nil)
+	down := map[string]bool{chosen[0]: true}
+	c.Check(Placers(many, "1", down), qt.DeepEquals, chosen)
+	for _, a := range chosen {
+		down[a] = true
+	}
+	more := Placers(many, "1", down)
+	c.Check(more, qt.HasLen, 2*len(chosen))
+	c.Check(more[:len(chosen)], qt.DeepEquals, chosen)
+	for _, e := range many {
+		down[e.Address] = true
+	}
+	c.Check(Placers(many, "1", down), qt.HasLen, len(many))
+}
+
+// Guards against jobs for entries without room while others have some, and against the
+// rush of all entries to the one that seems emptiest.
+func TestChoose(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := []Candidate{
+		{Capacity: 1000, Used: 900}, {Capacity: 1000, Used: 100}, {}, {Capacity: 1000, Used: 500, Sent: 300}, {Capacity: 9000, Far: true},
+	}
+	got := make([]int, len(candidates))
+	const n = 9000
+	for range n {
+		i, ok := Choose(candidates, -1, random)
+		c.Assert(ok, qt.IsTrue)
+		got[i]++
+	}
+	c.Check(got[2]+got[4], qt.Equals, 0)
+	// Two are drawn of three: the fullest gets a job if it is drawn twice, the emptiest if
+	// it is drawn at all.
+	c.Check(got[0] > n/18 && got[0] < n/6, qt.IsTrue, qt.Commentf("%v", got))
+	c.Check(got[1] > n/2 && got[1] < n*11/18, qt.IsTrue, qt.Commentf("%v", got))
+
+	i, ok := Choose(candidates, 1, random)
+	c.Check(ok, qt.IsTrue)
+	c.Check(i, qt.Equals, 3) // the emptiest of the others
+	i, ok = Choose([]Candidate{{}, {Capacity: 10, Far: true}}, -1, random)
+	c.Check(ok, qt.IsTrue)
+	c.Check(i, qt.Equals, 1)
+	_, ok = Choose([]Candidate{{Capacity: 10}}, 0, random)
+	c.Check(ok, qt.IsFalse)
+}
+
+// Guards against small entries that get as many jobs as large ones.
+func TestChooseByCapacity(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := []Candidate{{Capacity: 1000}, {Capacity: 4000}}
+	got := make([]int, 2)
+	for range 5000 {
+		i, _ := Choose(candidates, -1, random)
+		candidates[i].Sent += 1000
+		got[i]++
+		if candidates[0].Sent+candidates[1].Sent > 4000 {
+			candidates[0].Sent, candidates[1].Sent = 0, 0
+		}
+	}
+	if got[1] < 3*got[0] {
+		t.Errorf("jobs %v for capacities of 1 and 4", got)
+	}
+}
