--- a/relay/agent.go
+++ b/relay/agent.go
@@ -79,27 +79,16 @@
 	return g.Wait()
 }
 
-// restoreTries bounds the attempts to read what an earlier process recorded; the
+// restoreEndpoint hands the executor what an earlier process of this agent knew. The
 // endpoint announces itself within one to two seconds in any case.
-const restoreTries = 3
-
-// restoreEndpoint hands the executor what an earlier process of this agent knew.
 func restoreEndpoint(ctx context.Context, p *process, store *platform.Store, x *executor.Executor) {
-	for range restoreTries {
-		a, ok, err := store.LoadEndpoint(ctx, p.settings.EndpointAddress)
-		if err == nil {
-			if ok {
-				p.log.Log(event.EndpointRestored, "instance", a.Profile.Instance, "born", a.Born, "draining", a.Draining)
-				x.Restore(a)
-			}
-			return
-		}
+	a, ok, err := store.LoadEndpoint(ctx, p.settings.EndpointAddress)
+	switch {
+	case err != nil:
 		p.log.Log(event.StoreUnavailable, "read", "endpoint", "error", err)
-		select {
-		case <-time.After(saveRetry):
-		case <-ctx.Done():
-			return
-		}
+	case ok:
+		p.log.Log(event.EndpointRestored, "instance", a.Profile.Instance, "born", a.Born, "draining", a.Draining)
+		x.Restore(a)
 	}
 }
 
