--- a/emulator/routed_test.go
+++ b/emulator/routed_test.go
@@ -65,6 +65,7 @@
 			return s.Entry(e).Submit(ctx, j)
 		})
 		stop()
+		time.Sleep(time.Second) // messages under way are delivered
 		synctest.Wait()
 	})
 	return out
--- a/event/async.go
+++ b/event/async.go
@@ -9,10 +9,13 @@
 const (
 	// asyncBytes bounds the lines that wait to be written.
 	asyncBytes = 256 << 10
-	// linesPerSecond and lineBurst bound the volume of the log. A host of 0.24 of a
-	// core spends about 1% of it on 500 lines a second.
-	linesPerSecond = 500
-	lineBurst      = 1000
+	// linesPerCore bounds the lines a second in proportion to the processor share of the
+	// host, of which they take about 1%; minLines is the least bound. An entry that places
+	// the jobs of others writes about 1,000.
+	linesPerCore = 2000
+	minLines     = 500
+	// burstTime is the time whose lines may come at once.
+	burstTime = 2 * time.Second
 	// droppedReport is the time between two reports of dropped lines.
 	droppedReport = 5 * time.Second
 )
@@ -23,6 +26,8 @@
 	out  io.Writer
 	wake chan struct{}
 
+	perSecond float64 // bound of the lines
+
 	mu        sync.Mutex
 	pending   []byte
 	writing   bool
@@ -34,9 +39,12 @@
 }
 
 // NewAsyncWriter returns a writer to out and starts its goroutine, which lives as
-// long as the process.
-func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, wake: make(chan struct{}, 1), tokens: lineBurst, refilled: time.Now()}
+// long as the process. cores is the processor share of the host, 0 if it is not known.
+func NewAsyncWriter(out io.Writer, cores float64) *AsyncWriter {
+	w := &AsyncWriter{
+		out: out, wake: make(chan struct{}, 1), refilled: time.Now(), perSecond: max(minLines, linesPerCore*cores),
+	}
+	w.tokens = w.perSecond * burstTime.Seconds()
 	go w.run()
 	return w
 }
@@ -52,7 +60,7 @@
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	now := time.Now()
-	w.tokens = min(w.tokens+now.Sub(w.refilled).Seconds()*linesPerSecond, lineBurst)
+	w.tokens = min(w.tokens+now.Sub(w.refilled).Seconds()*w.perSecond, w.perSecond*burstTime.Seconds())
 	w.refilled = now
 	if w.tokens < 1 || len(w.pending)+len(line) > asyncBytes {
 		w.dropped++
--- a/relay/process.go
+++ b/relay/process.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	p.node = ids.NewIncarnation(p.settings.Node)
-	p.logSink = event.NewAsyncWriter(out)
+	p.logSink = event.NewAsyncWriter(out, p.settings.ProcessorShare)
 	p.log = event.NewLogger(p.logSink, p.node.String())
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(p.log.Writer())
