relay: a silent connection between entry and agent is given up after 600 ms

Cause: an agent serves one placing entry, and where that loses power the agent notices by the silence: 1 s, and 150 ms more before it dials another entry, while a ninth of the endpoints of the large site gets no task.

Ruled out: the heartbeats of entries, which are only sent to agents with runs.

--- a/relay/links.go
+++ b/relay/links.go
@@ -38,7 +38,7 @@
 	listUrgentPause = 50 * time.Millisecond
 	// linkIdleTimeout is when a silent connection between entry and agent is given
 	// up. Agents say something every 150 to 300 ms.
-	linkIdleTimeout = time.Second
+	linkIdleTimeout = 600 * time.Millisecond
 	// maxUnwritten is the number of messages that may wait for a peer that does not
 	// read; then the connection is given up.
 	maxUnwritten = 512
