--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -81,6 +81,7 @@
 	orders      map[*agent][]wire.OrderGroup // of the present batch
 	rooms       atomic.Pointer[[]wire.ServiceRoom]
 	roomsAt     time.Time // when rooms was last computed
+	labels      atomic.Pointer[[]wire.ServiceLabels]
 }
 
 // New returns a Coordinator that does not run yet.
@@ -160,6 +161,7 @@
 	c.checkAgents(now)
 	c.checkJobs(now)
 	c.forgetStrays(now)
+	c.updateLabels()
 }
 
 // Settle implements loop.Controller.
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +21,34 @@
 	return nil
 }
 
+// Labels returns the labels of the endpoints at these agents, by service. The value
+// changes only when they do.
+func (c *Coordinator) Labels() []wire.ServiceLabels {
+	if labels := c.labels.Load(); labels != nil {
+		return *labels
+	}
+	return nil
+}
+
+// updateLabels computes what Labels returns.
+func (c *Coordinator) updateLabels() {
+	byService := make(map[string][]string)
+	for _, a := range c.agents {
+		if a.profile != nil && a.send != nil {
+			byService[a.profile.Service] = append(byService[a.profile.Service], a.profile.Labels...)
+		}
+	}
+	labels := make([]wire.ServiceLabels, 0, len(byService))
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		slices.Sort(byService[service])
+		labels = append(labels, wire.ServiceLabels{Service: service, Labels: slices.Compact(byService[service])})
+	}
+	same := func(a, b wire.ServiceLabels) bool { return a.Service == b.Service && slices.Equal(a.Labels, b.Labels) }
+	if !slices.EqualFunc(labels, c.Labels(), same) {
+		c.labels.Store(&labels)
+	}
+}
+
 // updateRooms computes what Rooms returns.
 func (c *Coordinator) updateRooms(now time.Time) {
 	if now.Sub(c.roomsAt) < roomsInterval {
--- a/router/choose.go
+++ b/router/choose.go
@@ -4,7 +4,10 @@
 // callers need. The others pass their callers' jobs on.
 package router
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"slices"
+)
 
 // Candidate is an entry that may place a job, and its room at the endpoints of the job's
 // service in thousandths of a core.
@@ -13,6 +16,8 @@
 	// Used is what runs use, Waiting what tasks wait for, and Sent what the jobs need
 	// that it was sent since it said so.
 	Used, Waiting, Sent uint64
+	// HasData is set if an endpoint there is in the rack of the job's data.
+	HasData bool
 	// Far is set for an entry in another region, which gets a job only if none in this
 	// region can run any.
 	Far bool
@@ -23,6 +28,10 @@
 	return float64(c.Used+c.Waiting+c.Sent) / float64(c.Capacity)
 }
 
+// dataLoad is the load up to which a candidate with an endpoint near the job's data comes
+// before the others: there is hardly any room beyond.
+const dataLoad = 0.9
+
 // Choose returns the index of the candidate that gets a job: the less loaded of two that
 // are drawn at random in proportion to their capacity. All entries that see the same
 // loads would otherwise send their jobs to the same place until it says that it is full.
@@ -45,6 +54,11 @@
 	if len(near) == 0 {
 		return 0, false
 	}
+	if data := slices.DeleteFunc(slices.Clone(near), func(i int) bool {
+		return !candidates[i].HasData || candidates[i].load() > dataLoad
+	}); len(data) > 0 {
+		near = data
+	}
 	if tried >= 0 {
 		return leastLoaded(candidates, near), true
 	}
--- a/router/client.go
+++ b/router/client.go
@@ -21,6 +21,7 @@
 	heard      time.Time
 	sentAt     time.Time
 	taken      uint64                        // number of the last job
+	labels     []wire.ServiceLabels          // as it was told last
 	jobs       map[uint64]context.CancelFunc // that run here
 }
 
@@ -145,7 +146,16 @@
 
 // state tells c the room here. r.mu is held.
 func (r *Router) state(c *client, rooms []wire.ServiceRoom, now time.Time) {
-	r.sendClient(c, &wire.Rooms{Services: rooms, Taken: c.taken, Closed: r.closed})
+	m := &wire.Rooms{Services: rooms, Taken: c.taken, Closed: r.closed}
+	if labels := r.cfg.Local.Labels(); !sameLabels(labels, c.labels) {
+		m.Labels, c.labels = labels, labels
+	}
+	r.sendClient(c, m)
+}
+
+// sameLabels reports whether a and b are one value, which is replaced when it changes.
+func sameLabels(a, b []wire.ServiceLabels) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // checkClients stops the jobs of silent entries and tells the others of changes. r.mu is
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,9 @@
 // Jobs runs jobs at the endpoints whose agents serve this process.
 type Jobs interface {
 	Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error)
-	// Rooms returns the room there.
+	// Rooms returns the room there, and Labels the labels of the endpoints.
 	Rooms() []wire.ServiceRoom
+	Labels() []wire.ServiceLabels
 }
 
 const (
@@ -83,6 +85,7 @@
 	// retired is set when the connection gets no more jobs.
 	retired bool
 	rooms   wire.Rooms
+	labels  []wire.ServiceLabels
 	number  uint64 // of the last job
 	calls   map[uint64]*call
 }
@@ -173,6 +176,9 @@
 	switch m := m.(type) {
 	case *wire.Rooms:
 		p.rooms = *m
+		if m.Labels != nil {
+			p.labels = m.Labels
+		}
 		r.notify()
 	case *wire.Placed:
 		c := p.calls[m.Number]
@@ -216,6 +222,10 @@
 			continue
 		case tried != "":
 			return "", refusal
+		case r.lacksLabel(&s):
+			r.cfg.Log.Log(event.JobRefused, "job", s.ID, "queue", s.Queue.Name, "kind", errkind.NoEndpoint,
+				"why", "no endpoint has the label that the job requires", "waited_ms", time.Since(arrived).Milliseconds())
+			return "", errkind.New(errkind.NoEndpoint, "no endpoint has the label that the job requires")
 		}
 		select {
 		case <-changed:
@@ -229,6 +239,16 @@
 	}
 }
 
+// lacksLabel reports whether entries with room for the job's service are connected, and
+// no endpoint of theirs has a label that the job requires.
+func (r *Router) lacksLabel(s *job.Submission) bool {
+	plain := *s
+	plain.Steps = nil // without its labels
+	_, hasRoom, _ := r.choose(&plain, "")
+	_, ok, _ := r.choose(s, "")
+	return hasRoom && !ok
+}
+
 // choose returns the entry that gets a job, if there is one. changed is closed when
 // another attempt is worth while.
 func (r *Router) choose(s *job.Submission, tried string) (p *placer, ok bool, changed <-chan struct{}) {
@@ -237,7 +257,6 @@
 	if !r.enabled {
 		return r.local, tried == "", r.changed
 	}
-	service := s.Queue.Service
 	var peers []*placer
 	var candidates []Candidate
 	triedIndex := -1
@@ -249,12 +268,12 @@
 	}
 	for _, p := range r.placers {
 		if !p.rooms.Closed && !p.retired {
-			add(p, p.candidate(service))
+			add(p, p.candidate(s))
 		}
 	}
 	if !r.closed {
 		own := Candidate{}
-		own.take(r.cfg.Local.Rooms(), service)
+		own.take(s, r.cfg.Local.Rooms(), r.cfg.Local.Labels())
 		add(r.local, own)
 	}
 	i, ok := Choose(candidates, triedIndex, r.random)
@@ -264,21 +283,35 @@
 	return peers[i], true, r.changed
 }
 
-// take sets the room of c to that of a service.
-func (c *Candidate) take(rooms []wire.ServiceRoom, service string) {
-	for _, s := range rooms {
-		if s.Service == service {
-			c.Capacity, c.Used, c.Waiting = s.Capacity, s.Used, s.Waiting
+// take sets the room of c for a job. It is none where an endpoint lacks that the job
+// requires.
+func (c *Candidate) take(s *job.Submission, rooms []wire.ServiceRoom, labels []wire.ServiceLabels) {
+	var known []string
+	for _, l := range labels {
+		if l.Service == s.Queue.Service {
+			known = l.Labels
+		}
+	}
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		if st.Label != "" && !slices.Contains(known, st.Label) {
+			return
+		}
+		c.HasData = c.HasData || st.DataRack != "" && slices.Contains(known, st.DataRack)
+	}
+	for _, r := range rooms {
+		if r.Service == s.Queue.Service {
+			c.Capacity, c.Used, c.Waiting = r.Capacity, r.Used, r.Waiting
 		}
 	}
 }
 
 // candidate describes p to Choose. What it was sent and has not yet taken counts as sent.
-func (p *placer) candidate(service string) Candidate {
+func (p *placer) candidate(s *job.Submission) Candidate {
 	c := Candidate{Far: p.far}
-	c.take(p.rooms.Services, service)
+	c.take(s, p.rooms.Services, p.labels)
 	for n, call := range p.calls {
-		if n > p.rooms.Taken && call.service == service {
+		if n > p.rooms.Taken && call.service == s.Queue.Service {
 			c.Sent += call.milliCores
 		}
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -21,6 +21,7 @@
 type fakeJobs struct {
 	mu        sync.Mutex
 	capacity  uint64
+	labels    []string
 	full      bool // refuses all jobs
 	got       []job.Submission
 	cancelled int
@@ -35,6 +36,15 @@
 	return []wire.ServiceRoom{{Service: "s", Capacity: f.capacity}}
 }
 
+func (f *fakeJobs) Labels() []wire.ServiceLabels {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.labels) == 0 {
+		return nil
+	}
+	return []wire.ServiceLabels{{Service: "s", Labels: f.labels}}
+}
+
 func (f *fakeJobs) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
 	f.mu.Lock()
 	f.got = append(f.got, s)
@@ -253,6 +263,35 @@
 	})
 }
 
+// Guards against refusals of jobs that need a label which only the endpoints of another
+// placing entry have, and against tasks far from their data.
+func TestJobGoesWhereItsLabelIs(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C, front *node) {
+		a, b := newNode(ctx, 9000), newNode(ctx, 1000)
+		a.jobs.labels, b.jobs.labels = []string{"kind-a", "r1"}, []string{"kind-a", "kind-b", "r2"}
+		wireUp(ctx, front, a, "a")
+		wireUp(ctx, front, b, "b")
+		synctest.Wait()
+		for range 20 {
+			s := submission("j", 10*time.Millisecond)
+			s.Steps[0].Label = "kind-b"
+			_, err := front.Submit(ctx, s)
+			c.Assert(err == nil, qt.IsTrue)
+			s.Steps[0].Label, s.Steps[0].DataRack = "kind-a", "r2"
+			_, err = front.Submit(ctx, s)
+			c.Assert(err == nil, qt.IsTrue)
+		}
+		c.Check(a.jobs.count(), qt.Equals, 0)
+		c.Check(b.jobs.count(), qt.Equals, 40)
+		s := submission("j", 10*time.Millisecond)
+		s.Steps[0].Label = "kind-c"
+		begun := time.Now()
+		_, err := front.Submit(ctx, s)
+		c.Check(err.Kind, qt.Equals, errkind.NoEndpoint)
+		c.Check(time.Since(begun), qt.Equals, time.Duration(0)) // it would wait in vain
+	})
+}
+
 // Guards against entries of a small deployment that pass jobs on.
 func TestFewEntriesPlaceTheirOwnJobs(t *testing.T) {
 	inBubble(t, func(ctx context.Context, c *qt.C, front *node) {
--- a/wire/place.go
+++ b/wire/place.go
@@ -42,6 +42,15 @@
 	Taken uint64 `cbor:"2,keyasint,omitempty"`
 	// Closed is set when the sender takes no more jobs.
 	Closed bool `cbor:"3,keyasint,omitempty"`
+	// Labels are the labels of the endpoints by service, if they have changed since the
+	// last message on this connection.
+	Labels []ServiceLabels `cbor:"4,keyasint,omitempty"`
+}
+
+// ServiceLabels are the labels that endpoints of a service have.
+type ServiceLabels struct {
+	Service string   `cbor:"1,keyasint"`
+	Labels  []string `cbor:"2,keyasint"`
 }
 
 // ServiceRoom is the room at the endpoints of a service, in thousandths of a core.
