router: from four entries on some place the jobs of all, fewer of them

Change: more than three entries, one and a sixth of them place jobs, two at least (before: more than six, a sixth, four at least).

--- a/router/placers.go
+++ b/router/placers.go
@@ -9,14 +9,14 @@
 
 const (
 	// FewEntries is the number of entries up to which every entry places its own jobs
-	// and every agent serves all of them, so that none has to do without an endpoint of
-	// the dozen that such a deployment has.
-	FewEntries = 6
-	// entriesPerPlacer is the number of entries for one that places jobs, and
-	// minPlacers the least number of those: the loss of one takes its agents out of
-	// service for the time that they need to notice it.
+	// and every agent serves all of them. More than that take the same room too often.
+	FewEntries = 3
+	// entriesPerPlacer is the number of entries for each that places jobs beyond the
+	// first. With fewer of them each has more endpoints to choose from; the loss of one
+	// takes its agents out of service for the time that they need to notice it.
 	entriesPerPlacer = 6
-	minPlacers       = 4
+	// minPlacers is the least number of entries that place jobs.
+	minPlacers = 2
 )
 
 // Entry is an entry as it is listed.
@@ -45,7 +45,7 @@
 	})
 	n := len(ranked)
 	if n > FewEntries {
-		n = max(minPlacers, n/entriesPerPlacer)
+		n = max(minPlacers, 1+n/entriesPerPlacer)
 	}
 	var chosen []string
 	for from := 0; from < len(ranked); from += n {
