soak: entries that pass their callers' jobs on

Cause: the soak played two entries only, which place the jobs of their own callers, and hid the list of entries from agents.

Not in it: faults of the connections between entries.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -148,8 +148,8 @@
 	if err := serve(ctx, storeAddress, w.store); err != nil {
 		return err
 	}
-	hidden := at(w.host(3), storePort)
-	if err := serve(ctx, hidden, w.store.WithoutEntries()); err != nil {
+	proxied := at(w.host(3), storePort)
+	if err := serve(ctx, proxied, w.store.WithEntriesAt(entryPort, agentPort)); err != nil {
 		return err
 	}
 	if err := w.store.PutConfig(1, queueHost, queuePrefix, service); err != nil {
@@ -161,6 +161,7 @@
 		seeds = append(seeds, at(ip, agentPort))
 		s := w.settings(fmt.Sprintf("entry-%d", i+1), ip, entryPort)
 		s.CallersAddress, s.ReadyAddress = at(ip, callersPort), at(ip, readyPort)
+		s.ProcessorShare = 1 - 0.05*float64(i) // entries and agents see other ports, and choose by it
 		p, err := w.start(ctx, running, "entry", s, storeAddress)
 		if err != nil {
 			return err
@@ -186,7 +187,7 @@
 		}
 		s := w.settings(fmt.Sprintf("agent-%d", i+1), ip, agentPort)
 		s.Seeds, s.AnnounceAddress, s.EndpointAddress = seeds, at(ip, announcePort), at(ip, endpointPort)
-		p, err := w.start(ctx, running, "agent", s, hidden)
+		p, err := w.start(ctx, running, "agent", s, proxied)
 		if err != nil {
 			return err
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,10 +11,12 @@
 )
 
 var (
-	seeds  = flag.Int("soak.seeds", 1, "number of soaks")
-	first  = flag.Uint64("soak.first", 1, "seed of the first soak")
-	all    = flag.Bool("soak.all", false, "inject all kinds of faults, and store jobs; for runs by hand on a quiet machine")
-	length = flag.Duration("soak.length", 4*time.Second, "time in which faults are injected")
+	seeds   = flag.Int("soak.seeds", 1, "number of soaks")
+	first   = flag.Uint64("soak.first", 1, "seed of the first soak")
+	all     = flag.Bool("soak.all", false, "inject all kinds of faults, and store jobs; for runs by hand on a quiet machine")
+	entries = flag.Int("soak.entries", 2, "number of entries; with more than three, some place the jobs of all")
+	agents  = flag.Int("soak.agents", 3, "number of agents")
+	length  = flag.Duration("soak.length", 4*time.Second, "time in which faults are injected")
 )
 
 // servedShare is the share of jobs that must be completed after the faults.
@@ -45,33 +47,38 @@
 func TestSoak(t *testing.T) {
 	for i := range *seeds {
 		seed := *first + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			dir := t.TempDir()
-			if keep := os.Getenv("SOAK_LOGS"); keep != "" {
-				dir = filepath.Join(keep, fmt.Sprint(seed))
-				if err := os.MkdirAll(dir, 0o700); err != nil {
-					t.Fatal(err)
-				}
-			}
-			r, err := Run(t.Context(), Options{
-				Seed: seed, Entries: 2, Agents: 3, Length: *length, All: *all, Binary: binary, Dir: dir,
-				Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d jobs, %.2f of those after the faults completed, %d starts of processes", r.Jobs, r.Served, r.Starts)
-			for _, b := range r.Broken {
-				t.Error(b)
-			}
-			if r.Served < servedShare {
-				t.Errorf("%.2f of the jobs after the faults are completed", r.Served)
-			}
-			if t.Failed() {
-				for _, e := range r.Events {
-					t.Log(e)
-				}
-			}
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed, *entries, *agents) })
+	}
+}
+
+// Guards the same promises where a few entries place the jobs of all.
+func TestSoakOfPlacingEntries(t *testing.T) { soak(t, 1001, 5, 6) }
+
+func soak(t *testing.T, seed uint64, entries, agents int) {
+	dir := t.TempDir()
+	if keep := os.Getenv("SOAK_LOGS"); keep != "" {
+		dir = filepath.Join(keep, fmt.Sprint(seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := Run(t.Context(), Options{
+		Seed: seed, Entries: entries, Agents: agents, Length: *length, All: *all, Binary: binary, Dir: dir,
+		Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d jobs, %.2f of those after the faults completed, %d starts of processes", r.Jobs, r.Served, r.Starts)
+	for _, b := range r.Broken {
+		t.Error(b)
+	}
+	if r.Served < servedShare {
+		t.Errorf("%.2f of the jobs after the faults are completed", r.Served)
+	}
+	if t.Failed() {
+		for _, e := range r.Events {
+			t.Log(e)
+		}
 	}
 }
