router: entries that place jobs may all leave together; a span for each placed job

Cause, found by reading: with few placing entries all of them can be stopped at the same time, as in a roll of several at a time. Agents then serve the next in rank, but entries went on knowing only the closed ones and refused their callers for the seconds until these were gone. A region without entries left its agents with nobody to serve. A job that a stopping entry gave back was not tried elsewhere.

Change: an entry that says that it is closed counts as down for the choice of placing entries; its connection stays for the jobs that it has. Agents of a region without entries serve those of all. A job that comes back with 'draining' is tried once more. The placing entry makes a span for each job.

--- a/relay/entry.go
+++ b/relay/entry.go
@@ -82,7 +82,7 @@
 		store: platform.NewStore(s.StoreAddress, s.StorePartitions),
 	}
 	e.unlisted = make(chan struct{}, 1)
-	e.router = router.New(router.Config{Local: e.c, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
+	e.router = router.New(router.Config{Local: placedJobs{e.c, p.tracer}, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
 	e.peers = newPeers(p, e.router)
 	e.peers.links.setSeeds(s.seedEntries())
 	e.callers = newCallersServer(platform.NewCallersHandler(e), p.log)
@@ -252,7 +252,7 @@
 
 // Submit implements platform.Jobs.
 func (e *entry) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
-	ctx, span := startJobSpan(ctx, e.p.tracer, &s)
+	ctx, span := startJobSpan(ctx, e.p.tracer, spanJob, &s)
 	state, err := e.submit(ctx, s)
 	endJobSpan(span, state, err)
 	return state, err
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -78,6 +78,9 @@
 
 // Handle implements transport.Handler.
 func (h *placingPeer) Handle(c *transport.Conn, f wire.Frame) {
+	if m, ok := f.Body.(*wire.Rooms); ok && m.Closed {
+		h.e.links.left(c.PeerHello.Node)
+	}
 	if !h.e.router.Handle(h.connection, f.Body) {
 		_ = c.Close()
 	}
--- a/relay/trace_test.go
+++ b/relay/trace_test.go
@@ -33,7 +33,7 @@
 	recorder := tracetest.NewSpanRecorder()
 	tracer := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder)).Tracer("test")
 	s := tracedJob(sampledParent)
-	_, span := startJobSpan(context.Background(), tracer, &s)
+	_, span := startJobSpan(context.Background(), tracer, spanJob, &s)
 	c.Check(s.Trace, quicktest.Matches, "00-4bf92f3577b34da6a3ce929d0e0e4736-.*-01")
 	c.Check(s.Trace, quicktest.Not(quicktest.Equals), sampledParent)
 	endJobSpan(span, "", errkind.New(errkind.QueueFull, "full"))
@@ -49,7 +49,7 @@
 	c := quicktest.New(t)
 	for _, tc := range []struct{ parent, want string }{{"", ""}, {"x", ""}, {unsampledParent, ""}, {sampledParent, sampledParent}} {
 		s := tracedJob(tc.parent)
-		_, span := startJobSpan(context.Background(), noop.NewTracerProvider().Tracer(""), &s)
+		_, span := startJobSpan(context.Background(), noop.NewTracerProvider().Tracer(""), spanJob, &s)
 		span.End()
 		c.Check(s.Trace, quicktest.Equals, tc.want, quicktest.Commentf("%q", tc.parent))
 	}
--- a/router/choose_test.go
+++ b/router/choose_test.go
@@ -38,6 +38,7 @@
 	c.Check(Placers(shuffled, "1", nil), qt.DeepEquals, chosen)
 
 	c.Check(Placers(listed(5, "1", 144), "1", nil), qt.HasLen, minPlacers)
+	c.Check(Placers(many, "3", nil), qt.HasLen, 1+60/entriesPerPlacer) // no entry there
 }
 
 // Guards against a deployment without an entry that places jobs when all that should are
--- a/router/placers.go
+++ b/router/placers.go
@@ -36,6 +36,9 @@
 	if len(entries) > FewEntries {
 		ranked = slices.DeleteFunc(ranked, func(e Entry) bool { return e.Region != region })
 	}
+	if len(ranked) == 0 { // a region without entries
+		ranked = slices.Clone(entries)
+	}
 	slices.SortFunc(ranked, func(a, b Entry) int {
 		return cmp.Or(
 			cmp.Compare(b.MilliCores, a.MilliCores),
--- a/router/router.go
+++ b/router/router.go
@@ -214,7 +214,7 @@
 			if !sent {
 				continue
 			}
-			if o.err == nil || o.err.Kind != errkind.QueueFull || tried != "" {
+			if o.err == nil || o.err.Kind != errkind.QueueFull && o.err.Kind != errkind.Draining || tried != "" {
 				return o.state, o.err
 			}
 			// Room changes while the job is under way, and another entry may have some.
