router, relay: entries that place jobs and fall silent are left out sooner

Jobs went on being passed to it for the 450 ms that it takes to give its jobs up, and its agents served nobody until their connections ended, 600 ms and 150 ms more.

Change: an entry that places jobs says something every 80 ms and gets no more of them after 200 ms of silence; an agent with runs of an entry that has been silent for 300 ms serves the next one beside it, until it is heard again. What the silence ends is unchanged (450 ms on both sides).

Ruled out: passing the lost jobs on once more, since their runs have surely ended only after their objectives.

TestSilentEntryGetsNoMoreJobs and TestSilentEntryIsNoticed fail on the code before.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -20,6 +20,7 @@
 	sentAt      time.Time
 	ordered     uint64 // runs ordered on this connection
 	profileSent bool
+	silent      bool // since it had runs here, see IsSilent
 	// retired is set when this agent serves other entries and takes no more orders
 	// of this one.
 	retired bool
@@ -37,6 +38,7 @@
 			x.entries[node] = e
 		}
 		e.send, e.heard, e.ordered, e.profileSent, e.claim, e.retired = send, time.Now(), 0, false, nil, false
+		e.silent = false
 		e.reports = nil // the Claim asks for them again
 		x.reportUnnoted(node)
 		x.statusDirty = true
@@ -79,6 +81,22 @@
 	return n
 }
 
+// IsSilent reports whether an entry that had runs here has said nothing for the given
+// time. It stays silent until it is heard, also when its runs have been stopped.
+func (x *Executor) IsSilent(node string, limit time.Duration) (silent bool) {
+	x.loop.Do(func() {
+		e := x.entries[node]
+		if e == nil {
+			return
+		}
+		for _, r := range x.runs {
+			e.silent = e.silent || r.entry == node && time.Since(e.heard) > limit
+		}
+		silent = e.silent
+	})
+	return silent
+}
+
 // Handle takes a message of an entry.
 func (x *Executor) Handle(node string, m wire.Message) {
 	x.loop.Post(func() {
@@ -87,7 +105,7 @@
 		if e == nil {
 			return
 		}
-		e.heard = now
+		e.heard, e.silent = now, false
 		switch m := m.(type) {
 		case *wire.Orders:
 			age := x.age(m.Echo)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -296,3 +296,23 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an agent whose endpoint stands idle until its connection to an entry
+// without power ends, and against one that goes back to it when its runs are stopped.
+func TestSilentEntryIsNoticed(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	with(t, func(c *quicktest.C, x *Executor, e *fakeEndpoint, entry *fakeEntry) {
+		time.Sleep(limit + time.Millisecond)
+		c.Check(x.IsSilent("entry.1", limit), quicktest.IsFalse) // it has nothing to say
+		order(x, false, wire.Run{Task: "t.0.0.0", Number: 1})
+		beat(x, time.Second)
+		c.Check(x.IsSilent("entry.1", limit), quicktest.IsFalse)
+		time.Sleep(limit + time.Millisecond)
+		c.Check(x.IsSilent("entry.1", limit), quicktest.IsTrue)
+		time.Sleep(time.Second)
+		c.Check(e.runs(), quicktest.HasLen, 0) // they are stopped
+		c.Check(x.IsSilent("entry.1", limit), quicktest.IsTrue)
+		x.Handle("entry.1", &wire.Heartbeat{})
+		c.Check(x.IsSilent("entry.1", limit), quicktest.IsFalse)
+	})
+}
--- a/relay/links.go
+++ b/relay/links.go
@@ -29,7 +29,7 @@
 	// entryDown is when an entry that cannot be reached is replaced by another.
 	entryDown = 150 * time.Millisecond
 	// linkCheck is the time between two checks of the entries that are served.
-	linkCheck = 250 * time.Millisecond
+	linkCheck = 100 * time.Millisecond
 	// listWait is how long a process that starts waits for the list of entries before it
 	// dials those of its settings, which may not be the ones that it is to serve.
 	listWait = 100 * time.Millisecond
@@ -64,6 +64,8 @@
 	choose(entries []router.Entry, down map[string]bool) []string
 	// attach returns the handler of a new connection.
 	attach(c *transport.Conn) transport.Handler
+	// isSilent reports whether a process that is connected should have been heard again.
+	isSilent(process ids.Incarnation) bool
 	// retire ends the use of a connection with its handler, and returns when it can be
 	// closed.
 	retire(ctx context.Context, c *transport.Conn, h transport.Handler)
@@ -191,11 +193,18 @@
 	l.mu.Lock()
 	entries := make([]router.Entry, 0, len(l.known))
 	down := make(map[string]bool)
+	open := make(map[string]ids.Incarnation)
 	for address, k := range l.known {
 		entries = append(entries, k.Entry)
 		down[address] = k.isDown(now)
+		if k.connected {
+			open[address] = k.process
+		}
 	}
 	l.mu.Unlock()
+	for address, process := range open {
+		down[address] = down[address] || l.owner.isSilent(process)
+	}
 	chosen := l.owner.choose(entries, down)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"oriolerelay/event"
+	"oriolerelay/ids"
 	"oriolerelay/internal/rendezvous"
 	"oriolerelay/router"
 	"oriolerelay/transport"
@@ -62,6 +63,10 @@
 	return h
 }
 
+// isSilent implements linkOwner: the router leaves silent entries out by itself, and there
+// are others to choose from.
+func (e *peers) isSilent(ids.Incarnation) bool { return false }
+
 // retire implements linkOwner. The jobs that the peer has end with the connection, so it
 // stays open until they are answered.
 func (e *peers) retire(ctx context.Context, _ *transport.Conn, h transport.Handler) {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -6,6 +6,7 @@
 
 	"oriolerelay/event"
 	"oriolerelay/executor"
+	"oriolerelay/ids"
 	"oriolerelay/internal/rendezvous"
 	"oriolerelay/router"
 	"oriolerelay/transport"
@@ -52,6 +53,15 @@
 	return h
 }
 
+// entryDoubt is when another entry is served beside one that has runs here and is silent:
+// such an entry says something every 130 ms.
+const entryDoubt = 300 * time.Millisecond
+
+// isSilent implements linkOwner.
+func (s *servedEntries) isSilent(process ids.Incarnation) bool {
+	return s.x.IsSilent(process.String(), entryDoubt)
+}
+
 // retire implements linkOwner: the entry is told that it gets no more runs, and the
 // connection is used until those that came by it have ended.
 func (s *servedEntries) retire(ctx context.Context, c *transport.Conn, _ transport.Handler) {
--- a/router/router.go
+++ b/router/router.go
@@ -38,8 +38,11 @@
 	// roomInterval is the shortest time between two statements of the room, and
 	// roomIdle the longest. A change by less than roomChange of the capacity waits.
 	roomInterval = 50 * time.Millisecond
-	roomIdle     = 150 * time.Millisecond
+	roomIdle     = 80 * time.Millisecond
 	roomChange   = 0.05
+	// peerDoubt is when a silent peer gets no more jobs. It has missed two statements of
+	// its room then.
+	peerDoubt = 200 * time.Millisecond
 	// checkInterval is the time between two checks of the peers.
 	checkInterval = 25 * time.Millisecond
 	// holdShare is the share of its latency objective for which a job waits until an
@@ -266,8 +269,9 @@
 		}
 		peers, candidates = append(peers, p), append(candidates, c)
 	}
+	now := time.Now()
 	for _, p := range r.placers {
-		if !p.rooms.Closed && !p.retired {
+		if !p.rooms.Closed && !p.retired && now.Sub(p.heard) <= peerDoubt {
 			add(p, p.candidate(s))
 		}
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -208,6 +208,24 @@
 	})
 }
 
+// Guards against jobs that are sent to an entry that has lost its power, for as long as it
+// takes to be sure of it.
+func TestSilentEntryGetsNoMoreJobs(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C, front *node) {
+		a, b := newNode(ctx, 1000), newNode(ctx, 1000)
+		silence := wireUp(ctx, front, a, "a")
+		wireUp(ctx, front, b, "b")
+		time.Sleep(time.Second)
+		silence()
+		time.Sleep(peerDoubt + time.Millisecond)
+		for range 20 {
+			_, err := front.Submit(ctx, submission("j", time.Millisecond))
+			c.Assert(err == nil, qt.IsTrue)
+		}
+		c.Check(b.jobs.count(), qt.Equals, 20)
+	})
+}
+
 // Guards against jobs that are given up although their entry lives and has nothing to say.
 func TestLongJobOutlastsTheSilence(t *testing.T) {
 	inBubble(t, func(ctx context.Context, c *qt.C, front *node) {
