executor: a run is rejected only when no other start of it can be carried out

A start that has no answer after 15 ms is given again. After the restart starts wait for one of six connections, so that the second call is queued before the first was sent; the first is answered 'no room', the run counts as rejected, and the second call is carried out beside the run that the entry orders next. The agent lists two runs of a task as one and never stops the first.

A refusal ends a run only if no other call of it is open; otherwise the run is stopped first, which refuses the other call in advance. A start that waits for a connection is not given again, one whose run is over is not sent, one that is carried out after its run was given up is stopped, and 'old' after a repeated start means that the run has ended, not that it never ran.

Before: TestRefusedStartWithACallUnderWayIsStopped, TestStartThatWaitsForAConnectionIsNotRepeated, TestRunThatEndedBeforeItsSecondStart and TestGivenUpStartIsNotSent fail. After: they pass, with those of packages executor and emulator under the race detector, five times each.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -201,7 +201,7 @@
 	}
 	// An earlier process of this agent may have sent the start. The stop ends the
 	// run, or refuses its start in advance, before the loss is reported.
-	r = &run{id: id, entry: e.node, size: g.Size, sent: now, ordered: now, state: runStopping, stored: g.Stored}
+	r = &run{id: id, entry: e.node, size: g.Size, ordered: now, state: runStopping, stored: g.Stored}
 	x.runs[id.Task] = r
 	x.used = x.used.Plus(r.size)
 	if !x.adopting.IsZero() {
@@ -223,7 +223,7 @@
 		return // the answer is older than one that listed its end
 	}
 	// It may belong to a stored job: its end is kept until it is noted.
-	r := &run{id: id, state: runRunning, answered: true, stored: true, ordered: now, sent: now, started: now, moved: now}
+	r := &run{id: id, state: runRunning, answered: true, stored: true, ordered: now, started: now, moved: now}
 	x.runs[id.Task] = r
 	if x.adopting.IsZero() {
 		x.cfg.Log.Log(event.RunOrphaned, "task", id.Task, "run", id.Number)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -37,7 +37,7 @@
 type Executor struct {
 	cfg     Config
 	loop    *loop.Loop
-	starts  chan startCall
+	starts  chan *startCall
 	observe chan struct{} // wakes the observer
 	ctx     context.Context
 	begun   time.Time // when this process started
@@ -89,7 +89,7 @@
 	return &Executor{
 		cfg:     cfg,
 		loop:    loop.New(),
-		starts:  make(chan startCall, startQueue),
+		starts:  make(chan *startCall, startQueue),
 		observe: make(chan struct{}, 1),
 		runs:    make(map[string]*run),
 		unnoted: make(map[wire.Run]unnotedEnd),
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -298,14 +298,16 @@
 // observation that was sent at the given time.
 func (x *Executor) absent(listed map[wire.Run]bool, sent, now time.Time) {
 	for _, r := range x.runs {
-		if r.state == runWaiting || listed[r.id] || r.sent.After(sent) {
+		started := r.sentAt()
+		if r.state == runWaiting || listed[r.id] || started.After(sent) {
 			continue
 		}
 		switch {
 		case r.state == runStopping && r.stopped && r.stopSent.Before(sent):
 			x.finish(r, stoppedState(r), r.reason, "stopped")
-		case r.state == runStarting && r.looked && now.Sub(r.sent) > x.cfg.Timing.StartTimeout:
-			if r.starts > 0 && r.starts < maxStarts { // not a run that an earlier process started
+		case r.state == runStarting && started.IsZero(): // its start waits for a worker
+		case r.state == runStarting && r.looked && now.Sub(started) > x.cfg.Timing.StartTimeout:
+			if n := r.starts.made; n > 0 && n < maxStarts { // not a run that an earlier process started
 				x.sendStart(r, now)
 				continue
 			}
@@ -320,7 +322,7 @@
 
 func stoppedState(r *run) wire.RunState {
 	switch {
-	case r.reason == wire.RejectUnanswered:
+	case r.reason != 0:
 		return wire.RunRejected
 	case r.answered:
 		return wire.RunStopped
--- a/executor/run.go
+++ b/executor/run.go
@@ -6,18 +6,11 @@
 	"slices"
 	"time"
 
-	"oriolerelay/endpointapi"
 	"oriolerelay/event"
 	"oriolerelay/wire"
 )
 
 const (
-	// startWorkers bounds the concurrent start calls, and with them the
-	// connections to the endpoint.
-	startWorkers = 6
-	// startQueue bounds the starts that wait for a worker; the room of the
-	// endpoint bounds them before.
-	startQueue = 4096
 	// stopRetry is the time between two attempts to stop a run.
 	stopRetry = 45 * time.Millisecond
 	// stragglerFactor is how much longer than expected a run has to be to be
@@ -58,8 +51,7 @@
 	estimate time.Duration
 	state    runState
 	ordered  time.Time
-	sent     time.Time // when the start was last sent; zero while it waits for a worker
-	starts   int       // attempts to start it
+	starts   startCalls
 	leaseEnd time.Duration
 	started  time.Time
 	priority int32
@@ -78,11 +70,6 @@
 	span     *runSpan // nil for a job that is not traced
 }
 
-type startCall struct {
-	order endpointapi.StartOrder
-	run   *run
-}
-
 // order takes one run from an entry.
 func (x *Executor) order(e *entry, id wire.Run, g *wire.OrderGroup, now time.Time) {
 	if reason := x.refusal(id, g); reason != 0 {
@@ -142,23 +129,6 @@
 	x.sendStart(r, now)
 }
 
-// maxStarts bounds the attempts to start a run. An order that gets no answer and is not
-// carried out can be lost, or be carried out seconds later; the endpoint takes a run
-// once, however often it is told to start it.
-const maxStarts = 4
-
-// sendStart sends a start of r.
-func (x *Executor) sendStart(r *run, now time.Time) {
-	r.starts++
-	r.looked = false
-	r.leaseEnd = x.extendLease(now)
-	x.starts <- startCall{run: r, order: endpointapi.StartOrder{
-		Instance: x.profile.Instance, Run: r.id, Payload: r.payload, LeaseEnd: r.leaseEnd,
-	}}
-	r.sent = now
-	x.wakeObserver()
-}
-
 // refusal returns why a run is not taken, or 0.
 func (x *Executor) refusal(id wire.Run, g *wire.OrderGroup) wire.RejectReason {
 	size := g.Size
@@ -206,77 +176,6 @@
 	return end
 }
 
-func (x *Executor) startWorker(ctx context.Context) {
-	for {
-		select {
-		case call := <-x.starts:
-			callCtx, cancel := context.WithTimeout(ctx, x.cfg.Timing.AnswerTimeout)
-			callCtx, endCall := call.run.span.call(callCtx, x.cfg.Tracer)
-			reply := x.cfg.Endpoint.Start(callCtx, call.order)
-			endCall(reply)
-			cancel()
-			x.loop.Post(func() { x.startAnswered(call, reply, time.Now()) })
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (x *Executor) startAnswered(call startCall, reply endpointapi.StartReply, now time.Time) {
-	r := call.run
-	if x.profile != nil && call.order.Instance == x.profile.Instance {
-		x.clock.set(reply.Clock, now)
-	}
-	if x.runs[r.id.Task] != r {
-		return // the run has ended already
-	}
-	switch reply.Result {
-	case endpointapi.StartAccepted:
-		x.running(r, now)
-	case endpointapi.StartNoRoom:
-		x.finish(r, wire.RunRejected, wire.RejectRoom, "endpoint has no room")
-	case endpointapi.StartOld:
-		x.finish(r, wire.RunRejected, wire.RejectOldRun, "a later run has ended")
-	case endpointapi.StartLate:
-		x.finish(r, wire.RunRejected, wire.RejectUnanswered, "lease end had passed")
-	case endpointapi.StartInvalid:
-		x.finish(r, wire.RunRejected, wire.RejectInvalid, "endpoint refused the task")
-	case endpointapi.StartRefused:
-		x.health.failure()
-		x.finish(r, wire.RunRejected, wire.RejectUnreachable, "endpoint refused the start")
-	case endpointapi.StartOtherInstance, endpointapi.StartEndpointDown:
-		x.endpointDown(reply.Err)
-	case endpointapi.StartUnknown:
-		x.cfg.Metrics.unanswered.Inc()
-		x.lookUp(r, now)
-	}
-}
-
-// running takes note that the endpoint executes r.
-func (x *Executor) running(r *run, now time.Time) {
-	r.answered = true
-	if r.state != runStarting {
-		return
-	}
-	r.state, r.started, r.moved = runRunning, now, now
-	x.report(r.entry, wire.Report{Run: r.id, State: wire.RunStarted})
-}
-
-// lookUp asks at once whether r runs.
-func (x *Executor) lookUp(r *run, now time.Time) {
-	r.looked = true
-	x.look(now)
-}
-
-// checkStarts looks up and then withdraws starts without an answer.
-func (x *Executor) checkStarts(now time.Time) {
-	for _, r := range x.runs {
-		if r.state == runStarting && now.Sub(r.sent) > x.cfg.Timing.StartTimeout {
-			x.lookUp(r, now)
-		}
-	}
-}
-
 // stop stops r; reason is set when its start got no answer.
 func (x *Executor) stop(r *run, reason wire.RejectReason, now time.Time) {
 	if r.state == runWaiting {
@@ -330,6 +229,7 @@
 		return
 	}
 	delete(x.runs, r.id.Task)
+	r.starts.giveUp()
 	if r.state == runWaiting {
 		x.unqueue(r)
 	} else {
@@ -342,7 +242,8 @@
 	x.report(r.entry, rep)
 	x.cfg.Metrics.ended(state, reason)
 	x.cfg.Log.Log(event.RunEnded, "task", r.id.Task, "run", r.id.Number, "state", state, "reason", reason,
-		"why", why, "entry", r.entry, "estimate_ms", r.estimate.Milliseconds(), "percent", r.percent, "took_ms", tookMillis(r), "waited_ms", waitedMillis(r))
+		"why", why, "entry", r.entry, "estimate_ms", r.estimate.Milliseconds(), "percent", r.percent,
+		"took_ms", tookMillis(r), "waited_ms", waitedMillis(r), "starts", r.starts.made)
 }
 
 func tookMillis(r *run) int64 {
@@ -353,10 +254,11 @@
 }
 
 func waitedMillis(r *run) int64 {
-	if r.sent.IsZero() {
+	sent := r.sentAt()
+	if sent.IsZero() {
 		return time.Since(r.ordered).Milliseconds()
 	}
-	return r.sent.Sub(r.ordered).Milliseconds()
+	return sent.Sub(r.ordered).Milliseconds()
 }
 
 // reject refuses an order that was not taken.
--- /dev/null
+++ b/executor/start_test.go
@@ -0,0 +1,203 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oriolerelay/endpointapi"
+	"oriolerelay/internal/bubble"
+	"oriolerelay/wire"
+)
+
+// startCallFunc answers the n-th start call, counted from 1, of an endpoint.
+type startCallFunc func(n int, e *scriptedEndpoint, o endpointapi.StartOrder) endpointapi.StartReply
+
+// scriptedEndpoint answers starts as a test says, and refuses the start of a run that was
+// stopped before, as endpoints do.
+type scriptedEndpoint struct {
+	fakeEndpoint
+	answer startCallFunc
+
+	calls sync.Mutex
+	n     int
+	// stopped holds the highest run that was stopped, by task; twice the tasks of which two
+	// runs executed at the same time.
+	stopped map[string]uint32
+	twice   map[string]bool
+}
+
+func (e *scriptedEndpoint) Start(_ context.Context, o endpointapi.StartOrder) endpointapi.StartReply {
+	e.calls.Lock()
+	e.n++
+	n := e.n
+	e.calls.Unlock()
+	return e.answer(n, e, o)
+}
+
+// Observe answers later than a start does, so that ends are seen after it.
+func (e *scriptedEndpoint) Observe(ctx context.Context, o endpointapi.ObserveOrder) (endpointapi.Observation, error) {
+	time.Sleep(5 * time.Millisecond)
+	return e.fakeEndpoint.Observe(ctx, o)
+}
+
+// begin executes the run of o unless it was stopped before.
+func (e *scriptedEndpoint) begin(o endpointapi.StartOrder) endpointapi.StartReply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Run.Number <= e.stopped[o.Run.Task] {
+		return endpointapi.StartReply{Result: endpointapi.StartOld, Clock: time.Hour}
+	}
+	for r := range e.running {
+		if r.Task == o.Run.Task && r != o.Run {
+			e.twice[r.Task] = true
+		}
+	}
+	e.running[o.Run] = true
+	return endpointapi.StartReply{Result: endpointapi.StartAccepted, Clock: time.Hour}
+}
+
+func (e *scriptedEndpoint) Stop(ctx context.Context, instance string, run wire.Run) error {
+	e.mu.Lock()
+	e.stopped[run.Task] = max(e.stopped[run.Task], run.Number)
+	e.mu.Unlock()
+	return e.fakeEndpoint.Stop(ctx, instance, run)
+}
+
+// withStarts runs f with an executor whose endpoint answers starts by answer.
+func withStarts(t *testing.T, answer startCallFunc, f func(c *quicktest.C, x *Executor, e *scriptedEndpoint, entry *fakeEntry)) {
+	t.Helper()
+	bubble.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		e := &scriptedEndpoint{
+			fakeEndpoint: fakeEndpoint{running: make(map[wire.Run]bool), listed: 500},
+			answer:       answer, stopped: make(map[string]uint32), twice: make(map[string]bool),
+		}
+		x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+		go x.Run(ctx)
+		x.Announce(endpointapi.Announcement{
+			Profile: wire.Profile{Instance: "i-1", Service: "s", Capacity: wire.Resources{MilliCores: 4000}}, Born: 1, Sequence: 1, Clock: time.Hour,
+		})
+		entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+		x.Connected("entry.1", entry.send)
+		f(quicktest.New(t), x, e, entry)
+		stop()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// repeatUntilStarted orders runs of one task, each when the one before it was rejected, as
+// an entry does, and returns the number of the one that is not rejected.
+func repeatUntilStarted(x *Executor, entry *fakeEntry, task string) uint32 {
+	for n := uint32(1); ; n++ {
+		run := wire.Run{Task: task, Number: n}
+		order(x, false, run)
+		for range 60 {
+			beat(x, 5*time.Millisecond)
+			if entry.state(run) == wire.RunRejected {
+				break
+			}
+		}
+		if entry.state(run) != wire.RunRejected {
+			return n
+		}
+	}
+}
+
+// Guards against two runs of a task at one endpoint: a start that got no answer in time was
+// given again, the first call was answered "no room", the run counted as rejected, and the
+// second call was carried out beside the run that followed.
+func TestRefusedStartWithACallUnderWayIsStopped(t *testing.T) {
+	answer := func(n int, e *scriptedEndpoint, o endpointapi.StartOrder) endpointapi.StartReply {
+		switch n {
+		case 1:
+			time.Sleep(30 * time.Millisecond)
+			return endpointapi.StartReply{Result: endpointapi.StartNoRoom, Clock: time.Hour}
+		case 2:
+			time.Sleep(70 * time.Millisecond)
+		}
+		return e.begin(o)
+	}
+	withStarts(t, answer, func(c *quicktest.C, x *Executor, e *scriptedEndpoint, entry *fakeEntry) {
+		n := repeatUntilStarted(x, entry, "t.0.0.0")
+		beat(x, 300*time.Millisecond)
+		c.Check(e.twice, quicktest.HasLen, 0)
+		c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{{Task: "t.0.0.0", Number: n}: true})
+	})
+}
+
+// Guards against a run that is given to its endpoint again while its first start still waits
+// for a free connection: the calls of a busy agent multiplied.
+func TestStartThatWaitsForAConnectionIsNotRepeated(t *testing.T) {
+	answer := func(_ int, e *scriptedEndpoint, o endpointapi.StartOrder) endpointapi.StartReply {
+		time.Sleep(12 * time.Millisecond)
+		return e.begin(o)
+	}
+	withStarts(t, answer, func(c *quicktest.C, x *Executor, e *scriptedEndpoint, _ *fakeEntry) {
+		const runs = 4 * startWorkers
+		group := wire.OrderGroup{Size: wire.Resources{MilliCores: 100}, EstimateMillis: 100}
+		for i := range runs {
+			group.Runs = append(group.Runs, wire.Run{Task: taskName(i), Number: 1})
+		}
+		x.Handle("entry.1", &wire.Orders{Echo: x.clockMillis(), Groups: []wire.OrderGroup{group}})
+		beat(x, 200*time.Millisecond)
+		c.Check(e.runs(), quicktest.HasLen, runs)
+		e.calls.Lock()
+		defer e.calls.Unlock()
+		c.Check(e.n, quicktest.Equals, runs)
+	})
+}
+
+// Guards against a short task that ends between two calls of its start: the second call is
+// answered "old", and the task must count as done and not run again.
+func TestRunThatEndedBeforeItsSecondStart(t *testing.T) {
+	run := wire.Run{Task: "t.0.0.0", Number: 1}
+	answer := func(n int, e *scriptedEndpoint, o endpointapi.StartOrder) endpointapi.StartReply {
+		if n == 1 {
+			time.Sleep(200 * time.Millisecond) // its answer is lost
+			return endpointapi.StartReply{Result: endpointapi.StartUnknown}
+		}
+		e.begin(o)
+		e.end(run, endpointapi.EndDone)
+		return endpointapi.StartReply{Result: endpointapi.StartOld, Clock: time.Hour}
+	}
+	withStarts(t, answer, func(c *quicktest.C, x *Executor, _ *scriptedEndpoint, entry *fakeEntry) {
+		order(x, false, run)
+		for entry.state(run) == wire.RunStarted || entry.state(run) == 0 {
+			beat(x, time.Millisecond)
+		}
+		c.Check(entry.state(run), quicktest.Equals, wire.RunDone)
+	})
+}
+
+// Guards against starts that are sent after their run was given up: the endpoint was down
+// and came back under its old id while they waited for a connection.
+func TestGivenUpStartIsNotSent(t *testing.T) {
+	answer := func(n int, e *scriptedEndpoint, o endpointapi.StartOrder) endpointapi.StartReply {
+		time.Sleep(10 * time.Millisecond)
+		if n <= startWorkers {
+			return endpointapi.StartReply{Result: endpointapi.StartEndpointDown}
+		}
+		return e.begin(o)
+	}
+	withStarts(t, answer, func(c *quicktest.C, x *Executor, e *scriptedEndpoint, entry *fakeEntry) {
+		group := wire.OrderGroup{Size: wire.Resources{MilliCores: 100}, EstimateMillis: 100}
+		for i := range 3 * startWorkers {
+			group.Runs = append(group.Runs, wire.Run{Task: taskName(i), Number: 1})
+		}
+		x.Handle("entry.1", &wire.Orders{Echo: x.clockMillis(), Groups: []wire.OrderGroup{group}})
+		beat(x, 300*time.Millisecond)
+		for _, run := range group.Runs {
+			c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+		}
+		c.Check(e.runs(), quicktest.HasLen, 0)
+	})
+}
+
+func taskName(i int) string { return "t.0.0." + string(rune('a'+i)) }
