A job is not begun for a caller whose connection has ended, and all its callers are answered

Connections of callers are reset; an entry with a small share of a core gets to a request 10 ms later, from a connection that is dead by then, passes it on, and learns of the end afterwards, while the caller has sent the job to another entry. The withdrawal follows 1 ms later and is in time only if both messages are taken in one batch.

A withdrawn job that is still in the queue is found by the same check.

Found with the test: of two requests with the same job at one entry the first was forgotten. When it was the one that was waited for, the job was dropped with the other and its caller heard nothing until its deadline.

Ruled out: closing the gap wholly at one entry. A connection that is reset after the look is noticed 1 ms later, as before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -106,27 +106,23 @@
 // Submit runs a job and waits for its end. The end of ctx means that the caller
 // has gone: the job is stopped.
 func (c *Coordinator) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
-	ended := make(chan outcome, 1)
-	if !c.loop.Post(func() { c.submit(s, ended, time.Now()) }) {
+	w := caller{answer: make(chan outcome, 1), gone: func() bool {
+		return ctx.Err() != nil || s.CallerGone != nil && s.CallerGone()
+	}}
+	if !c.loop.Post(func() { c.submit(s, w, time.Now()) }) {
 		return "", errkind.New(errkind.Draining, "the process is stopping")
 	}
 	select {
-	case o := <-ended:
+	case o := <-w.answer:
 		return o.state, o.err
 	case <-c.loop.Done():
 		return "", errkind.New(errkind.HomeLost, "the process ended before the job")
 	case <-ctx.Done():
-		c.loop.Post(func() { c.abandon(s.ID, ended) })
+		c.loop.Post(func() { c.abandon(s.ID, w.answer) })
 		return "", errkind.New(errkind.CancelledRunning, "the caller has gone")
 	}
 }
 
-// outcome is the end of a job as its caller learns it.
-type outcome struct {
-	state job.State
-	err   *errkind.Error
-}
-
 // Load returns the number of jobs in progress.
 func (c *Coordinator) Load() (jobs int) {
 	c.loop.Do(func() { jobs = len(c.jobs) })
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -53,6 +53,11 @@
 	})
 }
 
+// waiting returns a caller that waits.
+func waiting() caller {
+	return caller{answer: make(chan outcome, 1), gone: func() bool { return false }}
+}
+
 // fakeRecorder records progress at once.
 type fakeRecorder struct {
 	c        *Coordinator
@@ -197,8 +202,8 @@
 		urgent.Queue.Priority = -1
 		// All are placed in one batch, as the agent has room again.
 		a.c.Handle(a.name, a.connection, &wire.Status{Closed: wire.RejectDraining})
-		co.loop.Post(func() { co.submit(submission("a", 1), make(chan outcome, 1), time.Now()) })
-		co.loop.Post(func() { co.submit(urgent, make(chan outcome, 1), time.Now()) })
+		co.loop.Post(func() { co.submit(submission("a", 1), waiting(), time.Now()) })
+		co.loop.Post(func() { co.submit(urgent, waiting(), time.Now()) })
 		co.Adopt(submission("c", 1), job.Progress{}, 2)
 		a.c.Handle(a.name, a.connection, &wire.Status{})
 		synctest.Wait()
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -109,6 +109,14 @@
 			c.refuse(j, err)
 			continue
 		}
+		if !j.started && j.callersGone() {
+			c.cfg.Log.Log(event.CallerGone, "job", j.spec.ID, "queue", j.spec.Queue.Name,
+				"waited_ms", now.Sub(j.arrived).Milliseconds())
+			c.cfg.Metrics.abandoned.Inc()
+			c.forget(j)
+			j.answer(outcome{err: errkind.New(errkind.CancelledRunning, "the caller has gone")})
+			continue
+		}
 		c.placeJob(j, v.endpoints, v.agents, now)
 		ahead += j.waitingWork()
 	}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -40,7 +40,7 @@
 	steps     [][]*task
 	left      int // tasks that are not done
 	started   bool
-	ended     chan outcome
+	callers   []caller   // of an ephemeral job
 	queued    bool       // in Coordinator.waiting
 	stored    *storedRun // nil for an ephemeral job
 	moves     int
@@ -70,20 +70,18 @@
 // minRunTime is the expected run time of a task without a declared one.
 const minRunTime = 50 * time.Millisecond
 
-func (c *Coordinator) submit(s job.Submission, ended chan outcome, now time.Time) {
+func (c *Coordinator) submit(s job.Submission, w caller, now time.Time) {
 	if old := c.jobs[s.ID]; old != nil {
-		// The caller has sent the job again on another connection; the older one has
-		// gone, or will learn of the end of the connection.
-		c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "resent", true)
-		old.ended = ended
+		old.callers = append(old.callers, w)
+		c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "resent", true, "callers", len(old.callers))
 		return
 	}
-	c.admit(newRun(s, now, ended), now)
+	c.admit(newRun(s, now, w), now)
 }
 
 // newRun returns a run of s that has not begun.
-func newRun(s job.Submission, now time.Time, ended chan outcome) *run {
-	j := &run{spec: s, arrived: now.Add(-s.Elapsed), ended: ended}
+func newRun(s job.Submission, now time.Time, callers ...caller) *run {
+	j := &run{spec: s, arrived: now.Add(-s.Elapsed), callers: callers}
 	for si := range s.Steps {
 		st := &j.spec.Steps[si]
 		tasks := make([]*task, st.Count)
@@ -172,7 +170,7 @@
 	c.cfg.Log.Log(event.JobRefused, "job", j.spec.ID, "queue", j.spec.Queue.Name, "kind", err.Kind,
 		"why", err.Detail, "waited_ms", time.Since(j.arrived).Milliseconds(), "waiting", len(c.waiting))
 	c.forget(j)
-	j.ended <- outcome{err: err}
+	j.answer(outcome{err: err})
 }
 
 // forget removes j; its runs are stopped.
@@ -208,13 +206,13 @@
 	c.cfg.Log.Log(event.JobEnded, "job", j.spec.ID, "queue", j.spec.Queue.Name, "state", o.state, "kind", kind,
 		"took_ms", now.Sub(j.arrived).Milliseconds(), "objective_ms", j.objective.Sub(j.arrived).Milliseconds(),
 		"in_time", inTime, "moves", j.moves)
-	j.ended <- o
+	j.answer(o)
 }
 
 // abandon stops a job whose caller has gone.
-func (c *Coordinator) abandon(id string, ended chan outcome) {
+func (c *Coordinator) abandon(id string, answer chan outcome) {
 	j := c.jobs[id]
-	if j == nil || j.ended != ended {
+	if j == nil || !j.leave(answer) {
 		return
 	}
 	c.cfg.Metrics.abandoned.Inc()
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -70,7 +70,7 @@
 		if c.jobs[s.ID] != nil {
 			return
 		}
-		j := newRun(s, time.Now(), nil)
+		j := newRun(s, time.Now())
 		j.stored = &storedRun{progress: p}
 		for si, tasks := range j.steps {
 			for i, t := range tasks {
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -10,6 +10,8 @@
 	TaskRetried  = define(605, Info, "task waits for another run")
 	TaskMoved    = define(606, Info, "slow run is stopped, task runs elsewhere")
 
+	CallerGone = define(614, Info, "caller had gone before its job was begun")
+
 	JobPassed       = define(607, Info, "job passed on to the entry that places it")
 	JobAnswered     = define(608, Info, "passed job answered")
 	JobTaken        = define(609, Info, "job of another entry taken")
--- a/job/job.go
+++ b/job/job.go
@@ -31,6 +31,9 @@
 	// Elapsed is the time since the caller's request arrived, for a job that another entry
 	// has passed on.
 	Elapsed time.Duration `cbor:",omitempty"`
+	// CallerGone reports, without waiting, whether the caller's connection has ended. It is
+	// nil where that is not known: at an entry that another one has passed the job to.
+	CallerGone func() bool `cbor:"-"`
 	// Trace is the W3C traceparent below which the job runs; empty when it is not traced.
 	Trace string `cbor:",omitempty"`
 }
--- a/relay/callers.go
+++ b/relay/callers.go
@@ -106,7 +106,7 @@
 	ls := &limitedServer{conns: make(chan net.Conn), done: make(chan struct{}), addr: s.address}
 	ls.Handler, ls.ReadHeaderTimeout = s.handler, s.limits.headerTimeout
 	ls.IdleTimeout, ls.MaxHeaderBytes = s.limits.idleTimeout, s.limits.maxHeaderBytes
-	ls.ConnState = ls.count
+	ls.ConnState, ls.ConnContext = ls.count, withConn
 	s.current = ls
 	go func() { _ = ls.Serve(ls) }() // ends with the listener, which is ls itself
 }
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -252,6 +252,9 @@
 
 // Submit implements platform.Jobs.
 func (e *entry) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
+	if s.Ephemeral {
+		s.CallerGone = callerGone(ctx)
+	}
 	ctx, span := startJobSpan(ctx, e.p.tracer, spanJob, &s)
 	state, err := e.submit(ctx, s)
 	endJobSpan(span, state, err)
--- a/router/submit.go
+++ b/router/submit.go
@@ -145,6 +145,10 @@
 		state, err := r.cfg.Local.Submit(ctx, s)
 		return outcome{state, err}, true
 	}
+	if s.CallerGone != nil && s.CallerGone() {
+		r.cfg.Log.Log(event.CallerGone, "job", s.ID, "queue", s.Queue.Name, "waited_ms", time.Since(arrived).Milliseconds())
+		return outcome{err: errkind.New(errkind.CancelledRunning, "the caller has gone")}, true
+	}
 	encoded, err := cbor.Marshal(s)
 	if err != nil {
 		return outcome{err: errkind.New(errkind.Internal, "encode the job: %w", err)}, true
