Data centres that the operator empties get no task

Change: an entry reads these requests with the configuration and orders nothing there; what runs goes on. Agents are told by every entry that is connected, and entries tell those that place their jobs, since an agent's host may be in touch while its entry does not hear the store; an agent so told takes no run. Of two states the one from the later offset in the operator's topic counts.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -53,6 +53,7 @@
 		a.status = wire.Status{Closed: wire.RejectUnreachable} // until it says more
 		c.cfg.Log.Log(event.AgentConnected, "agent", name, "connection", connection, "runs", len(a.tasks))
 		c.sendTo(a, a.claim(), now)
+		c.tellEmptied(a, now)
 		if c.leaving {
 			c.sendTo(a, &wire.Leaving{}, now)
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -69,7 +69,8 @@
 	jobs    map[string]*run   // by job id
 	waiting []*run            // jobs with tasks that wait for room, in order
 	// replan is set when room, endpoints or waiting tasks have changed.
-	replan bool
+	replan  bool
+	emptied wire.Emptied
 	// leaving is set when this process will stop.
 	leaving bool
 	// recorder records stored jobs; nil without a ledger. startedJobs holds the ids
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -23,6 +23,7 @@
 	groups     []wire.OrderGroup
 	notes      []wire.Run
 	stops      []wire.Run
+	emptied    []wire.Emptied
 	count      uint64
 }
 
@@ -37,6 +38,8 @@
 			a.count = m.Count
 		case *wire.Noted:
 			a.notes = append(a.notes, m.Runs...)
+		case *wire.Emptied:
+			a.emptied = append(a.emptied, *m)
 		case *wire.Stop:
 			a.stops = append(a.stops, m.Runs...)
 		}
@@ -216,3 +219,28 @@
 		}
 	})
 }
+
+// Guards against orders to the endpoints of a data centre that the operator empties, and
+// against agents that are not told of it.
+func TestEmptiedDataCentreGetsNoOrder(t *testing.T) {
+	with(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		a.c.Handle(a.name, a.connection, &wire.Status{
+			Profile: &wire.Profile{Instance: "i", Service: "s", DataCentre: "north", Capacity: wire.Resources{MilliCores: 32000, MemoryMiB: 1000}},
+		})
+		co.SetEmptied(wire.Emptied{Version: 3, DataCentres: []string{"north"}})
+		co.SetEmptied(wire.Emptied{Version: 2})
+		go func() { _, _ = co.Submit(context.Background(), submission("a", 1)) }()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		c.Check(a.orders, quicktest.HasLen, 0)
+		c.Check(a.emptied, quicktest.DeepEquals, []wire.Emptied{{Version: 3, DataCentres: []string{"north"}}})
+		a.connect()
+		synctest.Wait()
+		c.Check(a.emptied, quicktest.HasLen, 2) // a new connection is told as well
+		co.SetEmptied(wire.Emptied{Version: 4})
+		go func() { _, _ = co.Submit(context.Background(), submission("b", 1)) }()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		c.Check(len(a.orders) > 0, quicktest.IsTrue)
+	})
+}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -20,19 +20,20 @@
 		if a.profile == nil || a.profile.Service != q.Service {
 			continue
 		}
-		endpoints = append(endpoints, a.endpoint(c.cfg.DataCentre, c.cfg.Timing, now))
+		endpoints = append(endpoints, c.endpoint(a, now))
 		agents = append(agents, a)
 	}
 	return endpoints, agents
 }
 
-func (a *agent) endpoint(dataCentre string, timing Timing, now time.Time) placement.Endpoint {
+// endpoint describes the endpoint of an agent to package placement.
+func (c *Coordinator) endpoint(a *agent, now time.Time) placement.Endpoint {
 	e := placement.Endpoint{
 		Free: placement.RoomLeft(a.profile.Capacity, a.status.Used.Plus(a.status.Waiting)), Capacity: a.profile.Capacity,
 		Slowness: float64(a.status.SlownessPermille) / 1000,
-		Open:     a.send != nil && !a.silent && a.status.Closed == 0,
+		Open:     a.send != nil && !a.silent && a.status.Closed == 0 && !c.emptied.Has(a.profile.DataCentre),
 		NoStored: a.status.Unrecorded,
-		Local:    a.profile.DataCentre == dataCentre,
+		Local:    a.profile.DataCentre == c.cfg.DataCentre,
 		Labels:   a.profile.Labels,
 	}
 	if e.Slowness <= 0 {
@@ -43,7 +44,7 @@
 			e.Free = e.Free.Less(t.step.Size) // not yet included in Used
 		}
 	}
-	if a.distrusted && (len(a.tasks) > 0 || now.Sub(a.trial) < timing.TrialInterval) {
+	if a.distrusted && (len(a.tasks) > 0 || now.Sub(a.trial) < c.cfg.Timing.TrialInterval) {
 		e.Open = false
 	}
 	return e
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -66,7 +66,7 @@
 		if a.profile == nil {
 			continue
 		}
-		e := a.endpoint(c.cfg.DataCentre, c.cfg.Timing, now)
+		e := c.endpoint(a, now)
 		if !e.Open {
 			continue
 		}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -129,10 +129,22 @@
 			x.noted(e.node, m.Runs)
 		case *wire.Claim:
 			x.claim(e, m, now)
+		case *wire.Emptied:
+			x.setEmptied(m)
 		}
 	})
 }
 
+// setEmptied takes the data centres that are to be emptied from the entry that knows the
+// newest state.
+func (x *Executor) setEmptied(m *wire.Emptied) {
+	if m.Version <= x.emptied.Version {
+		return
+	}
+	x.emptied, x.statusDirty = *m, true
+	x.cfg.Log.Log(event.DataCentresEmptied, "version", m.Version, "data_centres", m.DataCentres)
+}
+
 // clockMillis is the Time of a status that is sent now. It is never 0.
 func (x *Executor) clockMillis() uint64 { return uint64(x.cfg.Now().Milliseconds()) + 1 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -46,8 +46,9 @@
 	born     int64
 	sequence uint64 // of the newest announcement
 	draining bool
-	saved    record // of the last announcement that was recorded
-	leaving  bool   // this process is stopping
+	emptied  wire.Emptied // data centres that the operator empties
+	saved    record       // of the last announcement that was recorded
+	leaving  bool         // this process is stopping
 	// adopting is when the runs that were found at the endpoint are stopped unless
 	// an entry has claimed them.
 	adopting time.Time
@@ -241,6 +242,8 @@
 		return wire.RejectUnreachable
 	case x.draining || x.leaving:
 		return wire.RejectDraining
+	case x.emptied.Has(x.profile.DataCentre):
+		return wire.RejectEmptied
 	}
 	return 0
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -316,3 +316,30 @@
 		c.Check(x.IsSilent("entry.1", limit), quicktest.IsFalse)
 	})
 }
+
+// Guards against runs that begin in a data centre that the operator empties, on the order of
+// an entry that has not heard of it, and against an older message that takes it back.
+func TestEmptiedDataCentreTakesNoRun(t *testing.T) {
+	with(t, func(c *quicktest.C, x *Executor, e *fakeEndpoint, entry *fakeEntry) {
+		x.Announce(endpointapi.Announcement{
+			Profile: wire.Profile{Instance: "i-1", Service: "s", DataCentre: "north", Capacity: wire.Resources{MilliCores: 4000}}, Born: 2, Sequence: 1, Clock: time.Hour,
+		})
+		other := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+		x.Connected("entry.2", other.send)
+		run := func(n uint32) wire.Run { return wire.Run{Task: "t.0.0.0", Number: n} }
+		x.Handle("entry.2", &wire.Emptied{Version: 7, DataCentres: []string{"south"}})
+		order(x, false, run(1))
+		beat(x, 50*time.Millisecond)
+		c.Check(e.runs()[run(1)], quicktest.IsTrue)
+		x.Handle("entry.2", &wire.Emptied{Version: 9, DataCentres: []string{"north", "south"}})
+		x.Handle("entry.2", &wire.Emptied{Version: 8})
+		order(x, false, wire.Run{Task: "t.0.0.1", Number: 1})
+		beat(x, 50*time.Millisecond)
+		c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{run(1): true}) // what runs goes on
+		c.Check(entry.state(wire.Run{Task: "t.0.0.1", Number: 1}), quicktest.Equals, wire.RunRejected)
+		x.Handle("entry.2", &wire.Emptied{Version: 10})
+		order(x, false, wire.Run{Task: "t.0.0.1", Number: 2})
+		beat(x, 50*time.Millisecond)
+		c.Check(e.runs()[wire.Run{Task: "t.0.0.1", Number: 2}], quicktest.IsTrue)
+	})
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -127,7 +127,10 @@
 		return nil
 	})
 	g.Go(func() error { return l.Serve(life, e.newHandler) })
-	g.Go(func() error { e.store.WatchConfig(life, e.p.log, e.takeConfig); return nil })
+	g.Go(func() error {
+		e.store.WatchOperator(life, e.p.log, platform.Operator{Config: e.takeConfig, Emptied: e.router.SetEmptied})
+		return nil
+	})
 	g.Go(func() error { e.publish(life); return nil })
 	g.Go(func() error { e.p.serveMetrics(life); return nil })
 	g.Go(func() error {
--- a/relay/peers_test.go
+++ b/relay/peers_test.go
@@ -23,6 +23,7 @@
 }
 func (noAgents) Rooms() []wire.ServiceRoom    { return nil }
 func (noAgents) Labels() []wire.ServiceLabels { return nil }
+func (noAgents) SetEmptied(wire.Emptied)      {}
 
 // Guards against callers that are refused while all entries that place jobs are being
 // stopped together: the next in rank take their place before they are gone.
--- a/router/client.go
+++ b/router/client.go
@@ -74,6 +74,8 @@
 	switch m := m.(type) {
 	case *wire.Place:
 		r.run(c, m)
+	case *wire.Emptied:
+		r.cfg.Local.SetEmptied(*m)
 	case *wire.Withdraw:
 		for _, n := range m.Numbers {
 			if cancel := c.jobs[n]; cancel != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,8 @@
 	// Rooms returns the room there, and Labels the labels of the endpoints.
 	Rooms() []wire.ServiceRoom
 	Labels() []wire.ServiceLabels
+	// SetEmptied takes the data centres at which no task may begin.
+	SetEmptied(m wire.Emptied)
 }
 
 const (
@@ -69,6 +71,7 @@
 	changed chan struct{}      // closed when a placer may have become usable
 	stated  []wire.ServiceRoom // the room that the clients were told last
 	told    time.Time          // when they were told
+	emptied wire.Emptied
 }
 
 // placer is an entry that this one passes jobs on to.
@@ -120,6 +123,18 @@
 	r.cfg.Log.Log(event.RoutingChanged, "enabled", enabled)
 }
 
+// SetEmptied takes the data centres at which no task may begin, and tells the entries that
+// place jobs, which the store may not serve.
+func (r *Router) SetEmptied(m wire.Emptied) {
+	r.cfg.Local.SetEmptied(m)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.emptied = m
+	for _, p := range r.placers {
+		r.sendTo(p, &m)
+	}
+}
+
 // notify wakes the jobs that wait for a placer. r.mu is held.
 func (r *Router) notify() {
 	close(r.changed)
@@ -136,6 +151,10 @@
 		calls: make(map[uint64]*call),
 	}
 	r.cfg.Log.Log(event.PlacerConnected, "entry", node, "connection", r.number)
+	if r.emptied.Version > 0 {
+		m := r.emptied
+		r.sendTo(r.placers[r.number], &m)
+	}
 	return r.number
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -25,6 +25,7 @@
 	full      bool // refuses all jobs
 	got       []job.Submission
 	cancelled int
+	emptied   wire.Emptied
 }
 
 func (f *fakeJobs) Rooms() []wire.ServiceRoom {
@@ -45,6 +46,12 @@
 	return []wire.ServiceLabels{{Service: "s", Labels: f.labels}}
 }
 
+func (f *fakeJobs) SetEmptied(m wire.Emptied) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.emptied = m
+}
+
 func (f *fakeJobs) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
 	f.mu.Lock()
 	f.got = append(f.got, s)
@@ -321,3 +328,18 @@
 		c.Check(front.jobs.count(), qt.Equals, 1)
 	})
 }
+
+// Guards against an entry that places jobs in a data centre that is emptied, since the store
+// does not serve it: those that pass jobs on tell it, also when they connect later.
+func TestPlacersAreToldOfEmptiedDataCentres(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C, front *node) {
+		a, b := newNode(ctx, 1000), newNode(ctx, 1000)
+		wireUp(ctx, front, a, "a")
+		front.SetEmptied(wire.Emptied{Version: 4, DataCentres: []string{"north"}})
+		wireUp(ctx, front, b, "b")
+		synctest.Wait()
+		for _, n := range []*node{front, a, b} {
+			c.Check(n.jobs.emptied.DataCentres, qt.DeepEquals, []string{"north"})
+		}
+	})
+}
--- a/wire/place.go
+++ b/wire/place.go
@@ -1,5 +1,7 @@
 package wire
 
+import "slices"
+
 // Messages between an entry that has taken a job from a caller and an entry that
 // places its tasks.
 
@@ -10,6 +12,7 @@
 	TypeWithdraw Type = 25
 	TypeRooms    Type = 26
 	TypeLeaving  Type = 27
+	TypeEmptied  Type = 28
 )
 
 // Place asks an entry to run a job. It is answered by Placed.
@@ -68,12 +71,24 @@
 // another one.
 type Leaving struct{}
 
+// Emptied tells which data centres the operator has asked to be emptied: no task begins at
+// their endpoints. Processes that the store does not serve learn it from those that it does.
+type Emptied struct {
+	// Version rises with each change; of two messages the one with the higher counts.
+	Version     uint64   `cbor:"1,keyasint"`
+	DataCentres []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Has reports whether a data centre is to be emptied.
+func (m *Emptied) Has(dataCentre string) bool { return slices.Contains(m.DataCentres, dataCentre) }
+
 // MessageType implements Message.
 func (*Place) MessageType() Type    { return TypePlace }
 func (*Placed) MessageType() Type   { return TypePlaced }
 func (*Withdraw) MessageType() Type { return TypeWithdraw }
 func (*Rooms) MessageType() Type    { return TypeRooms }
 func (*Leaving) MessageType() Type  { return TypeLeaving }
+func (*Emptied) MessageType() Type  { return TypeEmptied }
 
 // newPlaceMessage returns an empty message of a type of this file, or nil.
 func newPlaceMessage(t Type) Message {
@@ -88,6 +103,8 @@
 		return new(Rooms)
 	case TypeLeaving:
 		return new(Leaving)
+	case TypeEmptied:
+		return new(Emptied)
 	}
 	return nil
 }
--- a/wire/run.go
+++ b/wire/run.go
@@ -80,6 +80,7 @@
 	RejectRetired     RejectReason = 9  // the agent serves other entries
 	RejectStale       RejectReason = 10 // the order is based on news that are too old
 	RejectUnrecorded  RejectReason = 11 // too many ends of stored runs wait for being recorded
+	RejectEmptied     RejectReason = 12 // the operator empties the data centre
 )
 
 // Report is the state of one run.
@@ -211,7 +212,7 @@
 	0: "none", RejectRoom: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectBusy: "busy",
 	RejectWithdrawn: "withdrawn", RejectRetired: "serves_other_entries", RejectStale: "stale",
-	RejectUnrecorded: "ends_not_recorded",
+	RejectUnrecorded: "ends_not_recorded", RejectEmptied: "emptied",
 }
 
 // String returns the name of r for logs and metrics.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -48,6 +48,7 @@
 	TypeOrders: "orders", TypeReports: "reports", TypeStatus: "status", TypeStop: "stop",
 	TypeClaim: "claim", TypeNoted: "noted",
 	TypePlace: "place", TypePlaced: "placed", TypeWithdraw: "withdraw", TypeRooms: "rooms", TypeLeaving: "leaving",
+	TypeEmptied: "emptied",
 }
 
 // String returns the lower-case message name used in metrics.
