oriolectl losses: why jobs were not answered in time, from the logs of all processes

What binds was read from logs by hand until now. The command joins the lines of all processes by job, and puts each job that was not answered in time into one of sixteen causes: the longest part of the way of its slowest task beyond what the task takes as declared at an endpoint of typical speed, or the reason of its refusal. Tables by cause, queue and second; -job prints the timeline of one job; -format json for tools.

Log fields that this needs: what decided a refusal (by, ahead, rate, need and free room, age of the news) and the terms of a job's objective.

What the logs cannot show is a job that reached no entry: while all hosts are without power.

--- a/cmd/oriolectl/main.go
+++ b/cmd/oriolectl/main.go
@@ -48,6 +48,7 @@
 		{&viewCommand{view: endpointsView}, groupOperators},
 		{&viewCommand{view: membersView}, groupOperators},
 		{&checkCommand{}, groupOffline},
+		{&lossesCommand{}, groupOffline},
 		{&keysCommand{}, groupOffline},
 		{&devCommand{}, groupDevelopment},
 		{&loadCommand{}, groupDevelopment},
--- a/cmd/oriolectl/oriolectl_test.go
+++ b/cmd/oriolectl/oriolectl_test.go
@@ -100,3 +100,30 @@
 	_, err := to.call(context.Background(), "GET", "/v1/tickets", nil)
 	c.Assert(err, qt.ErrorMatches, "ticket_lost: number 2 was taken")
 }
+
+// TestLosses guards against a command that reads only files, accepts a format that it does
+// not know, or hides which file cannot be read.
+func TestLosses(t *testing.T) {
+	c := qt.New(t)
+	const text = "node-1 level=info ts=2026-12-04T00:00:00Z node=entry-1.a event=600 msg=x job=0000000000000001 queue=q\n" +
+		"node-1 level=info ts=2026-12-04T00:00:00.1Z node=entry-1.a event=601 msg=x job=0000000000000001 queue=q kind=no_endpoint\n"
+	path := filepath.Join(t.TempDir(), "log")
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	run := func(cmd lossesCommand, files ...string) (string, error) {
+		var out strings.Builder
+		err := cmd.run(files, strings.NewReader(text), &out)
+		return out.String(), err
+	}
+	for _, files := range [][]string{{path}, {"-"}, nil} {
+		out, err := run(lossesCommand{format: "json"}, files...)
+		c.Assert(err, qt.IsNil)
+		c.Check(strings.Contains(out, `"cause": "nobody served"`), qt.IsTrue, qt.Commentf("%s", out))
+	}
+	out, err := run(lossesCommand{format: "table", job: "0000000000000001"}, path)
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.HasSuffix(out, "lost: nobody served\n"), qt.IsTrue)
+	_, err = run(lossesCommand{format: "xml"}, path)
+	c.Check(err, qt.ErrorMatches, `format "xml" is neither table nor json`)
+	_, err = run(lossesCommand{format: "table"}, path+".none")
+	c.Check(err, qt.ErrorMatches, "open log: .*none.*")
+}
--- a/coordinator/emptied.go
+++ b/coordinator/emptied.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strings"
 	"time"
 
 	"oriolerelay/event"
@@ -17,7 +18,7 @@
 		}
 		c.emptied = m
 		c.replan = true
-		c.cfg.Log.Log(event.DataCentresEmptied, "version", m.Version, "data_centres", m.DataCentres)
+		c.cfg.Log.Log(event.DataCentresEmptied, "version", m.Version, "data_centres", strings.Join(m.DataCentres, ","))
 		for _, a := range c.agents {
 			c.tellEmptied(a, time.Now())
 		}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -104,11 +104,15 @@
 			v.endpoints, v.agents = c.snapshot(&j.spec.Queue, now)
 			views[j.spec.Queue.Service] = v
 		}
-		if !j.started && c.candidate(j).Refuse(now, ahead+c.unplaced(j, v.endpoints), rate) {
-			err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.1f core-seconds wait, %.0f cores work", ahead, rate)
-			err.RetryAfter = placement.RetryAfter(ahead, rate)
-			c.refuse(j, err)
-			continue
+		if !j.started {
+			if by := c.candidate(j).Refuse(now, ahead+c.unplaced(j, v.endpoints), rate); by != placement.NotRefused {
+				err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.1f core-seconds wait, %.0f cores work", ahead, rate)
+				err.RetryAfter = placement.RetryAfter(ahead, rate)
+				c.refuse(j, err, "by", by, "ahead_core_s", ahead, "rate_cores", rate, "need_millicores", j.waitingMilliCores(),
+					"free_millicores", placement.Places(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores),
+					"heard_ms", oldestNews(v.agents, now).Milliseconds())
+				continue
+			}
 		}
 		if !j.started && j.callersGone() {
 			c.cfg.Log.Log(event.CallerGone, "job", j.spec.ID, "queue", j.spec.Queue.Name,
@@ -123,6 +127,16 @@
 	}
 }
 
+// oldestNews returns the age of the oldest status among those of agents that are connected.
+func oldestNews(agents []*agent, now time.Time) (oldest time.Duration) {
+	for _, a := range agents {
+		if a.send != nil && !a.silent {
+			oldest = max(oldest, now.Sub(a.heard))
+		}
+	}
+	return oldest
+}
+
 // unplaced returns the work of the waiting tasks of j that find no room now.
 func (c *Coordinator) unplaced(j *run, endpoints []placement.Endpoint) float64 {
 	work := j.waitingWork()
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -112,6 +112,7 @@
 	c.cfg.Metrics.admitted.Inc()
 	c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "queue", s.Queue.Name, "tasks", j.left,
 		"objective_ms", j.objective.Sub(now).Milliseconds(), "patience_ms", s.Patience.Milliseconds(),
+		"needs_ms", j.needs.Milliseconds(), "stretch", s.Queue.Stretch, "target_ms", s.Queue.TargetLatency.Milliseconds(),
 		"typical_slowness", typical, "endpoints", len(endpoints), "waiting", len(c.waiting))
 }
 
@@ -164,11 +165,12 @@
 	c.replan = true
 }
 
-// refuse answers a job none of whose tasks was started.
-func (c *Coordinator) refuse(j *run, err *errkind.Error) {
+// refuse answers a job none of whose tasks was started. inputs are key-value pairs for the
+// log: what decided it.
+func (c *Coordinator) refuse(j *run, err *errkind.Error, inputs ...any) {
 	c.cfg.Metrics.refused.WithLabelValues(string(err.Kind)).Inc()
-	c.cfg.Log.Log(event.JobRefused, "job", j.spec.ID, "queue", j.spec.Queue.Name, "kind", err.Kind,
-		"why", err.Detail, "waited_ms", time.Since(j.arrived).Milliseconds(), "waiting", len(c.waiting))
+	c.cfg.Log.Log(event.JobRefused, append([]any{"job", j.spec.ID, "queue", j.spec.Queue.Name, "kind", err.Kind,
+		"why", err.Detail, "waited_ms", time.Since(j.arrived).Milliseconds(), "waiting", len(c.waiting)}, inputs...)...)
 	c.forget(j)
 	j.answer(outcome{err: err})
 }
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"oriolerelay/event"
@@ -142,7 +143,7 @@
 		return
 	}
 	x.emptied, x.statusDirty = *m, true
-	x.cfg.Log.Log(event.DataCentresEmptied, "version", m.Version, "data_centres", m.DataCentres)
+	x.cfg.Log.Log(event.DataCentresEmptied, "version", m.Version, "data_centres", strings.Join(m.DataCentres, ","))
 }
 
 // clockMillis is the Time of a status that is sent now. It is never 0.
--- /dev/null
+++ b/losses/table.go
@@ -0,0 +1,85 @@
+package losses
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteJSON writes r as one JSON object.
+func (r Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// WriteTable writes r as tables: by cause, by queue and cause, and by second.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "jobs\t%d\nin time\t%d\t%s\nlost\t%d\t%s\ncaller left\t%d\nunder way\t%d\n",
+		r.Jobs, r.InTime, percent(r.InTime, r.Jobs), r.Lost, percent(r.Lost, r.Jobs), r.Abandoned, r.UnderWay)
+	if r.Skipped > 0 {
+		fmt.Fprintf(t, "lines that could not be read\t%d\n", r.Skipped)
+	}
+	fmt.Fprintf(t, "refused with free room\t%d\tof %d\tknown for %.0f ms in the median\n",
+		r.Refusals.WithFreeRoom, r.Refusals.Jobs, r.Refusals.MedianKnownAgeMS)
+	fmt.Fprintf(t, "\ncause\tjobs\tshare of all\n")
+	for _, c := range r.Causes {
+		fmt.Fprintf(t, "%s\t%d\t%s\n", c.Cause, c.Jobs, percent(c.Jobs, r.Jobs))
+	}
+	fmt.Fprintf(t, "\nqueue\tjobs\tlost\tmost for\n")
+	for _, q := range r.Queues {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", q.Queue, q.Jobs, percent(q.Lost, q.Jobs), most(q.Causes))
+	}
+	fmt.Fprintf(t, "\nsecond\tjobs\tin time\tbound\tmost for\n")
+	for _, s := range r.Seconds {
+		fmt.Fprintf(t, "%d\t%d\t%.3f\t%.3f\t%s\n", s.Second, s.Jobs, 1-float64(s.Lost)/float64(max(s.Jobs, 1)), s.Bound, most(s.Causes))
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+func percent(part, whole int) string {
+	return fmt.Sprintf("%.1f%%", 100*float64(part)/float64(max(whole, 1)))
+}
+
+// most names the three causes with most jobs.
+func most(counts []Count) string {
+	var parts []string
+	for _, c := range counts[:min(len(counts), 3)] {
+		parts = append(parts, fmt.Sprintf("%s %d", c.Cause, c.Jobs))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// refusalSample is what was known when a job was refused.
+type refusalSample struct{ knownAgeMS float64 }
+
+// take adds a job that was refused by the entry whose line is given.
+func (r *Refusals) take(c Cause, placed *line) {
+	if c != NoRoom && c != Patience || placed == nil || placed.text("free_millicores") == "" {
+		return
+	}
+	r.Jobs++
+	if placed.number("free_millicores") >= placed.number("need_millicores") {
+		r.WithFreeRoom++
+	}
+	r.samples = append(r.samples, refusalSample{placed.number("heard_ms")})
+}
+
+func (r *Refusals) finish() {
+	if len(r.samples) == 0 {
+		return
+	}
+	slices.SortFunc(r.samples, func(a, b refusalSample) int { return cmp.Compare(a.knownAgeMS, b.knownAgeMS) })
+	r.MedianKnownAgeMS = r.samples[len(r.samples)/2].knownAgeMS
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -70,14 +70,14 @@
 	c := quicktest.New(t)
 	now := time.Unix(1000, 0)
 	w := Waiting{Arrived: now, Objective: now.Add(400 * time.Millisecond), Needs: 200 * time.Millisecond}
-	c.Check(w.Refuse(now, 0, 100), quicktest.IsFalse)
-	c.Check(w.Refuse(now, 10, 100), quicktest.IsFalse) // 100 ms of work ahead
-	c.Check(w.Refuse(now, 30, 100), quicktest.IsTrue)  // 300 ms
-	c.Check(w.Refuse(now, 30, 0), quicktest.IsFalse)   // the rate is not known
-	c.Check(w.Refuse(now.Add(99*time.Millisecond), 0, 0), quicktest.IsFalse)
-	c.Check(w.Refuse(now.Add(100*time.Millisecond), 0, 0), quicktest.IsTrue)
+	c.Check(w.Refuse(now, 0, 100), quicktest.Equals, NotRefused)
+	c.Check(w.Refuse(now, 10, 100), quicktest.Equals, NotRefused) // 100 ms of work ahead
+	c.Check(w.Refuse(now, 30, 100), quicktest.Equals, ByForecast) // 300 ms
+	c.Check(w.Refuse(now, 30, 0), quicktest.Equals, NotRefused)   // the rate is not known
+	c.Check(w.Refuse(now.Add(99*time.Millisecond), 0, 0), quicktest.Equals, NotRefused)
+	c.Check(w.Refuse(now.Add(100*time.Millisecond), 0, 0), quicktest.Equals, ByPatience)
 	w.Started = true
-	c.Check(w.Refuse(now.Add(time.Hour), 30, 1), quicktest.IsFalse)
+	c.Check(w.Refuse(now.Add(time.Hour), 30, 1), quicktest.Equals, NotRefused)
 	c.Check(RetryAfter(300, 100), quicktest.Equals, 3*time.Second)
 	c.Check(RetryAfter(0, 100), quicktest.Equals, time.Second)
 	c.Check(RetryAfter(1e6, 100), quicktest.Equals, 5*time.Second)
