policy: one package of decisions, whose mechanisms can be switched off

Decisions stood in placement, router (choose.go, placers.go) and coordinator/agent.go. A Policy says which mechanisms are in use; each is named and states the load that it answers. The settings have a section 'policy' with the names that are off; a wrong name is an error. Behaviour is unchanged with all in use.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"oriolerelay/event"
-	"oriolerelay/placement"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -12,13 +12,6 @@
 // that the connection has ended.
 type Sender func(m wire.Message) error
 
-// Shares of failed runs from which an endpoint gets only trial tasks, and below
-// which it is trusted again.
-const (
-	failingShare = 0.5
-	trustedShare = 0.3
-)
-
 // agent is what this entry knows of an agent and its endpoint.
 type agent struct {
 	name       string
@@ -123,19 +116,15 @@
 		c.cfg.Log.Log(event.AgentView, "agent", a.name, "closed", s.Closed)
 	}
 	a.status = *s
-	share := float64(s.FailedPermille) / 1000
-	if trusted := share < trustedShare; a.distrusted && trusted || !a.distrusted && share >= failingShare {
-		a.distrusted = !trusted
-		c.cfg.Log.Log(event.AgentView, "agent", a.name, "distrusted", a.distrusted, "failed_share", share)
+	if d := c.cfg.Policy.Distrust(a.distrusted, a.failedShare()); d != a.distrusted {
+		a.distrusted = d
+		c.cfg.Log.Log(event.AgentView, "agent", a.name, "distrusted", a.distrusted, "failed_share", a.failedShare())
 	}
 	c.replan = true
 }
 
-// failing reports whether the endpoint fails so much that a failure there says
-// nothing about the task.
-func (a *agent) failing() bool {
-	return float64(a.status.FailedPermille)/1000 >= trustedShare
-}
+// failedShare is the share of the endpoint's last runs that failed.
+func (a *agent) failedShare() float64 { return float64(a.status.FailedPermille) / 1000 }
 
 func (c *Coordinator) takeReport(a *agent, r wire.Report, now time.Time) {
 	t := a.tasks[r.Run.Task]
@@ -194,12 +183,12 @@
 		total := time.Duration(r.TotalMillis) * time.Millisecond
 		pt.Declared = time.Duration(float64(total) / endpoints[here].Slowness)
 	}
-	choice, ok := placement.Choose(endpoints, pt, 0)
+	choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, pt, 0)
 	if !ok || agents[choice.Index] == t.agent {
 		return
 	}
-	s := placement.Straggler{Remaining: remaining, Elsewhere: choice.RunTime, Budget: pt.Budget}
-	if !placement.Move(s) {
+	s := policy.Straggler{Remaining: remaining, Elsewhere: choice.RunTime, Budget: pt.Budget}
+	if !c.cfg.Policy.Move(s) {
 		return
 	}
 	c.cfg.Metrics.moved.Inc()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -1,6 +1,6 @@
 // Package coordinator runs jobs on the agents that are connected to an entry: it
 // orders tasks, repeats those that were lost or failed, and answers the caller.
-// All its state belongs to one loop; decisions are in package placement.
+// All its state belongs to one loop; decisions are in package policy.
 package coordinator
 
 import (
@@ -14,6 +14,7 @@
 	"oriolerelay/event"
 	"oriolerelay/internal/loop"
 	"oriolerelay/job"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -55,6 +56,7 @@
 type Config struct {
 	DataCentre string
 	Timing     Timing
+	Policy     policy.Policy
 	Log        *event.Logger
 	Metrics    *Metrics
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -7,14 +7,14 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/job"
-	"oriolerelay/placement"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
-// snapshot returns the endpoints of the queue's service as package placement sees
+// snapshot returns the endpoints of the queue's service as package policy sees
 // them, and the agents in the same order.
-func (c *Coordinator) snapshot(q *job.Queue, now time.Time) ([]placement.Endpoint, []*agent) {
-	var endpoints []placement.Endpoint
+func (c *Coordinator) snapshot(q *job.Queue, now time.Time) ([]policy.Endpoint, []*agent) {
+	var endpoints []policy.Endpoint
 	var agents []*agent
 	for _, a := range c.agents {
 		if a.profile == nil || a.profile.Service != q.Service {
@@ -26,10 +26,10 @@
 	return endpoints, agents
 }
 
-// endpoint describes the endpoint of an agent to package placement.
-func (c *Coordinator) endpoint(a *agent, now time.Time) placement.Endpoint {
-	e := placement.Endpoint{
-		Free: placement.RoomLeft(a.profile.Capacity, a.status.Used.Plus(a.status.Waiting)), Capacity: a.profile.Capacity,
+// endpoint describes the endpoint of an agent to package policy.
+func (c *Coordinator) endpoint(a *agent, now time.Time) policy.Endpoint {
+	e := policy.Endpoint{
+		Free: policy.RoomLeft(a.profile.Capacity, a.status.Used.Plus(a.status.Waiting)), Capacity: a.profile.Capacity,
 		Slowness: float64(a.status.SlownessPermille) / 1000,
 		Open:     a.send != nil && !a.silent && a.status.Closed == 0 && !c.emptied.Has(a.profile.DataCentre),
 		NoStored: a.status.Unrecorded,
@@ -52,9 +52,9 @@
 
 func indexOf(agents []*agent, a *agent) int { return slices.Index(agents, a) }
 
-// placementTask describes t to package placement.
-func (c *Coordinator) placementTask(t *task, agents []*agent, now time.Time) *placement.Task {
-	p := &placement.Task{
+// placementTask describes t to package policy.
+func (c *Coordinator) placementTask(t *task, agents []*agent, now time.Time) *policy.Task {
+	p := &policy.Task{
 		Size: t.step.Size, Declared: max(t.step.Estimate, minRunTime),
 		Budget: t.job.objective.Sub(now),
 		Label:  t.step.Label, Stored: t.job.stored != nil, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
@@ -89,10 +89,10 @@
 		return
 	}
 	slices.SortStableFunc(c.waiting, func(a, b *run) int {
-		return c.candidate(a).Compare(c.candidate(b), now)
+		return c.cfg.Policy.Compare(c.candidate(a), c.candidate(b), now)
 	})
 	type view struct {
-		endpoints []placement.Endpoint
+		endpoints []policy.Endpoint
 		agents    []*agent
 	}
 	views := make(map[string]*view) // by service
@@ -105,11 +105,11 @@
 			views[j.spec.Queue.Service] = v
 		}
 		if !j.started {
-			if by := c.candidate(j).Refuse(now, ahead+c.unplaced(j, v.endpoints), rate); by != placement.NotRefused {
+			if by := c.cfg.Policy.Refuse(c.candidate(j), now, ahead+c.unplaced(j, v.endpoints), rate); by != policy.NotRefused {
 				err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.1f core-seconds wait, %.0f cores work", ahead, rate)
-				err.RetryAfter = placement.RetryAfter(ahead, rate)
+				err.RetryAfter = policy.RetryAfter(ahead, rate)
 				c.refuse(j, err, "by", by, "ahead_core_s", ahead, "rate_cores", rate, "need_millicores", j.waitingMilliCores(),
-					"free_millicores", placement.Places(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores),
+					"free_millicores", policy.Places(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores),
 					"heard_ms", oldestNews(v.agents, now).Milliseconds())
 				continue
 			}
@@ -138,14 +138,14 @@
 }
 
 // unplaced returns the work of the waiting tasks of j that find no room now.
-func (c *Coordinator) unplaced(j *run, endpoints []placement.Endpoint) float64 {
+func (c *Coordinator) unplaced(j *run, endpoints []policy.Endpoint) float64 {
 	work := j.waitingWork()
 	n := j.spec.Tasks()
 	if n == 0 {
 		return 0
 	}
 	size := j.spec.Steps[0].Size
-	return work * (1 - min(1, float64(placement.Places(endpoints, size))/float64(n)))
+	return work * (1 - min(1, float64(policy.Places(endpoints, size))/float64(n)))
 }
 
 // rate returns the number of cores that work for jobs of this entry, 0 while that is
@@ -188,7 +188,7 @@
 }
 
 // placeJob orders the waiting tasks of j that find room.
-func (c *Coordinator) placeJob(j *run, endpoints []placement.Endpoint, agents []*agent, now time.Time) {
+func (c *Coordinator) placeJob(j *run, endpoints []policy.Endpoint, agents []*agent, now time.Time) {
 	if len(endpoints) == 0 || j.stored != nil && !c.recorder.MayAct() {
 		return
 	}
@@ -198,7 +198,7 @@
 				continue
 			}
 			p := c.placementTask(t, agents, now)
-			choice, ok := placement.Choose(endpoints, p, c.random.Uint64())
+			choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, p, c.random.Uint64())
 			if !ok {
 				break // the other tasks of the step are alike
 			}
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -6,7 +6,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/job"
-	"oriolerelay/placement"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -99,7 +99,7 @@
 func (c *Coordinator) admit(j *run, now time.Time) {
 	s := &j.spec
 	endpoints, _ := c.snapshot(&s.Queue, now)
-	typical := placement.TypicalSlowness(endpoints)
+	typical := policy.TypicalSlowness(endpoints)
 	j.needs = time.Duration(typical * float64(j.chain()))
 	j.objective = j.arrived.Add(s.Queue.Objective(j.needs))
 	if s.Patience > 0 {
@@ -244,8 +244,8 @@
 	}
 }
 
-func (c *Coordinator) candidate(j *run) *placement.Waiting {
-	return &placement.Waiting{
+func (c *Coordinator) candidate(j *run) *policy.Waiting {
+	return &policy.Waiting{
 		Priority: j.spec.Queue.Priority, Arrived: j.arrived, Objective: j.objective,
 		Needs: j.needs, Started: j.started || j.stored != nil,
 	}
@@ -287,7 +287,7 @@
 	switch {
 	case t.job.stored != nil:
 		c.countFailure(t, a.name, t.number)
-	case !a.failing():
+	case c.cfg.Policy.Blames(a.failedShare()):
 		t.counted++
 	}
 	attempts := max(t.job.spec.Queue.Attempts, 1)
--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oriolerelay/internal/rendezvous"
+	"oriolerelay/policy"
 	"oriolerelay/router"
 	"oriolerelay/wire"
 )
@@ -27,17 +28,17 @@
 func NewRoutedSystem(ctx context.Context, endpoints []*Endpoint, milliCores []uint32, log io.Writer) *System {
 	s := &System{Endpoints: endpoints, ctx: ctx, Log: log}
 	s.start(len(milliCores))
-	var listed []router.Entry
+	var listed []policy.Entry
 	for i, e := range s.entries {
-		listed = append(listed, router.Entry{Address: e.name, MilliCores: milliCores[i]})
+		listed = append(listed, policy.Entry{Address: e.name, MilliCores: milliCores[i]})
 	}
-	placers := router.Placers(listed, "", nil)
+	placers := policy.Placers(listed, "", nil)
 	s.connectChosen(placers, 1)
 	for _, e := range s.entries {
 		e.Router = router.New(router.Config{
 			Local: e.Coordinator, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
 		})
-		e.Router.Enable(len(milliCores) > router.FewEntries)
+		e.Router.Enable(len(milliCores) > policy.FewEntries)
 		go e.Router.Run(ctx)
 	}
 	for _, from := range s.entries {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -13,6 +13,7 @@
 	"oriolerelay/endpointapi"
 	"oriolerelay/event"
 	"oriolerelay/internal/loop"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -20,6 +21,7 @@
 type Config struct {
 	Endpoint endpointapi.Endpoint
 	Timing   Timing
+	Policy   policy.Policy
 	Log      *event.Logger
 	Metrics  *Metrics
 	// Tracer makes a span for each run of a traced job, and one for its start at the
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -306,8 +306,8 @@
 		case r.state == runStopping && r.stopped && r.stopSent.Before(sent):
 			x.finish(r, stoppedState(r), r.reason, "stopped")
 		case r.state == runStarting && started.IsZero(): // its start waits for a worker
-		case r.state == runStarting && r.looked && now.Sub(started) > x.cfg.Timing.StartTimeout:
-			if n := r.starts.made; n > 0 && n < maxStarts { // not a run that an earlier process started
+		case r.state == runStarting && r.looked && now.Sub(started) > x.startTimeout():
+			if n := r.starts.made; n > 0 && n < x.maxStarts() { // not a run that an earlier process started
 				x.sendStart(r, now)
 				continue
 			}
--- a/executor/run.go
+++ b/executor/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oriolerelay/event"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -158,6 +159,9 @@
 // limit returns the room that runs may use or wait for.
 func (x *Executor) limit() wire.Resources {
 	c := x.profile.Capacity
+	if !x.cfg.Policy.Uses(policy.AgentQueue) {
+		return c
+	}
 	return wire.Resources{
 		MilliCores:   c.MilliCores + uint32(queueShare*float64(c.MilliCores)),
 		MemoryMiB:    c.MemoryMiB + uint32(queueShare*float64(c.MemoryMiB)),
--- a/executor/start.go
+++ b/executor/start.go
@@ -7,6 +7,7 @@
 
 	"oriolerelay/endpointapi"
 	"oriolerelay/event"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -23,6 +24,22 @@
 	maxStarts = 4
 )
 
+// startTimeout is when a start without an answer is looked up.
+func (x *Executor) startTimeout() time.Duration {
+	if !x.cfg.Policy.Uses(policy.EarlyLookup) {
+		return x.cfg.Timing.AnswerTimeout
+	}
+	return x.cfg.Timing.StartTimeout
+}
+
+// maxStarts returns the number of times that a run is given to the endpoint.
+func (x *Executor) maxStarts() int {
+	if !x.cfg.Policy.Uses(policy.RepeatedStarts) {
+		return 1
+	}
+	return maxStarts
+}
+
 // startCalls are the start calls of a run. Its fields belong to the executor's loop.
 type startCalls struct {
 	made int
@@ -197,7 +214,7 @@
 func (x *Executor) checkStarts(now time.Time) {
 	for _, r := range x.runs {
 		sent := r.sentAt()
-		if r.state == runStarting && !sent.IsZero() && now.Sub(sent) > x.cfg.Timing.StartTimeout {
+		if r.state == runStarting && !sent.IsZero() && now.Sub(sent) > x.startTimeout() {
 			x.lookUp(r, now)
 		}
 	}
--- a/placement/placement.go
+++ b/policy/endpoint.go
@@ -1,6 +1,4 @@
-// Package placement decides where tasks run, which jobs are refused and which
-// slow runs are moved. Its functions are pure: they map a snapshot to a decision.
-package placement
+package policy
 
 import (
 	"math"
@@ -54,7 +52,10 @@
 const waitShare = 0.08
 
 // takes reports whether a task of the given size has room on e, or may wait there.
-func (e *Endpoint) takes(size wire.Resources) bool {
+func (p Policy) takes(e *Endpoint, size wire.Resources) bool {
+	if !p.Uses(AgentQueue) {
+		return e.Free.Fits(size)
+	}
 	c := e.Capacity
 	return Room{
 		e.Free.MilliCores + int64(waitShare*float64(c.MilliCores)),
@@ -112,7 +113,7 @@
 	return time.Duration(d)
 }
 
-// Choice is the outcome of Choose.
+// Choice is the outcome of ChooseEndpoint.
 type Choice struct {
 	Index int
 	// RunTime is the expected run time there.
@@ -121,21 +122,21 @@
 	InTime bool
 }
 
-// Choose returns the endpoint for t: the one where it is expected to end first,
+// ChooseEndpoint returns the endpoint for t: the one where it is expected to end first,
 // after those where it ends in time and need not wait for room. ok is false when
 // none has room for it. random breaks ties.
-func Choose(endpoints []Endpoint, t *Task, random uint64) (best Choice, ok bool) {
+func (p Policy) ChooseEndpoint(endpoints []Endpoint, t *Task, random uint64) (best Choice, ok bool) {
 	bestCost := 0.0
 	n := len(endpoints)
 	for k := range n {
 		i := int((random + uint64(k)) % uint64(n))
 		e := &endpoints[i]
-		if !e.Open || !t.Allowed(e) || !e.takes(t.Size) || t.full(i) {
+		if !e.Open || !t.Allowed(e) || !p.takes(e, t.Size) || t.full(i) {
 			continue
 		}
 		c := Choice{Index: i, RunTime: t.RunTime(e) + e.wait(t.Size)}
 		c.InTime = float64(c.RunTime) <= budgetMargin*float64(t.Budget)
-		cost := t.cost(e, i, c)
+		cost := p.cost(t, e, i, c)
 		if !ok || cost < bestCost {
 			best, bestCost, ok = c, cost, true
 		}
@@ -156,7 +157,7 @@
 	remoteCost = 1.0
 )
 
-func (t *Task) cost(e *Endpoint, i int, c Choice) float64 {
+func (p Policy) cost(t *Task, e *Endpoint, i int, c Choice) float64 {
 	ms := float64(c.RunTime) / float64(time.Millisecond)
 	cost := ms
 	if !c.InTime {
@@ -165,13 +166,13 @@
 	if !e.Free.Fits(t.Size) {
 		cost += waitCost
 	}
-	if slices.Contains(t.Avoid, i) {
+	if p.Uses(Avoid) && slices.Contains(t.Avoid, i) {
 		cost += avoidCost
 	}
-	if e.Capacity.MilliCores > 0 {
+	if p.Uses(Spread) && e.Capacity.MilliCores > 0 {
 		cost += spreadCost * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
 	}
-	if !e.Local {
+	if p.Uses(Local) && !e.Local {
 		cost += remoteCost
 	}
 	return cost
@@ -200,21 +201,3 @@
 	}
 	return n
 }
-
-// TypicalSlowness returns the capacity-weighted mean slowness of the open
-// endpoints, 1 when there are none. A job that finds no endpoint waits like one that
-// finds no room: after a restart the agents connect within milliseconds.
-func TypicalSlowness(endpoints []Endpoint) float64 {
-	var sum, weight float64
-	for i := range endpoints {
-		if e := &endpoints[i]; e.Open {
-			// Speeds add up, so the mean is taken over speeds.
-			sum += float64(e.Capacity.MilliCores) / e.Slowness
-			weight += float64(e.Capacity.MilliCores)
-		}
-	}
-	if sum == 0 {
-		return 1
-	}
-	return weight / sum
-}
--- /dev/null
+++ b/policy/order.go
@@ -0,0 +1,46 @@
+package policy
+
+import (
+	"cmp"
+	"time"
+)
+
+// Waiting is a job that waits for room.
+type Waiting struct {
+	Priority int
+	Arrived  time.Time
+	// Objective is when the job should be answered.
+	Objective time.Time
+	// Needs is the expected run time of its longest task.
+	Needs time.Duration
+	// Started is set when one of its tasks was ordered: it can not be refused.
+	Started bool
+}
+
+// late reports whether the job would miss its objective if it began now.
+func (w *Waiting) late(now time.Time) bool { return now.Add(w.Needs).After(w.Objective) }
+
+// Compare is the order in which jobs get room: first those that can end in time;
+// among them those that have begun, since the results they have are worth nothing
+// alone; then by the operator's priority, then by arrival. It is negative when w
+// comes before o.
+func (p Policy) Compare(w, o *Waiting, now time.Time) int {
+	inTime, begun := 0, 0
+	if p.Uses(InTimeFirst) {
+		inTime = compareTrueFirst(!w.late(now), !o.late(now))
+	}
+	if p.Uses(BegunFirst) {
+		begun = compareTrueFirst(w.Started, o.Started)
+	}
+	return cmp.Or(inTime, begun, cmp.Compare(w.Priority, o.Priority), w.Arrived.Compare(o.Arrived))
+}
+
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
--- a/router/choose.go
+++ b/policy/placer.go
@@ -1,17 +1,13 @@
-// Package router hands jobs to the entries that place them. Where there are many
-// entries, a few of them order the tasks at all endpoints, each at its own part of them:
-// an entry that ordered from its own part would have a dozen endpoints, whatever its
-// callers need. The others pass their callers' jobs on.
-package router
+package policy
 
 import (
 	"math/rand/v2"
 	"slices"
 )
 
-// Candidate is an entry that may place a job, and its room at the endpoints of the job's
+// Placer is an entry that may place a job, and its room at the endpoints of the job's
 // service in thousandths of a core.
-type Candidate struct {
+type Placer struct {
 	Capacity uint64
 	// Used is what runs use, Waiting what tasks wait for, and Sent what the jobs need
 	// that it was sent since it said so.
@@ -26,7 +22,7 @@
 }
 
 // load returns the demand relative to the capacity.
-func (c *Candidate) load() float64 {
+func (c *Placer) load() float64 {
 	return float64(c.Used+c.Waiting+c.Sent) / float64(c.Capacity)
 }
 
@@ -34,12 +30,12 @@
 // endpoint near the job's data, or one that stays, comes before the others.
 const fullLoad = 0.9
 
-// Choose returns the index of the candidate that gets a job: the less loaded of two that
+// ChoosePlacer returns the index of the candidate that gets a job: the less loaded of two that
 // are drawn at random in proportion to their capacity. All entries that see the same
 // loads would otherwise send their jobs to the same place until it says that it is full.
 // ok is false when none has any capacity. tried is the index of one that has refused the
 // job, or -1: the least loaded of the others is chosen then.
-func Choose(candidates []Candidate, tried int, random *rand.Rand) (index int, ok bool) {
+func (p Policy) ChoosePlacer(candidates []Placer, tried int, random *rand.Rand) (index int, ok bool) {
 	among := preferred(candidates, tried)
 	if len(among) == 0 {
 		return 0, false
@@ -52,13 +48,17 @@
 	if tried >= 0 {
 		return leastLoaded(candidates, among), true
 	}
-	return leastLoaded(candidates, []int{draw(candidates, among, random), draw(candidates, among, random)}), true
+	drawn := []int{draw(candidates, among, random)}
+	if p.Uses(TwoChoices) {
+		drawn = append(drawn, draw(candidates, among, random))
+	}
+	return leastLoaded(candidates, drawn), true
 }
 
 // preferred returns the candidates with capacity among which the job is given: those in this
 // region that stay; those that will stop as well where all that stay are full, as they are
 // while agents move to them; those of other regions where there is none in this one.
-func preferred(candidates []Candidate, tried int) []int {
+func preferred(candidates []Placer, tried int) []int {
 	near := staying(candidates, func(i int) bool { return i != tried && !candidates[i].Far })
 	if len(near) > 0 {
 		return near
@@ -68,7 +68,7 @@
 
 // staying returns the candidates that match and do not stop, with the others that match
 // where all of them are full.
-func staying(candidates []Candidate, match func(i int) bool) (among []int) {
+func staying(candidates []Placer, match func(i int) bool) (among []int) {
 	var leaving []int
 	allFull := true
 	for i := range candidates {
@@ -87,7 +87,7 @@
 	return among
 }
 
-func leastLoaded(candidates []Candidate, among []int) int {
+func leastLoaded(candidates []Placer, among []int) int {
 	best := among[0]
 	for _, i := range among[1:] {
 		if candidates[i].load() < candidates[best].load() {
@@ -98,7 +98,7 @@
 }
 
 // draw returns one of among, each with a probability in proportion to its capacity.
-func draw(candidates []Candidate, among []int, random *rand.Rand) int {
+func draw(candidates []Placer, among []int, random *rand.Rand) int {
 	var total uint64
 	for _, i := range among {
 		total += candidates[i].Capacity
--- a/router/placers.go
+++ b/policy/placers.go
@@ -1,4 +1,4 @@
-package router
+package policy
 
 import (
 	"cmp"
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -36,6 +36,7 @@
 		Save:     func(a endpointapi.Announcement) { replace(saves, a) },
 		Endpoint: platform.NewEndpoint(s.EndpointAddress),
 		Timing:   executor.DefaultTiming(s.maxLease()),
+		Policy:   s.policy(),
 		Log:      p.log,
 		Metrics:  executor.NewMetrics(p.registry),
 		Now:      boottime,
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -76,13 +76,13 @@
 	e := &entry{
 		p: p,
 		c: coordinator.New(coordinator.Config{
-			DataCentre: s.DataCentre, Timing: coordinator.DefaultTiming(orphanEnd, s.FarFactor),
+			DataCentre: s.DataCentre, Policy: s.policy(), Timing: coordinator.DefaultTiming(orphanEnd, s.FarFactor),
 			Log: p.log, Metrics: coordinator.NewMetrics(p.registry),
 		}),
 		store: platform.NewStore(s.StoreAddress, s.StorePartitions),
 	}
 	e.unlisted = make(chan struct{}, 1)
-	e.router = router.New(router.Config{Local: placedJobs{e.c, p.tracer}, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
+	e.router = router.New(router.Config{Policy: s.policy(), Local: placedJobs{e.c, p.tracer}, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
 	e.peers = newPeers(p, e.router)
 	e.peers.links.setSeeds(s.seedEntries())
 	e.callers = newCallersServer(platform.NewCallersHandler(e), p.log)
--- a/relay/links.go
+++ b/relay/links.go
@@ -11,7 +11,7 @@
 	"oriolerelay/event"
 	"oriolerelay/ids"
 	"oriolerelay/platform"
-	"oriolerelay/router"
+	"oriolerelay/policy"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -61,7 +61,7 @@
 // linkOwner is the part of a process that uses the connections to entries.
 type linkOwner interface {
 	// choose returns the addresses to connect to.
-	choose(entries []router.Entry, down map[string]bool) []string
+	choose(entries []policy.Entry, down map[string]bool) []string
 	// attach returns the handler of a new connection.
 	attach(c *transport.Conn) transport.Handler
 	// isSilent reports whether a process that is connected should have been heard again.
@@ -87,7 +87,7 @@
 
 // link is one entry address.
 type link struct {
-	router.Entry
+	policy.Entry
 	process ids.Incarnation // as recorded in the list of entries
 	// kept is set while a goroutine keeps a connection; retire then ends it.
 	kept      bool
@@ -154,7 +154,7 @@
 		return
 	}
 	l.known[address] = &link{
-		Entry: router.Entry{Address: address, Region: l.p.settings.Region}, started: make(chan struct{}, 1),
+		Entry: policy.Entry{Address: address, Region: l.p.settings.Region}, started: make(chan struct{}, 1),
 	}
 	l.p.log.Log(event.EntryListChanged, "address", address, "known", len(l.known))
 	l.wake()
@@ -191,7 +191,7 @@
 // settle begins and ends connections as the owner chooses.
 func (l *links) settle(ctx context.Context, now time.Time) {
 	l.mu.Lock()
-	entries := make([]router.Entry, 0, len(l.known))
+	entries := make([]policy.Entry, 0, len(l.known))
 	down := make(map[string]bool)
 	open := make(map[string]ids.Incarnation)
 	for address, k := range l.known {
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -7,6 +7,7 @@
 	"oriolerelay/event"
 	"oriolerelay/ids"
 	"oriolerelay/internal/rendezvous"
+	"oriolerelay/policy"
 	"oriolerelay/router"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
@@ -33,21 +34,21 @@
 
 // choose implements linkOwner: the entries that place jobs, of each region. An entry that
 // is not listed is not known to the agents and has to pass jobs on.
-func (e *peers) choose(entries []router.Entry, down map[string]bool) (chosen []string) {
-	isSelf := func(r router.Entry) bool { return r.Address == e.self }
-	many := len(entries) > router.FewEntries || !slices.ContainsFunc(entries, isSelf)
+func (e *peers) choose(entries []policy.Entry, down map[string]bool) (chosen []string) {
+	isSelf := func(r policy.Entry) bool { return r.Address == e.self }
+	many := len(entries) > policy.FewEntries || !slices.ContainsFunc(entries, isSelf)
 	e.router.Enable(many)
 	if !many {
 		return nil
 	}
 	for _, region := range regions(entries) {
-		placers := slices.DeleteFunc(router.Placers(entries, region, down), func(a string) bool { return a == e.self })
+		placers := slices.DeleteFunc(policy.Placers(entries, region, down), func(a string) bool { return a == e.self })
 		chosen = append(chosen, rendezvous.Choose(e.self, placers, down, placersUsed, len(placers))...)
 	}
 	return chosen
 }
 
-func regions(entries []router.Entry) (out []string) {
+func regions(entries []policy.Entry) (out []string) {
 	for _, e := range entries {
 		if !slices.Contains(out, e.Region) {
 			out = append(out, e.Region)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -8,7 +8,7 @@
 	"oriolerelay/executor"
 	"oriolerelay/ids"
 	"oriolerelay/internal/rendezvous"
-	"oriolerelay/router"
+	"oriolerelay/policy"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
@@ -38,9 +38,9 @@
 // choose implements linkOwner: all entries that place jobs while these are few, or while
 // this agent holds ends that no entry has recorded, since their new owner may be any;
 // otherwise placersServed that are not down.
-func (s *servedEntries) choose(entries []router.Entry, down map[string]bool) []string {
-	placers := router.Placers(entries, s.p.settings.Region, down)
-	if len(entries) <= router.FewEntries || s.x.HoldsEnds(endsNotedWithin) {
+func (s *servedEntries) choose(entries []policy.Entry, down map[string]bool) []string {
+	placers := policy.Placers(entries, s.p.settings.Region, down)
+	if len(entries) <= policy.FewEntries || s.x.HoldsEnds(endsNotedWithin) {
 		return placers
 	}
 	return rendezvous.Choose(s.p.settings.Node, placers, down, placersServed, len(placers))
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"oriolerelay/policy"
 	"oriolerelay/settings"
 	"oriolerelay/tracing"
 )
@@ -44,10 +45,24 @@
 	StopGraceS float64 `json:"stop_grace_s"`
 	// FarFactor is how much longer a task runs away from its data.
 	FarFactor float64 `json:"far_factor"`
+	// Policy switches mechanisms of the policy off.
+	Policy PolicySettings `json:"policy"`
 	// Traces is where trace spans go; nowhere by default.
 	Traces tracing.Settings `json:"traces"`
 }
 
+// PolicySettings say what the policy does without.
+type PolicySettings struct {
+	// Off names the mechanisms that are not used; package policy lists them.
+	Off []string `json:"off"`
+}
+
+// policy returns the policy; its names were checked.
+func (s *Settings) policy() policy.Policy {
+	p, _ := policy.Without(s.Policy.Off...)
+	return p
+}
+
 // Check implements settings.Checker.
 func (s *Settings) Check(p *settings.Problems) {
 	if s.Node == "" {
@@ -81,6 +96,9 @@
 		p.Add("max_lease_ms", "%v is below 100 ms", s.MaxLeaseMS)
 	}
 	s.Traces.Check(p, "traces")
+	if _, err := policy.Without(s.Policy.Off...); err != nil {
+		p.Add("policy.off", "%v", err)
+	}
 	if s.StopGraceS < 1 {
 		p.Add("stop_grace_s", "%v is below 1 s", s.StopGraceS)
 	}
--- a/relay/settings_test.go
+++ b/relay/settings_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"oriolerelay/policy"
 	"oriolerelay/settings"
 )
 
@@ -35,6 +36,21 @@
 	c.Check(require("agent", map[string]string{"endpoint_address": s.EndpointAddress}), quicktest.ErrorMatches, ".*agent needs endpoint_address")
 }
 
+// Guards against a mechanism that an operator has switched off by a name that is not known,
+// and against names that are not used.
+func TestPolicySettings(t *testing.T) {
+	c := quicktest.New(t)
+	with := func(off string) string {
+		return strings.Replace(entrySettings, `"node"`, `"policy":{"off":`+off+`},"node"`, 1)
+	}
+	var s Settings
+	c.Assert(settings.Parse([]byte(with(`["moves"]`)), &s), quicktest.IsNil)
+	c.Check(s.policy().Uses(policy.Moves), quicktest.IsFalse)
+	c.Check(s.policy().Uses(policy.Patience), quicktest.IsTrue)
+	c.Check(settings.Parse([]byte(with(`["move"]`)), &s), quicktest.ErrorMatches, `policy.off: "move" is no mechanism .*`)
+	c.Check(settings.Parse([]byte(with(`"moves"`)), &s), quicktest.ErrorMatches, `(?s)policy.off.*`)
+}
+
 // Guards against a template that does not fill the settings: each field of the
 // settings has its place in it.
 func TestTemplateNamesAllSettings(t *testing.T) {
--- a/router/router.go
+++ b/router/router.go
@@ -1,3 +1,7 @@
+// Package router hands jobs to the entries that place them. Where there are many
+// entries, a few of them order the tasks at all endpoints, each at its own part of them:
+// an entry that ordered from its own part would have a dozen endpoints, whatever its
+// callers need. The others pass their callers' jobs on.
 package router
 
 import (
@@ -10,6 +14,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/job"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -50,6 +55,7 @@
 type Config struct {
 	Local   Jobs
 	Region  string
+	Policy  policy.Policy
 	Log     *event.Logger
 	Metrics *Metrics
 }
--- a/router/submit.go
+++ b/router/submit.go
@@ -10,6 +10,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/event"
 	"oriolerelay/job"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -32,7 +33,7 @@
 			if !sent {
 				continue
 			}
-			if o.err == nil || o.err.Kind != errkind.QueueFull && o.err.Kind != errkind.Draining || tried != "" {
+			if o.err == nil || o.err.Kind != errkind.QueueFull && o.err.Kind != errkind.Draining || tried != "" || !r.cfg.Policy.Uses(policy.SecondTry) {
 				return o.state, o.err
 			}
 			// Room changes while the job is under way, and another entry may have some.
@@ -76,9 +77,9 @@
 		return r.local, tried == "", r.changed
 	}
 	var peers []*placer
-	var candidates []Candidate
+	var candidates []policy.Placer
 	triedIndex := -1
-	add := func(p *placer, c Candidate) {
+	add := func(p *placer, c policy.Placer) {
 		if p.node == tried {
 			triedIndex = len(peers)
 		}
@@ -91,20 +92,20 @@
 		}
 	}
 	if !r.closed {
-		own := Candidate{Leaving: r.leaving}
-		own.take(s, r.cfg.Local.Rooms(), r.cfg.Local.Labels())
+		own := policy.Placer{Leaving: r.leaving}
+		setRoom(&own, s, r.cfg.Local.Rooms(), r.cfg.Local.Labels())
 		add(r.local, own)
 	}
-	i, ok := Choose(candidates, triedIndex, r.random)
+	i, ok := r.cfg.Policy.ChoosePlacer(candidates, triedIndex, r.random)
 	if !ok {
 		return nil, false, r.changed
 	}
 	return peers[i], true, r.changed
 }
 
-// take sets the room of c for a job. It is none where an endpoint lacks that the job
+// setRoom sets the room of c for a job. It is none where no endpoint has a label that the job
 // requires.
-func (c *Candidate) take(s *job.Submission, rooms []wire.ServiceRoom, labels []wire.ServiceLabels) {
+func setRoom(c *policy.Placer, s *job.Submission, rooms []wire.ServiceRoom, labels []wire.ServiceLabels) {
 	var known []string
 	for _, l := range labels {
 		if l.Service == s.Queue.Service {
@@ -125,10 +126,10 @@
 	}
 }
 
-// candidate describes p to Choose. What it was sent and has not yet taken counts as sent.
-func (p *placer) candidate(s *job.Submission) Candidate {
-	c := Candidate{Far: p.far, Leaving: p.rooms.Leaving}
-	c.take(s, p.rooms.Services, p.labels)
+// candidate describes p to package policy. What it was sent and has not yet taken counts as sent.
+func (p *placer) candidate(s *job.Submission) policy.Placer {
+	c := policy.Placer{Far: p.far, Leaving: p.rooms.Leaving}
+	setRoom(&c, s, p.rooms.Services, p.labels)
 	for n, call := range p.calls {
 		if n > p.rooms.Taken && call.service == s.Queue.Service {
 			c.Sent += call.milliCores
