policy: a job with room is not refused; the backlog is that of its service

Hypothesis: jobs are refused with room free.

Change: a job that nothing comes before and that finds room for all its tasks is placed, however long it has waited. The share applies while some of its tasks find no room. Work ahead and cores at work are counted for each service: a backlog of one refused the jobs of another. Tasks that find no room are counted by the size of their own step, not of the first.

Ruled out: letting jobs that fit now pass a forecast that says that they will be late after wider ones ahead (tried before, docs/decisions.md).

TestJobWithRoomIsNotRefused and TestBacklogIsThatOfTheService fail on the code before.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"oriolerelay/internal/bubble"
 	"oriolerelay/job"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -244,3 +246,73 @@
 		c.Check(len(a.orders) > 0, quicktest.IsTrue)
 	})
 }
+
+// Guards against a refusal by the share of the objective that a job has waited although it
+// has room: one that another entry passed on, or that a slow process got to late (34 of 262
+// refusals of a day named no work ahead).
+func TestJobWithRoomIsNotRefused(t *testing.T) {
+	with(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		s := submission("a", 1)
+		s.Elapsed = s.Queue.Objective(s.LongestTask()) * 9 / 10
+		answered := make(chan error, 1)
+		go func() {
+			_, err := co.Submit(context.Background(), s)
+			answered <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		c.Check(a.orders, quicktest.HasLen, 1)
+		c.Check(answered, quicktest.HasLen, 0)
+	})
+}
+
+// Guards against jobs that are refused for the backlog of another service, and against work
+// that is counted by the size of the first step.
+func TestBacklogIsThatOfTheService(t *testing.T) {
+	with(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		other := &fakeAgent{c: co, name: "other"}
+		other.connect()
+		co.Handle(other.name, other.connection, &wire.Status{
+			Profile: &wire.Profile{Instance: "i-other", Service: "t", Capacity: wire.Resources{MilliCores: 1000, MemoryMiB: 1000}},
+		})
+		submit := func(id, service string, tasks int, runs time.Duration) {
+			s := submission(id, tasks)
+			s.Queue.Service, s.Steps[0].Estimate = service, runs
+			if service == "t" {
+				s.Queue.Stretch = 1000 // its jobs may wait
+			}
+			go func() { _, _ = co.Submit(context.Background(), s) }()
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+		}
+		time.Sleep(co.cfg.Timing.WarmUp)
+		a.c.Handle(a.name, a.connection, &wire.Status{})
+		other.c.Handle(other.name, other.connection, &wire.Status{})
+		for i := range 8 {
+			submit(fmt.Sprintf("t%d", i), "t", 1, 10*time.Second) // one core, so that seven wait
+		}
+		submit("s", "s", 33, 100*time.Millisecond) // 32 cores: one task waits
+		var refused []string
+		co.loop.Do(func() {
+			if co.jobs["s"] == nil {
+				refused = append(refused, "s")
+			}
+		})
+		c.Check(refused, quicktest.HasLen, 0)
+		c.Check(len(a.orders) >= 32, quicktest.IsTrue, quicktest.Commentf("%d", len(a.orders)))
+
+		s := job.Submission{Steps: []job.Step{
+			{Count: 1, Size: wire.Resources{MilliCores: 1000}, Estimate: time.Second},
+			{Count: 2, Size: wire.Resources{MilliCores: 4000}, Estimate: time.Second},
+		}}
+		j := newRun(s, time.Now())
+		for _, tasks := range j.steps {
+			for _, t := range tasks {
+				t.state = taskWaiting
+			}
+		}
+		c.Check(unplaced(j, nil), quicktest.Equals, 9.0)
+		four := policy.Endpoint{Open: true, Free: policy.Room{MilliCores: 4000}, Capacity: wire.Resources{MilliCores: 4000}}
+		c.Check(unplaced(j, []policy.Endpoint{four}), quicktest.Equals, 4.0)
+	})
+}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -91,42 +91,67 @@
 	slices.SortStableFunc(c.waiting, func(a, b *run) int {
 		return c.cfg.Policy.Compare(c.candidate(a), c.candidate(b), now)
 	})
-	type view struct {
-		endpoints []policy.Endpoint
-		agents    []*agent
-	}
-	views := make(map[string]*view) // by service
-	rate, ahead := c.rate(now), 0.0
+	views := make(map[string]*serviceView)
 	for _, j := range slices.Clone(c.waiting) {
 		v := views[j.spec.Queue.Service]
 		if v == nil {
-			v = &view{}
-			v.endpoints, v.agents = c.snapshot(&j.spec.Queue, now)
+			v = c.view(&j.spec.Queue, now)
 			views[j.spec.Queue.Service] = v
 		}
 		if !j.started {
-			if by := c.cfg.Policy.Refuse(c.candidate(j), now, ahead+c.unplaced(j, v.endpoints), rate); by != policy.NotRefused {
-				err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.1f core-seconds wait, %.0f cores work", ahead, rate)
-				err.RetryAfter = policy.RetryAfter(ahead, rate)
-				c.refuse(j, err, "by", by, "ahead_core_s", ahead, "rate_cores", rate, "need_millicores", j.waitingMilliCores(),
-					"free_millicores", policy.Places(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores),
-					"heard_ms", oldestNews(v.agents, now).Milliseconds())
+			if j.callersGone() {
+				c.dropUnheard(j, now)
+				continue
+			}
+			if c.refuseHopeless(j, v, now) {
 				continue
 			}
-		}
-		if !j.started && j.callersGone() {
-			c.cfg.Log.Log(event.CallerGone, "job", j.spec.ID, "queue", j.spec.Queue.Name,
-				"waited_ms", now.Sub(j.arrived).Milliseconds())
-			c.cfg.Metrics.abandoned.Inc()
-			c.forget(j)
-			j.answer(outcome{err: errkind.New(errkind.CancelledRunning, "the caller has gone")})
-			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
-		ahead += j.waitingWork()
+		v.ahead += j.waitingWork()
 	}
 }
 
+// serviceView is what is known of the endpoints of a service while jobs are placed there.
+type serviceView struct {
+	endpoints []policy.Endpoint
+	agents    []*agent
+	// ahead is the work of the jobs that came before and found no room, in core-seconds, and
+	// rate the number of cores that work.
+	ahead, rate float64
+}
+
+func (c *Coordinator) view(q *job.Queue, now time.Time) *serviceView {
+	v := &serviceView{rate: c.rate(q.Service, now)}
+	v.endpoints, v.agents = c.snapshot(q, now)
+	return v
+}
+
+// dropUnheard forgets a job for whose answer nobody waits any more.
+func (c *Coordinator) dropUnheard(j *run, now time.Time) {
+	c.cfg.Log.Log(event.CallerGone, "job", j.spec.ID, "queue", j.spec.Queue.Name, "waited_ms", now.Sub(j.arrived).Milliseconds())
+	c.cfg.Metrics.abandoned.Inc()
+	c.forget(j)
+	j.answer(outcome{err: errkind.New(errkind.CancelledRunning, "the caller has gone")})
+}
+
+// refuseHopeless refuses a job that has not begun and will not be in time. It reports
+// whether it did.
+func (c *Coordinator) refuseHopeless(j *run, v *serviceView, now time.Time) bool {
+	w := c.candidate(j)
+	w.Unplaced = unplaced(j, v.endpoints)
+	by := c.cfg.Policy.Refuse(w, now, v.ahead, v.rate)
+	if by == policy.NotRefused {
+		return false
+	}
+	err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.1f core-seconds wait, %.0f cores work", v.ahead, v.rate)
+	err.RetryAfter = policy.RetryAfter(v.ahead, v.rate)
+	c.refuse(j, err, "by", by, "ahead_core_s", v.ahead, "rate_cores", v.rate, "need_millicores", j.waitingMilliCores(),
+		"unplaced_core_s", w.Unplaced, "heard_ms", oldestNews(v.agents, now).Milliseconds(),
+		"free_millicores", policy.Places(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores))
+	return true
+}
+
 // oldestNews returns the age of the oldest status among those of agents that are connected.
 func oldestNews(agents []*agent, now time.Time) (oldest time.Duration) {
 	for _, a := range agents {
@@ -137,27 +162,36 @@
 	return oldest
 }
 
-// unplaced returns the work of the waiting tasks of j that find no room now.
-func (c *Coordinator) unplaced(j *run, endpoints []policy.Endpoint) float64 {
-	work := j.waitingWork()
-	n := j.spec.Tasks()
-	if n == 0 {
-		return 0
+// unplaced returns the work of the waiting tasks of j that find no room now, in
+// core-seconds. The tasks of each step are as large as the step says.
+func unplaced(j *run, endpoints []policy.Endpoint) (work float64) {
+	for si, tasks := range j.steps {
+		waiting := 0
+		for _, t := range tasks {
+			if t.state == taskWaiting {
+				waiting++
+			}
+		}
+		st := &j.spec.Steps[si]
+		if n := waiting - policy.Places(endpoints, st.Size); n > 0 {
+			work += float64(n) * st.Work(minRunTime)
+		}
 	}
-	size := j.spec.Steps[0].Size
-	return work * (1 - min(1, float64(policy.Places(endpoints, size))/float64(n)))
+	return work
 }
 
-// rate returns the number of cores that work for jobs of this entry, 0 while that is
-// not known because the agents are still connecting.
-func (c *Coordinator) rate(now time.Time) float64 {
+// rate returns the number of cores that work for jobs of this entry at the endpoints of a
+// service, 0 while that is not known because the agents are still connecting.
+func (c *Coordinator) rate(service string, now time.Time) float64 {
 	if now.Sub(c.started) < c.cfg.Timing.WarmUp {
 		return 0
 	}
 	var milliCores uint64
 	for _, a := range c.agents {
 		for _, t := range a.tasks {
-			milliCores += uint64(t.step.Size.MilliCores)
+			if t.job.spec.Queue.Service == service {
+				milliCores += uint64(t.step.Size.MilliCores)
+			}
 		}
 	}
 	return float64(milliCores) / 1000
@@ -169,7 +203,7 @@
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if t.state == taskWaiting {
-				work += float64(t.step.Size.MilliCores) / 1000 * max(t.step.Estimate, minRunTime).Seconds()
+				work += t.step.Work(minRunTime)
 			}
 		}
 	}
--- a/policy/order.go
+++ b/policy/order.go
@@ -13,6 +13,8 @@
 	Objective time.Time
 	// Needs is the expected run time of its longest task.
 	Needs time.Duration
+	// Unplaced is the work of its tasks that find no room now, in core-seconds.
+	Unplaced float64
 	// Started is set when one of its tasks was ordered: it can not be refused.
 	Started bool
 }
--- a/policy/refuse.go
+++ b/policy/refuse.go
@@ -18,19 +18,20 @@
 	ByForecast Refusal = "forecast"
 )
 
-// Refuse decides whether a job that has no room is refused now: when it has
-// waited for its share of the objective, or when it would end too late after the
-// work ahead of it. ahead is that work in core-seconds and rate is the number of
-// cores that work it off.
+// Refuse decides whether a job is refused now: when it would end too late after the work
+// ahead of it, or, while some of its tasks find no room, when it has waited for its share
+// of the objective. A job that nothing comes before and that has room is never refused:
+// also a late answer serves its caller more than none. ahead is the work before it in
+// core-seconds and rate is the number of cores that work it off.
 func (p Policy) Refuse(w *Waiting, now time.Time, ahead, rate float64) Refusal {
-	if w.Started {
+	if w.Started || w.Unplaced == 0 && ahead == 0 {
 		return NotRefused
 	}
 	limit := time.Duration(patienceShare * float64(w.Objective.Sub(w.Arrived)))
 	switch {
-	case p.Uses(Forecast) && w.late(now.Add(waitFor(ahead, rate))):
+	case p.Uses(Forecast) && w.late(now.Add(waitFor(ahead+w.Unplaced, rate))):
 		return ByForecast
-	case p.Uses(Patience) && now.Sub(w.Arrived) >= limit:
+	case p.Uses(Patience) && w.Unplaced > 0 && now.Sub(w.Arrived) >= limit:
 		return ByPatience
 	}
 	return NotRefused
