trial: generated deployments, loads and faults in simulated time

The emulator's load was that of one customer. What a caller gets is judged by the true work, which only the endpoint knows. Plays of one scenario with two policies give paired differences.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -6,6 +6,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -62,6 +63,8 @@
 	Capacity wire.Resources
 	// Slowness is the run time relative to the work of a task.
 	Slowness float64
+	// Service is the service of the endpoint; "service" if it is empty.
+	Service string
 	// Work returns the work and the size of a task; its payload is at hand.
 	Work func(task, payload string) (time.Duration, wire.Resources)
 
@@ -151,7 +154,7 @@
 	e.announced++
 	return endpointapi.Announcement{
 		Profile: wire.Profile{
-			Instance: e.instanceLocked(), Service: "service", Address: e.Name, DataCentre: "centre", Capacity: e.Capacity,
+			Instance: e.instanceLocked(), Service: cmp.Or(e.Service, "service"), Address: e.Name, DataCentre: "centre", Capacity: e.Capacity,
 		},
 		Born: e.born.UnixMilli(), Sequence: e.announced, Draining: draining, Clock: e.clockLocked(),
 	}
--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -27,7 +27,27 @@
 // package router chooses place the jobs of all, and each agent serves one of them.
 func NewRoutedSystem(ctx context.Context, endpoints []*Endpoint, milliCores []uint32, log io.Writer) *System {
 	s := &System{Endpoints: endpoints, ctx: ctx, Log: log}
+	s.startRouted(milliCores)
+	return s
+}
+
+// NewPolicySystem returns a system whose processes follow a policy: each entry with few of
+// them, and those that package policy chooses where there are many, place the jobs of all.
+func NewPolicySystem(ctx context.Context, endpoints []*Endpoint, milliCores []uint32, p policy.Policy, log io.Writer) *System {
+	s := &System{Endpoints: endpoints, ctx: ctx, Log: log, Policy: p}
+	if len(milliCores) > policy.FewEntries {
+		s.startRouted(milliCores)
+		return s
+	}
+	s.start(len(milliCores))
+	s.connectAll()
+	return s
+}
+
+// startRouted starts entries with the given processor shares, of which some place jobs.
+func (s *System) startRouted(milliCores []uint32) {
 	s.start(len(milliCores))
+	ctx := s.ctx
 	var listed []policy.Entry
 	for i, e := range s.entries {
 		listed = append(listed, policy.Entry{Address: e.name, MilliCores: milliCores[i]})
@@ -36,7 +56,7 @@
 	s.connectChosen(placers, 1)
 	for _, e := range s.entries {
 		e.Router = router.New(router.Config{
-			Local: e.Coordinator, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
+			Local: e.Coordinator, Policy: s.Policy, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
 		})
 		e.Router.Enable(len(milliCores) > policy.FewEntries)
 		go e.Router.Run(ctx)
@@ -48,7 +68,6 @@
 			}
 		}
 	}
-	return s
 }
 
 // placersUsed is the number of entries that an entry passes jobs on to.
@@ -98,8 +117,12 @@
 	go back.deliver(open, func(m wire.Message) { from.Router.Handle(placer, m) })
 }
 
-// Router returns the router of an entry of a routed system.
-func (s *System) Router(i int) *router.Router { return s.entries[i].Router }
+// Router returns the router of an entry of a routed system, nil in another one.
+func (s *System) Router(i int) *router.Router {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[i].Router
+}
 
 // others returns names without the given one.
 func others(names []string, name string) []string {
--- a/emulator/system.go
+++ b/emulator/system.go
@@ -14,6 +14,7 @@
 	"oriolerelay/executor"
 	"oriolerelay/job"
 	"oriolerelay/ledger"
+	"oriolerelay/policy"
 	"oriolerelay/router"
 	"oriolerelay/wire"
 )
@@ -36,6 +37,8 @@
 	Store *Store
 	// AgentTiming holds the times of the agents, those of Timing if it is zero.
 	AgentTiming executor.Timing
+	// Policy is that of all processes.
+	Policy policy.Policy
 
 	ctx     context.Context
 	mu      sync.Mutex
@@ -116,7 +119,7 @@
 	e := s.Endpoints[i]
 	a := &Agent{endpoint: e, stop: stop, name: "agent-" + e.Name}
 	a.Executor = executor.New(executor.Config{
-		Endpoint: e, Timing: s.agentTiming(), Log: s.logger(a.name), Metrics: executor.NewMetrics(prometheus.NewRegistry()),
+		Endpoint: e, Timing: s.agentTiming(), Policy: s.Policy, Log: s.logger(a.name), Metrics: executor.NewMetrics(prometheus.NewRegistry()),
 	})
 	go a.Executor.Run(ctx)
 	go func() {
@@ -146,7 +149,7 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	n := &Entry{stop: stop, name: fmt.Sprintf("entry-%d", i), incarnation: incarnation, cut: make(map[int]bool)}
 	n.Coordinator = coordinator.New(coordinator.Config{
-		DataCentre: "centre", Timing: coordinator.DefaultTiming(Timing().OrphanEnd(), 1.5),
+		DataCentre: "centre", Policy: s.Policy, Timing: coordinator.DefaultTiming(Timing().OrphanEnd(), 1.5),
 		Log: s.logger(n.name), Metrics: coordinator.NewMetrics(prometheus.NewRegistry()),
 	})
 	if s.Store != nil {
--- /dev/null
+++ b/trial/compare.go
@@ -0,0 +1,123 @@
+package trial
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"oriolerelay/policy"
+)
+
+// Naive names the policy without any mechanism.
+const Naive = "naive"
+
+// ParsePolicy returns the policy without the mechanisms of a list with commas; an empty list
+// means that all are in use.
+func ParsePolicy(list string) (policy.Policy, error) {
+	if list == "" {
+		return policy.Policy{}, nil
+	}
+	if list == Naive {
+		var names []string
+		for _, m := range policy.Mechanisms() {
+			names = append(names, string(m))
+		}
+		return policy.Without(names...)
+	}
+	return policy.Without(strings.Split(list, ",")...)
+}
+
+// Played is the outcome of one seed with one policy, named by the mechanisms that it does
+// without.
+type Played struct {
+	Seed    uint64   `json:"seed"`
+	Policy  string   `json:"policy"`
+	Groups  []string `json:"groups"`
+	Outcome Outcome  `json:"outcome"`
+}
+
+// Difference compares a policy with the first one on the same seeds.
+type Difference struct {
+	Group  string `json:"group"`
+	Policy string `json:"policy"`
+	Seeds  int    `json:"seeds"`
+	// Worth is the mean worth with the policy, and Mean its difference to the first one,
+	// with half the width of the 95% confidence interval.
+	Worth float64 `json:"worth"`
+	Mean  float64 `json:"difference"`
+	Half  float64 `json:"half_width"`
+	// Better and Worse count the seeds that differ by more than a hundredth.
+	Better int `json:"better"`
+	Worse  int `json:"worse"`
+}
+
+// All names the group of all seeds.
+const All = "all"
+
+// normal95 is the factor of the standard error for a confidence of 95%.
+const normal95 = 1.96
+
+// Compare returns the paired differences of each policy to the first, by group.
+func Compare(played []Played, policies []string) ([]Difference, error) {
+	if len(policies) == 0 {
+		return nil, fmt.Errorf("no policy to compare with")
+	}
+	byPolicy := make(map[string]map[uint64]Played)
+	var groups []string
+	for _, x := range played {
+		if byPolicy[x.Policy] == nil {
+			byPolicy[x.Policy] = make(map[uint64]Played)
+		}
+		byPolicy[x.Policy][x.Seed] = x
+		for _, g := range x.Groups {
+			if !slices.Contains(groups, g) {
+				groups = append(groups, g)
+			}
+		}
+	}
+	slices.Sort(groups)
+	var out []Difference
+	for _, group := range append([]string{All}, groups...) {
+		for _, name := range policies {
+			d := difference(byPolicy[policies[0]], byPolicy[name], group)
+			d.Group, d.Policy = group, name
+			out = append(out, d)
+		}
+	}
+	return out, nil
+}
+
+func difference(first, other map[uint64]Played, group string) (d Difference) {
+	var differences []float64
+	for seed, a := range first {
+		b, ok := other[seed]
+		if !ok || group != All && !slices.Contains(a.Groups, group) {
+			continue
+		}
+		x := b.Outcome.Worth - a.Outcome.Worth
+		differences = append(differences, x)
+		d.Worth += b.Outcome.Worth
+		switch {
+		case x > 0.01:
+			d.Better++
+		case x < -0.01:
+			d.Worse++
+		}
+	}
+	d.Seeds = len(differences)
+	if d.Seeds == 0 {
+		return d
+	}
+	n := float64(d.Seeds)
+	d.Worth /= n
+	for _, x := range differences {
+		d.Mean += x / n
+	}
+	variance := 0.0
+	for _, x := range differences {
+		variance += (x - d.Mean) * (x - d.Mean) / math.Max(n-1, 1)
+	}
+	d.Half = normal95 * math.Sqrt(variance/n)
+	return d
+}
--- /dev/null
+++ b/trial/play.go
@@ -0,0 +1,192 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oriolerelay/emulator"
+	"oriolerelay/errkind"
+	"oriolerelay/internal/bubble"
+	"oriolerelay/job"
+	"oriolerelay/policy"
+	"oriolerelay/wire"
+)
+
+// lateShare is what an answer is worth that comes within three objectives.
+const lateShare = 0.2
+
+// Outcome is what the callers of a trial got.
+type Outcome struct {
+	Jobs    int `json:"jobs"`
+	InTime  int `json:"in_time"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	// Worth is the share of the worth of all jobs that was earned: by answers in time, and
+	// a fifth by late ones.
+	Worth float64 `json:"worth"`
+	// RefusedLate is the mean time after which refused jobs were refused, as a share of
+	// their objective.
+	RefusedLate float64 `json:"refused_late"`
+	// Broken lists the promises that were broken.
+	Broken []string `json:"broken,omitempty"`
+}
+
+// Play plays a scenario with a policy, on a simulated clock.
+func Play(t *testing.T, s Scenario, p policy.Policy) (out Outcome) {
+	t.Helper()
+	bubble.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		system := emulator.NewPolicySystem(ctx, s.fleet(), s.Entries, p, nil)
+		time.Sleep(1600 * time.Millisecond) // the agents connect
+		out = s.play(ctx, system)
+		stop()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+	})
+	return out
+}
+
+// fleet returns the endpoints, which know the true work of each task.
+func (s *Scenario) fleet() []*emulator.Endpoint {
+	type task struct {
+		work time.Duration
+		size wire.Resources
+	}
+	tasks := make(map[string]task)
+	for i := range s.Arrivals {
+		a := &s.Arrivals[i]
+		for k, w := range a.Work {
+			tasks[job.TaskID{Job: a.Job.ID, Index: k}.String()] = task{w, a.Job.Steps[0].Size}
+		}
+	}
+	var out []*emulator.Endpoint
+	for i, e := range s.Endpoints {
+		x := emulator.NewEndpoint(fmt.Sprintf("endpoint-%02d", i), e.Capacity, e.Slowness)
+		x.Service = e.Service
+		x.Work = func(name, _ string) (time.Duration, wire.Resources) { return tasks[name].work, tasks[name].size }
+		out = append(out, x)
+	}
+	return out
+}
+
+func (s *Scenario) play(ctx context.Context, system *emulator.System) Outcome {
+	begun := time.Now()
+	for _, f := range s.Faults {
+		time.AfterFunc(f.At, func() { strike(system, s, f, true) })
+		time.AfterFunc(f.At+f.For, func() { strike(system, s, f, false) })
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var tally tally
+	var answers []emulator.Answer
+	for i := range s.Arrivals {
+		a := &s.Arrivals[i]
+		time.Sleep(time.Until(begun.Add(a.At)))
+		wg.Go(func() {
+			sent := time.Now()
+			ctx, cancel := context.WithTimeout(ctx, drain)
+			defer cancel()
+			state, err := submit(ctx, system, a.Entry, a.Job)
+			mu.Lock()
+			defer mu.Unlock()
+			tally.add(a, time.Since(sent), state, err)
+			answers = append(answers, emulator.Answer{Job: a.Job.ID, Sent: sent, At: time.Now(), State: state, Err: err})
+		})
+	}
+	wg.Wait()
+	out := tally.outcome()
+	for _, line := range system.Check(answers) {
+		out.Broken = append(out.Broken, strings.TrimSpace(line))
+	}
+	return out
+}
+
+func submit(ctx context.Context, system *emulator.System, entry int, j job.Submission) (job.State, *errkind.Error) {
+	if r := system.Router(entry); r != nil {
+		return r.Submit(ctx, j)
+	}
+	return system.Entry(entry).Submit(ctx, j)
+}
+
+// strike begins or ends a fault.
+func strike(system *emulator.System, s *Scenario, f Fault, begins bool) {
+	for _, i := range f.Targets {
+		switch f.Kind {
+		case FaultKillEntry:
+			if begins {
+				system.KillEntry(i)
+			}
+		case FaultKillAgent:
+			if begins {
+				system.KillAgent(i)
+			}
+		default:
+			strikeEndpoint(system.Endpoints[i], s.Endpoints[i].Slowness, f, begins)
+		}
+	}
+}
+
+func strikeEndpoint(e *emulator.Endpoint, slowness float64, f Fault, begins bool) {
+	if !begins {
+		e.SetFaults(emulator.Faults{})
+		e.SetSlowness(slowness)
+		return
+	}
+	switch f.Kind {
+	case FaultSlow:
+		e.SetSlowness(slowness * f.Strength)
+	case FaultHang:
+		e.SetFaults(emulator.Faults{Hang: true})
+	case FaultFail:
+		e.SetFaults(emulator.Faults{Fail: true})
+	case FaultCrash:
+		e.Crash()
+		e.SetFaults(emulator.Faults{Down: true})
+	case FaultLose:
+		e.SetFaults(emulator.Faults{LoseShare: f.Strength, DelayBy: 2 * time.Second})
+	}
+}
+
+// tally counts answers.
+type tally struct {
+	Outcome
+	owed, earned, refusedAfter float64
+}
+
+func (t *tally) add(a *Arrival, took time.Duration, state job.State, err *errkind.Error) {
+	t.Jobs++
+	t.owed += a.Worth
+	objective := a.objective()
+	switch {
+	case err != nil && err.Answer().Outcome == errkind.NotRun:
+		t.Refused++
+		t.refusedAfter += float64(took) / float64(objective)
+	case err != nil || state != job.Completed:
+		t.Failed++
+	case took <= objective:
+		t.InTime++
+		t.earned += a.Worth
+	default:
+		t.Late++
+		if took <= 3*objective {
+			t.earned += lateShare * a.Worth
+		}
+	}
+}
+
+func (t *tally) outcome() Outcome {
+	out := t.Outcome
+	if t.owed > 0 {
+		out.Worth = t.earned / t.owed
+	}
+	if t.Refused > 0 {
+		out.RefusedLate = t.refusedAfter / float64(t.Refused)
+	}
+	return out
+}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,76 @@
+package trial
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/policy"
+)
+
+var (
+	firstSeed = flag.Uint64("trial.first", 1, "first seed of TestPlay")
+	seeds     = flag.Int("trial.seeds", 0, "number of seeds of TestPlay; none by default")
+	off       = flag.String("trial.off", "", "mechanisms that TestPlay does without, or naive for all")
+	outFile   = flag.String("trial.out", "", "file to which TestPlay appends a line for each seed")
+)
+
+// parse returns the policy of a list of mechanisms that are off.
+func parse(t *testing.T, list string) policy.Policy {
+	t.Helper()
+	p, err := ParsePolicy(list)
+	qt.Assert(t, err, qt.IsNil)
+	return p
+}
+
+// TestPlay plays seeds for the command "oriolectl load policies". Its results are lines of
+// JSON.
+func TestPlay(t *testing.T) {
+	if *seeds == 0 {
+		return
+	}
+	p := parse(t, *off)
+	f, err := os.OpenFile(*outFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	qt.Assert(t, err, qt.IsNil)
+	defer f.Close()
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+		s := Generate(seed)
+		b, err := json.Marshal(Played{Seed: seed, Policy: *off, Groups: s.Groups, Outcome: Play(t, s, p)})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = f.Write(append(b, '\n'))
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
+// Guards against a default policy that serves callers worse than one without any of its
+// mechanisms, and against promises that it breaks.
+func TestDefaultIsBetterThanNaive(t *testing.T) {
+	var mine, naive float64
+	for seed := uint64(1001); seed <= 1006; seed++ {
+		s := Generate(seed)
+		a, b := Play(t, s, policy.Policy{}), Play(t, s, parse(t, Naive))
+		qt.Check(t, a.Broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+		t.Logf("seed %d: %.3f against %.3f, %d jobs (%s)", seed, a.Worth, b.Worth, a.Jobs, strings.Join(s.Groups, ", "))
+		mine, naive = mine+a.Worth, naive+b.Worth
+	}
+	if mine < naive {
+		t.Errorf("worth %.3f, and %.3f without any mechanism", mine, naive)
+	}
+}
+
+// Guards against scenarios that differ between two policies that are compared.
+func TestGenerateIsRepeatable(t *testing.T) {
+	for seed := range uint64(20) {
+		a, b := Generate(seed), Generate(seed)
+		qt.Assert(t, a, qt.DeepEquals, b)
+		tasks := 0
+		for _, x := range a.Arrivals {
+			tasks += len(x.Work)
+		}
+		qt.Check(t, tasks > 0 && tasks < 3*mostTasks, qt.IsTrue, qt.Commentf("seed %d has %d tasks", seed, tasks))
+	}
+}
