policy: half of the slack and no forecast; no queue at agents; callers that return come last

Hypothesis: the forecast is what errs, and the share of the objective only covers for it. Jobs ahead are refused themselves when they have waited, so that the work ahead overstates the wait. The forecast goes; its releases of room tell refused callers when to come back. A job that has no slack left is refused at once.

Hypothesis: after an outage half of the jobs come from callers who have tried for as long as it lasted, are late in any case, and take the room of those that could be in time. The remaining patience tells how long a caller has waited: each queue learns how patience and size go together, and a job that is far below counts as older.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,11 +29,8 @@
 	OrphanEnd time.Duration
 	// TrialInterval is the time between two tasks on an endpoint that fails most.
 	TrialInterval time.Duration
-	// WarmUp is how long after the start of the process the agents may still be
-	// connecting.
-	WarmUp   time.Duration
-	Tick     time.Duration
-	IdleTick time.Duration
+	Tick          time.Duration
+	IdleTick      time.Duration
 	// FarFactor is how much longer a task runs away from its data.
 	FarFactor float64
 }
@@ -45,7 +42,6 @@
 		AgentSilence:  450 * time.Millisecond,
 		OrphanEnd:     orphanEnd,
 		TrialInterval: 400 * time.Millisecond,
-		WarmUp:        1500 * time.Millisecond,
 		Tick:          10 * time.Millisecond,
 		IdleTick:      100 * time.Millisecond,
 		FarFactor:     farFactor,
@@ -87,19 +83,21 @@
 	rooms       atomic.Pointer[[]wire.ServiceRoom]
 	roomsAt     time.Time // when rooms was last computed
 	labels      atomic.Pointer[[]wire.ServiceLabels]
+	patience    map[string]*policy.CallerPatience // by queue
 }
 
 // New returns a Coordinator that does not run yet.
 func New(cfg Config) *Coordinator {
 	c := &Coordinator{
-		cfg:     cfg,
-		started: time.Now(),
-		loop:    loop.New(),
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		agents:  make(map[string]*agent),
-		jobs:    make(map[string]*run),
-		strays:  make(map[string][]stray),
-		orders:  make(map[*agent][]wire.OrderGroup),
+		cfg:      cfg,
+		started:  time.Now(),
+		loop:     loop.New(),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		agents:   make(map[string]*agent),
+		jobs:     make(map[string]*run),
+		strays:   make(map[string][]stray),
+		orders:   make(map[*agent][]wire.OrderGroup),
+		patience: make(map[string]*policy.CallerPatience),
 	}
 	c.outOfReach.Store(true) // until one is heard
 	return c
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -29,7 +29,7 @@
 // endpoint describes the endpoint of an agent to package policy.
 func (c *Coordinator) endpoint(a *agent, now time.Time) policy.Endpoint {
 	e := policy.Endpoint{
-		Free: policy.RoomLeft(a.profile.Capacity, a.status.Used.Plus(a.status.Waiting)), Capacity: a.profile.Capacity,
+		Free: policy.RoomLeft(a.profile.Capacity, a.status.Used), Capacity: a.profile.Capacity,
 		Slowness: float64(a.status.SlownessPermille) / 1000,
 		Open:     a.send != nil && !a.silent && a.status.Closed == 0 && !c.emptied.Has(a.profile.DataCentre),
 		NoStored: a.status.Unrecorded,
@@ -103,12 +103,12 @@
 				c.dropUnheard(j, now)
 				continue
 			}
-			if c.refuseHopeless(j, v, now) {
+			if c.refuseWaiting(j, v, now) {
 				continue
 			}
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
-		v.ahead += j.waitingWork()
+		v.ahead += float64(j.waitingMilliCores()) / 1000
 	}
 }
 
@@ -116,13 +116,13 @@
 type serviceView struct {
 	endpoints []policy.Endpoint
 	agents    []*agent
-	// ahead is the work of the jobs that came before and found no room, in core-seconds, and
-	// rate the number of cores that work.
-	ahead, rate float64
+	// ahead is what the jobs need that came before and found no room, in cores.
+	ahead    float64
+	releases policy.Releases
 }
 
 func (c *Coordinator) view(q *job.Queue, now time.Time) *serviceView {
-	v := &serviceView{rate: c.rate(q.Service, now)}
+	v := &serviceView{releases: c.releases(q.Service, now)}
 	v.endpoints, v.agents = c.snapshot(q, now)
 	return v
 }
@@ -135,19 +135,20 @@
 	j.answer(outcome{err: errkind.New(errkind.CancelledRunning, "the caller has gone")})
 }
 
-// refuseHopeless refuses a job that has not begun and will not be in time. It reports
+// refuseWaiting refuses a job that has not begun and has waited for too long. It reports
 // whether it did.
-func (c *Coordinator) refuseHopeless(j *run, v *serviceView, now time.Time) bool {
+func (c *Coordinator) refuseWaiting(j *run, v *serviceView, now time.Time) bool {
 	w := c.candidate(j)
 	w.Unplaced = unplaced(j, v.endpoints)
-	by := c.cfg.Policy.Refuse(w, now, v.ahead, v.rate)
-	if by == policy.NotRefused {
+	if !c.cfg.Policy.Refuse(w, now) {
 		return false
 	}
-	err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.1f core-seconds wait, %.0f cores work", v.ahead, v.rate)
-	err.RetryAfter = policy.RetryAfter(v.ahead, v.rate)
-	c.refuse(j, err, "by", by, "ahead_core_s", v.ahead, "rate_cores", v.rate, "need_millicores", j.waitingMilliCores(),
-		"unplaced_core_s", w.Unplaced, "heard_ms", oldestNews(v.agents, now).Milliseconds(),
+	need := v.ahead + w.Unplaced
+	err := errkind.New(errkind.QueueFull, "no endpoint has room in time: %.0f cores are needed for it and those before it", need)
+	err.RetryAfter = policy.RetryAfter(need, v.releases)
+	c.refuse(j, err, "slack_ms", j.objective.Sub(j.arrived.Add(j.needs)).Milliseconds(),
+		"ahead_cores", v.ahead, "unplaced_cores", w.Unplaced, "need_millicores", j.waitingMilliCores(),
+		"heard_ms", oldestNews(v.agents, now).Milliseconds(),
 		"free_millicores", policy.Places(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores))
 	return true
 }
@@ -162,9 +163,9 @@
 	return oldest
 }
 
-// unplaced returns the work of the waiting tasks of j that find no room now, in
-// core-seconds. The tasks of each step are as large as the step says.
-func unplaced(j *run, endpoints []policy.Endpoint) (work float64) {
+// unplaced returns what the waiting tasks of j need that find no room now, in cores. The
+// tasks of each step are as large as the step says.
+func unplaced(j *run, endpoints []policy.Endpoint) (cores float64) {
 	for si, tasks := range j.steps {
 		waiting := 0
 		for _, t := range tasks {
@@ -174,40 +175,26 @@
 		}
 		st := &j.spec.Steps[si]
 		if n := waiting - policy.Places(endpoints, st.Size); n > 0 {
-			work += float64(n) * st.Work(minRunTime)
+			cores += float64(n) * float64(st.Size.MilliCores) / 1000
 		}
 	}
-	return work
+	return cores
 }
 
-// rate returns the number of cores that work for jobs of this entry at the endpoints of a
-// service, 0 while that is not known because the agents are still connecting.
-func (c *Coordinator) rate(service string, now time.Time) float64 {
-	if now.Sub(c.started) < c.cfg.Timing.WarmUp {
-		return 0
-	}
-	var milliCores uint64
+// releases returns when the runs of this entry at the endpoints of a service are expected
+// to end. Other entries that order there use and free room in proportion.
+func (c *Coordinator) releases(service string, now time.Time) policy.Releases {
+	var ends []policy.Release
 	for _, a := range c.agents {
 		for _, t := range a.tasks {
 			if t.job.spec.Queue.Service == service {
-				milliCores += uint64(t.step.Size.MilliCores)
-			}
-		}
-	}
-	return float64(milliCores) / 1000
-}
-
-// waitingWork returns the work of the tasks that wait for room, in core-seconds.
-func (j *run) waitingWork() float64 {
-	work := 0.0
-	for _, tasks := range j.steps {
-		for _, t := range tasks {
-			if t.state == taskWaiting {
-				work += t.step.Work(minRunTime)
+				ends = append(ends, policy.Release{
+					After: policy.Remaining(t.expected, now.Sub(t.ordered)), Cores: float64(t.step.Size.MilliCores) / 1000,
+				})
 			}
 		}
 	}
-	return work
+	return policy.NewReleases(ends)
 }
 
 func (j *run) hasWaiting() bool {
@@ -241,6 +228,7 @@
 			if a.distrusted {
 				e.Open, a.trial = false, now
 			}
+			t.expected = choice.RunTime
 			c.order(t, a, now)
 		}
 	}
@@ -275,8 +263,8 @@
 func (t *task) orderGroup() wire.OrderGroup {
 	return wire.OrderGroup{
 		Payload: t.job.spec.Payload, Size: t.step.Size, EstimateMillis: uint32(t.step.Estimate.Milliseconds()),
-		Priority: int32(t.job.spec.Queue.Priority), Stored: t.job.stored != nil,
-		Trace: t.job.spec.Trace,
+		Stored: t.job.stored != nil,
+		Trace:  t.job.spec.Trace,
 	}
 }
 
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -57,6 +57,7 @@
 	agent    *agent
 	sequence uint64 // of the order on the agent's connection
 	ordered  time.Time
+	expected time.Duration // time from the order to its end
 	failures int
 	counted  int      // failures that count against the queue's attempts
 	avoid    []*agent // where it has failed or was slow
@@ -101,10 +102,12 @@
 	endpoints, _ := c.snapshot(&s.Queue, now)
 	typical := policy.TypicalSlowness(endpoints)
 	j.needs = time.Duration(typical * float64(j.chain()))
-	j.objective = j.arrived.Add(s.Queue.Objective(j.needs))
 	if s.Patience > 0 {
 		j.giveUp = j.arrived.Add(s.Patience)
 	}
+	age := c.callerAge(j)
+	j.arrived = j.arrived.Add(-age)
+	j.objective = j.arrived.Add(s.Queue.Objective(j.needs))
 	c.jobs[s.ID] = j
 	c.release(j)
 	c.enqueue(j)
@@ -113,7 +116,7 @@
 	c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "queue", s.Queue.Name, "tasks", j.left,
 		"objective_ms", j.objective.Sub(now).Milliseconds(), "patience_ms", s.Patience.Milliseconds(),
 		"needs_ms", j.needs.Milliseconds(), "stretch", s.Queue.Stretch, "target_ms", s.Queue.TargetLatency.Milliseconds(),
-		"typical_slowness", typical, "endpoints", len(endpoints), "waiting", len(c.waiting))
+		"age_ms", age.Milliseconds(), "typical_slowness", typical, "endpoints", len(endpoints), "waiting", len(c.waiting))
 }
 
 // chain returns the longest chain of declared run times.
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -368,7 +368,7 @@
 // status returns the status for e.
 func (x *Executor) status(e *entry) *wire.Status {
 	s := &wire.Status{
-		Used: x.used, Waiting: x.waitingRoom, Count: e.ordered, Closed: x.closedTo(e),
+		Used: x.used, Count: e.ordered, Closed: x.closedTo(e),
 		SlownessPermille: x.health.slownessPermille(), FailedPermille: x.health.failedPermille(),
 		Time: x.clockMillis(), Unrecorded: x.unrecorded,
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -71,11 +71,8 @@
 
 	runs    map[string]*run // by task
 	used    wire.Resources
-	waiting []*run // for room
-	// waitingRoom is the room that they wait for.
-	waitingRoom wire.Resources
-	entries     map[string]*entry // by entry incarnation
-	recent      recentEnds
+	entries map[string]*entry // by entry incarnation
+	recent  recentEnds
 	// statusDirty is set when the entries have not been sent the newest status.
 	statusDirty bool
 	statusSent  time.Time
@@ -258,22 +255,12 @@
 	x.checkClaims(now)
 	x.checkAdopted(now)
 	x.checkStops(now)
-	x.checkClosed()
 	x.expireUnnoted(now)
 	x.repeatUnnoted(now)
 }
 
-// checkClosed gives the runs that wait for room back when no run is taken any more.
-func (x *Executor) checkClosed() {
-	reason := x.closed()
-	for reason != 0 && len(x.waiting) > 0 {
-		x.finish(x.waiting[0], wire.RunRejected, reason, "endpoint takes no new run")
-	}
-}
-
 // Settle implements loop.Controller: it sends what has changed.
 func (x *Executor) Settle(now time.Time) {
-	x.startWaiting(now)
 	x.sendReports(now)
 	x.sendStatus(now)
 	x.cfg.Metrics.observe(x)
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -86,7 +86,7 @@
 		return o, false
 	}
 	o = endpointapi.ObserveOrder{Instance: x.profile.Instance, Ack: x.ack()}
-	if len(x.runs) == len(x.waiting) && x.adopting.IsZero() && !x.unreachable && x.clock.known() &&
+	if len(x.runs) == 0 && x.adopting.IsZero() && !x.unreachable && x.clock.known() &&
 		x.ack() == x.acked {
 		return o, false
 	}
@@ -299,7 +299,7 @@
 func (x *Executor) absent(listed map[wire.Run]bool, sent, now time.Time) {
 	for _, r := range x.runs {
 		started := r.sentAt()
-		if r.state == runWaiting || listed[r.id] || started.After(sent) {
+		if listed[r.id] || started.After(sent) {
 			continue
 		}
 		switch {
--- a/executor/run.go
+++ b/executor/run.go
@@ -1,13 +1,10 @@
 package executor
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"oriolerelay/event"
-	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -36,8 +33,7 @@
 type runState uint8
 
 const (
-	runWaiting runState = iota // for room
-	runStarting
+	runStarting runState = iota
 	runRunning
 	runStopping
 )
@@ -55,7 +51,6 @@
 	starts   startCalls
 	leaseEnd time.Duration
 	started  time.Time
-	priority int32
 	stored   bool
 	reason   wire.RejectReason // for a run that is stopped because its start got no answer
 	// answered is set when the endpoint has accepted the start or listed the run.
@@ -78,51 +73,14 @@
 		return
 	}
 	r := &run{
-		id: id, entry: e.node, payload: g.Payload, size: g.Size, ordered: now, priority: g.Priority, stored: g.Stored,
+		id: id, entry: e.node, payload: g.Payload, size: g.Size, ordered: now, stored: g.Stored,
 		estimate: time.Duration(g.EstimateMillis) * time.Millisecond,
 	}
 	r.span = x.startSpan(r, g.Trace)
 	x.runs[id.Task] = r
-	if !x.mayStart(r) {
-		x.waiting = append(x.waiting, r)
-		x.waitingRoom = x.waitingRoom.Plus(r.size)
-		return
-	}
 	x.start(r, now)
 }
 
-// mayStart reports whether r has room, and no run waits that comes first.
-func (x *Executor) mayStart(r *run) bool {
-	for _, w := range x.waiting {
-		if w.priority <= r.priority {
-			return false
-		}
-	}
-	return x.used.Plus(r.size).Fits(x.profile.Capacity)
-}
-
-// startWaiting starts the runs that wait and now have room, by priority and then
-// by arrival.
-func (x *Executor) startWaiting(now time.Time) {
-	if len(x.waiting) == 0 || x.profile == nil {
-		return
-	}
-	slices.SortStableFunc(x.waiting, func(a, b *run) int { return cmp.Compare(a.priority, b.priority) })
-	for len(x.waiting) > 0 && x.used.Plus(x.waiting[0].size).Fits(x.profile.Capacity) {
-		r := x.waiting[0]
-		x.unqueue(r)
-		x.start(r, now)
-	}
-}
-
-// unqueue removes r from the runs that wait for room.
-func (x *Executor) unqueue(r *run) {
-	if i := slices.Index(x.waiting, r); i >= 0 {
-		x.waiting = slices.Delete(x.waiting, i, i+1)
-		x.waitingRoom = x.waitingRoom.Minus(r.size)
-	}
-}
-
 // start sends the start of r, for which there is room.
 func (x *Executor) start(r *run, now time.Time) {
 	r.state = runStarting
@@ -142,7 +100,7 @@
 	if g.Stored && x.unrecorded {
 		return wire.RejectUnrecorded
 	}
-	if !size.Fits(x.profile.Capacity) || !x.used.Plus(x.waitingRoom).Plus(size).Fits(x.limit()) {
+	if !size.Fits(x.profile.Capacity) || !x.used.Plus(size).Fits(x.profile.Capacity) {
 		return wire.RejectRoom
 	}
 	if !x.clock.known() {
@@ -151,24 +109,6 @@
 	return 0
 }
 
-// queueShare is the room, as a share of the capacity, that runs may wait for at an
-// agent. A few runs that wait here keep the endpoint busy while the news of free
-// room travels; more would be bound to this endpoint too early.
-const queueShare = 0.5
-
-// limit returns the room that runs may use or wait for.
-func (x *Executor) limit() wire.Resources {
-	c := x.profile.Capacity
-	if !x.cfg.Policy.Uses(policy.AgentQueue) {
-		return c
-	}
-	return wire.Resources{
-		MilliCores:   c.MilliCores + uint32(queueShare*float64(c.MilliCores)),
-		MemoryMiB:    c.MemoryMiB + uint32(queueShare*float64(c.MemoryMiB)),
-		Accelerators: c.Accelerators + uint32(queueShare*float64(c.Accelerators)),
-	}
-}
-
 // extendLease returns the lease end to send with a call that is made now, 0 while the
 // endpoint's clock is not known.
 func (x *Executor) extendLease(now time.Time) time.Duration {
@@ -182,10 +122,6 @@
 
 // stop stops r; reason is set when its start got no answer.
 func (x *Executor) stop(r *run, reason wire.RejectReason, now time.Time) {
-	if r.state == runWaiting {
-		x.finish(r, wire.RunRejected, wire.RejectWithdrawn, "withdrawn before it had room")
-		return
-	}
 	if r.state != runStopping {
 		r.state, r.reason = runStopping, reason
 	}
@@ -234,11 +170,7 @@
 	}
 	delete(x.runs, r.id.Task)
 	r.starts.giveUp()
-	if r.state == runWaiting {
-		x.unqueue(r)
-	} else {
-		x.used = x.used.Minus(r.size)
-	}
+	x.used = x.used.Minus(r.size)
 	x.statusDirty = true
 	r.span.end(state, reason, why)
 	rep := wire.Report{Run: r.id, State: state, Reason: reason}
--- a/executor/start.go
+++ b/executor/start.go
@@ -77,9 +77,6 @@
 // worker. Runs that an earlier process started count from when this one heard of them.
 func (r *run) sentAt() time.Time {
 	if r.starts.last == nil {
-		if r.state == runWaiting {
-			return time.Time{}
-		}
 		return r.ordered
 	}
 	if sent := r.starts.last.sent.Load(); sent != nil {
--- a/job/job.go
+++ b/job/job.go
@@ -55,12 +55,6 @@
 	Filler bool
 }
 
-// Work returns the work of one task in core-seconds. Tasks without a declared run time, or
-// with a shorter one, count with least.
-func (st *Step) Work(least time.Duration) float64 {
-	return float64(st.Size.MilliCores) / 1000 * max(st.Estimate, least).Seconds()
-}
-
 // Tasks returns the number of tasks of all steps.
 func (s *Submission) Tasks() int {
 	n := 0
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -9,9 +9,9 @@
 	NobodyServed Cause = "nobody served"
 	// InFlight: the entry, the agent or the endpoint that had the job was lost.
 	InFlight Cause = "in flight at a loss"
-	// NoRoom: refused, since the work ahead would have made it late.
+	// NoRoom: refused when it had waited, with less room than it needed.
 	NoRoom Cause = "refused for want of room"
-	// Patience: refused, since it had waited for its share of the objective.
+	// Patience: refused when it had waited, with room for it as far as known.
 	Patience Cause = "refused by patience"
 	// Waited: it got room too late.
 	Waited Cause = "waited for room"
--- a/losses/explain.go
+++ b/losses/explain.go
@@ -22,10 +22,10 @@
 // refused returns the cause of a refusal; ok is false for an answer that is none.
 func refused(answered, placed *line) (c Cause, ok bool) {
 	c, ok = refusalCauses[answered.kind()]
-	if by := answered.text("by"); by == "" && placed != nil && placed.code == codeJobRefused {
-		answered = placed
+	if placed == nil || placed.code != codeJobRefused {
+		placed = answered
 	}
-	if c == NoRoom && answered.text("by") == "patience" {
+	if c == NoRoom && placed.text("free_millicores") != "" && placed.number("free_millicores") >= placed.number("need_millicores") {
 		return Patience, true
 	}
 	return c, ok
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -23,7 +23,7 @@
 	Labels []string
 }
 
-// Room is free room. It is negative where tasks wait for room.
+// Room is free room. It is negative where more was ordered than there is room for.
 type Room struct{ MilliCores, MemoryMiB, Accelerators int64 }
 
 // RoomLeft returns what is left of a capacity.
@@ -46,37 +46,6 @@
 		int64(size.Accelerators) <= r.Accelerators
 }
 
-// waitShare is the room, as a share of the capacity, that tasks may wait for at an
-// endpoint. It is below what agents accept, since several entries send tasks there
-// at the same time.
-const waitShare = 0.08
-
-// takes reports whether a task of the given size has room on e, or may wait there.
-func (p Policy) takes(e *Endpoint, size wire.Resources) bool {
-	if !p.Uses(AgentQueue) {
-		return e.Free.Fits(size)
-	}
-	c := e.Capacity
-	return Room{
-		e.Free.MilliCores + int64(waitShare*float64(c.MilliCores)),
-		e.Free.MemoryMiB + int64(waitShare*float64(c.MemoryMiB)),
-		e.Free.Accelerators + int64(waitShare*float64(c.Accelerators)),
-	}.Fits(size)
-}
-
-// meanRun is a typical declared run time. Room that is short becomes free as the
-// runs of an endpoint end, one after another within it.
-const meanRun = 200 * time.Millisecond
-
-// wait is the expected wait for room of a task of the given size.
-func (e *Endpoint) wait(size wire.Resources) time.Duration {
-	short := int64(size.MilliCores) - e.Free.MilliCores
-	if short <= 0 || e.Capacity.MilliCores == 0 {
-		return 0
-	}
-	return time.Duration(float64(meanRun) * e.Slowness * float64(short) / float64(e.Capacity.MilliCores))
-}
-
 // Task is a task to be placed.
 type Task struct {
 	Size     wire.Resources
@@ -122,8 +91,8 @@
 	InTime bool
 }
 
-// ChooseEndpoint returns the endpoint for t: the one where it is expected to end first,
-// after those where it ends in time and need not wait for room. ok is false when
+// ChooseEndpoint returns the endpoint for t among those with room: the one where it is
+// expected to end first, those where it ends in time before the others. ok is false when
 // none has room for it. random breaks ties.
 func (p Policy) ChooseEndpoint(endpoints []Endpoint, t *Task, random uint64) (best Choice, ok bool) {
 	bestCost := 0.0
@@ -131,10 +100,10 @@
 	for k := range n {
 		i := int((random + uint64(k)) % uint64(n))
 		e := &endpoints[i]
-		if !e.Open || !t.Allowed(e) || !p.takes(e, t.Size) || t.full(i) {
+		if !e.Open || !t.Allowed(e) || !e.Free.Fits(t.Size) || t.full(i) {
 			continue
 		}
-		c := Choice{Index: i, RunTime: t.RunTime(e) + e.wait(t.Size)}
+		c := Choice{Index: i, RunTime: t.RunTime(e)}
 		c.InTime = float64(c.RunTime) <= budgetMargin*float64(t.Budget)
 		cost := p.cost(t, e, i, c)
 		if !ok || cost < bestCost {
@@ -149,7 +118,6 @@
 // Costs are in milliseconds of expected run time.
 const (
 	lateCost  = 1e6 // ends after the objective
-	waitCost  = 1e5 // waits for room there
 	avoidCost = 1e7 // has failed there, or was slow there
 	// spreadCost is added for a fully used endpoint, so that equal ones share work.
 	spreadCost = 10.0
@@ -163,9 +131,6 @@
 	if !c.InTime {
 		cost += lateCost
 	}
-	if !e.Free.Fits(t.Size) {
-		cost += waitCost
-	}
 	if p.Uses(Avoid) && slices.Contains(t.Avoid, i) {
 		cost += avoidCost
 	}
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -1,13 +1,59 @@
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// waitFor is how long work takes at a rate; 0 while the rate is not known.
-func waitFor(work, rate float64) time.Duration {
-	if rate <= 0 {
-		return 0
+// Release is room that becomes free when a run ends.
+type Release struct {
+	After time.Duration
+	Cores float64
+}
+
+// Releases tell when room becomes free, in the order of time.
+type Releases struct {
+	ends  []Release
+	total float64
+}
+
+// NewReleases returns the releases of runs that end one after the other. It sorts ends.
+func NewReleases(ends []Release) Releases {
+	slices.SortFunc(ends, func(a, b Release) int { return int(a.After - b.After) })
+	r := Releases{ends: ends}
+	for _, e := range ends {
+		r.total += e.Cores
+	}
+	return r
+}
+
+// Until returns the time after which the given cores have become free. Beyond the runs that
+// are known, it assumes that those that follow them take as long. ok is false while nothing
+// is known to run.
+func (r Releases) Until(cores float64) (after time.Duration, ok bool) {
+	if r.total <= 0 {
+		return 0, false
+	}
+	rounds := time.Duration(cores / r.total)
+	cores -= float64(rounds) * r.total
+	last := r.ends[len(r.ends)-1].After
+	for _, e := range r.ends {
+		if cores <= 0 {
+			break
+		}
+		after = e.After
+		cores -= e.Cores
 	}
-	return time.Duration(work / rate * float64(time.Second))
+	return after + rounds*last, true
+}
+
+// overdueShare is the rest that a run is expected to take, as a share of its expected run
+// time, once it has taken longer.
+const overdueShare = 0.25
+
+// Remaining returns the expected rest of a run.
+func Remaining(expected, elapsed time.Duration) time.Duration {
+	return max(expected-elapsed, time.Duration(overdueShare*float64(expected)))
 }
 
 // TypicalSlowness returns the capacity-weighted mean slowness of the open
--- a/policy/order.go
+++ b/policy/order.go
@@ -13,7 +13,7 @@
 	Objective time.Time
 	// Needs is the expected run time of its longest task.
 	Needs time.Duration
-	// Unplaced is the work of its tasks that find no room now, in core-seconds.
+	// Unplaced is what its tasks need that find no room now, in cores.
 	Unplaced float64
 	// Started is set when one of its tasks was ordered: it can not be refused.
 	Started bool
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,20 +21,18 @@
 	// Patience refuses a job that has waited for a share of its objective: more load than
 	// the endpoints can work off.
 	Patience Mechanism = "patience"
-	// Forecast refuses a job that would end too late after the work ahead of it: the same.
-	Forecast Mechanism = "forecast"
 	// InTimeFirst gives room to jobs that can still end in time before the others: a backlog.
 	InTimeFirst Mechanism = "in_time_first"
 	// BegunFirst gives room to jobs that have begun before those that have not: wide jobs
 	// under load.
 	BegunFirst Mechanism = "begun_first"
+	// CallerAge takes callers with less patience than others for ones that have waited
+	// elsewhere: the crowd that returns after an outage, of whose jobs most are late already.
+	CallerAge Mechanism = "caller_age"
 	// Trust gives an endpoint that fails most of its runs only trial tasks.
 	Trust Mechanism = "trust"
 	// Avoid runs a task elsewhere than where it has failed or was slow.
 	Avoid Mechanism = "avoid"
-	// AgentQueue lets a few tasks wait at the endpoint where they will run: load near the
-	// capacity, where the news of free room comes too late to use it.
-	AgentQueue Mechanism = "agent_queue"
 	// Spread prefers the emptier of endpoints that are alike.
 	Spread Mechanism = "spread"
 	// Local prefers endpoints in the own data centre among those that are alike.
@@ -55,7 +53,7 @@
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Moves, Patience, Forecast, InTimeFirst, BegunFirst, Trust, Avoid, AgentQueue, Spread, Local, TwoChoices,
+		Moves, Patience, InTimeFirst, BegunFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices,
 		SecondTry, RepeatedStarts, EarlyLookup,
 	}
 }
--- a/policy/refuse.go
+++ b/policy/refuse.go
@@ -2,37 +2,22 @@
 
 import "time"
 
-// patienceShare is the share of its latency objective that a job may wait
-// without room. A caller that is refused early can go elsewhere in time.
-const patienceShare = 0.25
+// patienceShare is the share of its slack that a job may wait without room. Half of it is
+// left for what the run may take longer than expected, and for the caller to go elsewhere.
+const patienceShare = 0.5
 
-// Refusal is the reason for which a job is refused.
-type Refusal string
-
-// Reasons for a refusal.
-const (
-	NotRefused Refusal = ""
-	// ByPatience: the job has waited for its share of the objective.
-	ByPatience Refusal = "patience"
-	// ByForecast: it would end too late after the work ahead of it.
-	ByForecast Refusal = "forecast"
-)
-
-// Refuse decides whether a job is refused now: when it would end too late after the work
-// ahead of it, or, while some of its tasks find no room, when it has waited for its share
-// of the objective. A job that nothing comes before and that has room is never refused:
-// also a late answer serves its caller more than none. ahead is the work before it in
-// core-seconds and rate is the number of cores that work it off.
-func (p Policy) Refuse(w *Waiting, now time.Time, ahead, rate float64) Refusal {
-	if w.Started || w.Unplaced == 0 && ahead == 0 {
-		return NotRefused
-	}
-	limit := time.Duration(patienceShare * float64(w.Objective.Sub(w.Arrived)))
-	switch {
-	case p.Uses(Forecast) && w.late(now.Add(waitFor(ahead+w.Unplaced, rate))):
-		return ByForecast
-	case p.Uses(Patience) && w.Unplaced > 0 && now.Sub(w.Arrived) >= limit:
-		return ByPatience
+// Refuse decides whether a job is refused now: when some of its tasks find no room, and it
+// has waited for its share of the slack that its objective leaves beyond its expected run
+// time. A job that cannot be in time any more has none, and is refused at once. One that has
+// room is never refused: also a late answer serves its caller more than none.
+//
+// A forecast of the wait from the work ahead was tried in two forms and refused jobs that
+// would have found room in time: those ahead are refused themselves when they have waited
+// for their share.
+func (p Policy) Refuse(w *Waiting, now time.Time) bool {
+	if w.Started || w.Unplaced == 0 || !p.Uses(Patience) {
+		return false
 	}
-	return NotRefused
+	slack := max(w.Objective.Sub(w.Arrived)-w.Needs, 0)
+	return now.Sub(w.Arrived) >= time.Duration(patienceShare*float64(slack))
 }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -2,10 +2,16 @@
 
 import "time"
 
-// RetryAfter is the time after which a refused caller finds room again: the work
-// that waits before it, at the rate at which it is worked off. It is bounded, since
-// load and capacity change within seconds.
-func RetryAfter(ahead, rate float64) time.Duration {
-	const lowest, highest = time.Second, 5 * time.Second
-	return min(max(waitFor(ahead, rate), lowest), highest)
+// Bounds of the time after which a refused caller may come back. Load and capacity change
+// within seconds.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 5 * time.Second
+)
+
+// RetryAfter is the time after which a refused caller finds room: when the jobs that wait,
+// and its own, have found it.
+func RetryAfter(cores float64, r Releases) time.Duration {
+	wait, _ := r.Until(cores)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
--- /dev/null
+++ b/relay/learned_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/coordinator"
+	"oriolerelay/event"
+	"oriolerelay/internal/bubble"
+	"oriolerelay/internal/syncbuf"
+	"oriolerelay/policy"
+)
+
+// fakeLearned learns nothing by itself, and keeps what it is told and what is saved.
+type fakeLearned struct {
+	mu      sync.Mutex
+	records [][]byte
+	fails   bool
+	learned []coordinator.Learned
+	own     coordinator.Learned
+	saved   map[string]string
+}
+
+func (f *fakeLearned) Learned() coordinator.Learned { return f.own }
+
+func (f *fakeLearned) Learn(l coordinator.Learned) { f.learned = append(f.learned, l) }
+
+func (f *fakeLearned) LoadLearned(context.Context) ([][]byte, error) { return f.records, nil }
+
+func (f *fakeLearned) SaveLearned(_ context.Context, host string, b []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fails {
+		return errors.New("away")
+	}
+	f.saved[host] = string(b)
+	return nil
+}
+
+// Guards against an entry that knows nothing of its callers after an outage, when it matters
+// most, or that stops at a record that it cannot read or write.
+func TestLearnedOutlivesTheProcess(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := new(syncbuf.Buffer)
+		run := func(f *fakeLearned) (stop func()) {
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				keepLearned(ctx, "host-1", f, f, event.NewLogger(log, "host-1"))
+			}()
+			return func() { cancel(); <-done }
+		}
+		known := coordinator.Learned{Patience: map[string]policy.CallerPatience{"q": {Weight: 77, Stated: 0.5}}}
+		first := &fakeLearned{own: known, saved: make(map[string]string), fails: true}
+		stop := run(first)
+		time.Sleep(learnedInterval + time.Second)
+		synctest.Wait()
+		first.mu.Lock()
+		first.fails = false
+		first.mu.Unlock()
+		c.Check(logged(log, "write=learned"), qt.IsTrue)
+		time.Sleep(learnedInterval)
+		stop()
+		c.Assert(first.saved["host-1"], qt.Not(qt.Equals), "")
+
+		second := &fakeLearned{records: [][]byte{[]byte("{"), []byte(first.saved["host-1"])}, saved: make(map[string]string)}
+		stop = run(second)
+		synctest.Wait()
+		c.Check(second.learned, qt.DeepEquals, []coordinator.Learned{known})
+		c.Check(logged(log, "read=learned"), qt.IsTrue)
+		time.Sleep(2 * learnedInterval)
+		stop()
+		c.Check(second.saved, qt.HasLen, 0) // nothing was learned
+	})
+}
--- a/trial/play.go
+++ b/trial/play.go
@@ -95,7 +95,7 @@
 			state, err := submit(ctx, system, a.Entry, a.Job)
 			mu.Lock()
 			defer mu.Unlock()
-			tally.add(a, time.Since(sent), state, err)
+			tally.add(a, a.Waited+time.Since(sent), state, err)
 			answers = append(answers, emulator.Answer{Job: a.Job.ID, Sent: sent, At: time.Now(), State: state, Err: err})
 		})
 	}
--- a/trial/scenario.go
+++ b/trial/scenario.go
@@ -51,6 +51,8 @@
 	Work []time.Duration
 	// Worth is what its answer in time is worth, relative to the mean of all jobs.
 	Worth float64
+	// Waited is how long the caller has tried in vain to hand the job in.
+	Waited time.Duration
 }
 
 // FaultKind is a kind of trouble.
@@ -205,6 +207,7 @@
 		})
 	}
 	g.loadGroup(services)
+	g.outage()
 	slices.SortFunc(g.s.Arrivals, func(a, b Arrival) int { return int(a.At - b.At) })
 	mean := 0.0
 	for _, a := range g.s.Arrivals {
@@ -215,6 +218,29 @@
 	}
 }
 
+// outage makes the callers of some seconds come together after them. Those who have no
+// patience left stay away.
+func (g *generator) outage() {
+	if g.IntN(4) > 0 {
+		return
+	}
+	g.group("returning callers")
+	from := time.Duration(g.between(1, 2.5) * float64(time.Second))
+	until := from + time.Duration(g.between(0.4, 1.5)*float64(time.Second))
+	kept := g.s.Arrivals[:0]
+	for _, a := range g.s.Arrivals {
+		if a.At >= from && a.At < until {
+			a.Waited = until - a.At
+			a.At = until + time.Duration(g.Float64()*float64(200*time.Millisecond))
+			if a.Job.Patience -= a.Waited; a.Job.Patience <= 0 {
+				continue
+			}
+		}
+		kept = append(kept, a)
+	}
+	g.s.Arrivals = kept
+}
+
 // loadGroup names the group of the load, by the work that was drawn.
 func (g *generator) loadGroup(services int) {
 	var work, capacity float64
--- a/wire/run.go
+++ b/wire/run.go
@@ -34,8 +34,6 @@
 	Size           Resources `cbor:"2,keyasint"`
 	EstimateMillis uint32    `cbor:"3,keyasint"`
 	Runs           []Run     `cbor:"4,keyasint"`
-	// Priority orders the runs that wait for room; 0 comes first.
-	Priority int32 `cbor:"5,keyasint,omitempty"`
 	// Stored runs belong to a job in the ledger: the agent keeps their ends at the
 	// endpoint until they are noted.
 	Stored bool `cbor:"6,keyasint,omitempty"`
@@ -47,7 +45,7 @@
 // equal.
 func (g *OrderGroup) IsAlike(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Priority == o.Priority && g.Stored == o.Stored && g.Trace == o.Trace
+		g.Stored == o.Stored && g.Trace == o.Trace
 }
 
 // RunState is the state of a run in a Report.
@@ -76,7 +74,6 @@
 	RejectOldRun      RejectReason = 5 // a run with this or a higher number has ended
 	RejectInvalid     RejectReason = 6
 	RejectBusy        RejectReason = 7
-	RejectWithdrawn   RejectReason = 8  // stopped before it had room
 	RejectRetired     RejectReason = 9  // the agent serves other entries
 	RejectStale       RejectReason = 10 // the order is based on news that are too old
 	RejectUnrecorded  RejectReason = 11 // too many ends of stored runs wait for being recorded
@@ -114,10 +111,8 @@
 type Status struct {
 	Profile *Profile  `cbor:"1,keyasint,omitempty"` // only when it has changed
 	Used    Resources `cbor:"2,keyasint"`
-	// Waiting is the room that runs at the agent wait for.
-	Waiting Resources `cbor:"7,keyasint"`
-	// Count is the number of ordered runs of this connection that Used and Waiting
-	// include.
+	// Count is the number of ordered runs of this connection that Used
+	// includes.
 	Count uint64 `cbor:"3,keyasint"`
 	// Closed is set while the endpoint takes no new task.
 	Closed RejectReason `cbor:"4,keyasint,omitempty"`
@@ -211,7 +206,7 @@
 var rejectNames = [...]string{
 	0: "none", RejectRoom: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectBusy: "busy",
-	RejectWithdrawn: "withdrawn", RejectRetired: "serves_other_entries", RejectStale: "stale",
+	RejectRetired: "serves_other_entries", RejectStale: "stale",
 	RejectUnrecorded: "ends_not_recorded", RejectEmptied: "emptied",
 }
 
