relay: entries that are gone for good are taken off the list

Hypothesis: after a host was replaced the deployment is not the one that it was. After the kill of all processes at 34 s seven of eleven agents tried the dead one first and connected 250 ms later than the others, and one entry placed all jobs.

Where the list is known, addresses of the settings that are not listed do not count, and an entry whose record was withdrawn counts for 8 s more, longer than a restart takes, so that those that place jobs do not change for it.

TestEntriesThatCount and TestCensus are new; on the code before the dead entry is chosen for ever.

--- a/event/jobs.go
+++ b/event/jobs.go
@@ -54,6 +54,7 @@
 	JobAdopted         = define(656, Info, "stored job is run")
 	EntryListFailed    = define(651, Warn, "list of entries could not be read or written")
 	EntryListChanged   = define(652, Info, "list of entries changed")
+	EntryDropped       = define(668, Warn, "entry that cannot be reached is taken off the list")
 	AgentsInReach      = define(661, Warn, "agents came into reach, or none is")
 	EndsUnrecorded     = define(662, Warn, "stored runs are refused, or taken again: their ends are not recorded")
 	EndRecorded        = define(663, Info, "end of a run is recorded for the owner of its job")
--- /dev/null
+++ b/relay/census_test.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/ids"
+	"oriolerelay/internal/bubble"
+	"oriolerelay/platform"
+	"oriolerelay/policy"
+	"oriolerelay/wire"
+)
+
+// fakeList is a list of entries of which some answer.
+type fakeList struct {
+	listed  map[string]ids.Incarnation
+	answers map[string]bool
+	dropped []string
+	looks   map[string]int
+}
+
+func (f *fakeList) census(self string) *census {
+	return &census{
+		self: self, listed: func() map[string]ids.Incarnation { return f.listed },
+		reach: func(_ context.Context, address string) bool {
+			f.looks[address]++
+			return f.answers[address]
+		},
+		drop: func(_ context.Context, address string) error {
+			f.dropped = append(f.dropped, address)
+			delete(f.listed, address)
+			return nil
+		},
+	}
+}
+
+// Guards against the record of an entry that is gone for good: a deployment of three entries
+// went on as one of four after one host was replaced, and each process that started waited
+// for the dead one. Also guards against the record of one that is only started again, and
+// against an entry that is cut off and drops all others.
+func TestCensus(t *testing.T) {
+	const round = 3 * censusInterval
+	tests := []struct {
+		name    string
+		play    func(l *fakeList)
+		dropped []string
+	}{
+		{"all answer", func(*fakeList) { time.Sleep(4*round + time.Second) }, nil},
+		{"one is gone", func(l *fakeList) {
+			l.answers["c"] = false
+			time.Sleep(round + censusTries*censusRetry)
+		}, []string{"c"}},
+		{"one is started again", func(l *fakeList) {
+			l.answers["b"] = false
+			time.Sleep(censusInterval + 2*censusRetry)
+			l.answers["b"] = true
+			time.Sleep(2 * round)
+		}, nil},
+		{"it is cut off itself", func(l *fakeList) {
+			clear(l.answers)
+			time.Sleep(3 * round)
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				l := &fakeList{listed: make(map[string]ids.Incarnation), answers: make(map[string]bool), looks: make(map[string]int)}
+				for _, a := range []string{"a", "b", "c", "d"} {
+					l.listed[a], l.answers[a] = ids.NewIncarnation(a), true
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); l.census("a").run(ctx) }()
+				tt.play(l)
+				synctest.Wait()
+				stop()
+				<-done
+				qt.Check(t, l.dropped, qt.DeepEquals, tt.dropped)
+				qt.Check(t, l.looks["a"], qt.Equals, 0)
+				if tt.name == "all answer" {
+					qt.Check(t, l.looks, qt.DeepEquals, map[string]int{"b": 4, "c": 4, "d": 4})
+				}
+			})
+		})
+	}
+}
+
+// Guards against a deployment that counts an entry that is gone: one that only the settings
+// name, or one whose record was withdrawn; and against one that changes who places jobs
+// while an entry is started again.
+func TestEntriesThatCount(t *testing.T) {
+	c := qt.New(t)
+	p := &process{settings: Settings{Node: "side-1", Address: "127.0.0.1", Region: "r", PortRange: []int{7720, 7721}}, node: ids.NewIncarnation("side-1")}
+	var chosen []policy.Entry
+	l := newLinks(p, chooseNone(func(entries []policy.Entry) { chosen = entries }), wire.RoleAgent)
+	names := func(now time.Time) (out []string) {
+		l.settle(t.Context(), now)
+		for _, e := range chosen {
+			out = append(out, e.Address)
+		}
+		return sorted(out)
+	}
+	change := func(address string, present bool) platform.EntryChange {
+		return platform.EntryChange{Present: present, Entry: wire.EntryAddress{Node: ids.NewIncarnation(address), Address: address, Region: "r"}}
+	}
+	now := time.Now()
+	l.setSeeds([]string{"a", "b", "gone"})
+	c.Check(names(now), qt.DeepEquals, []string{"a", "b", "gone"}) // the list is not known
+	l.recorded([]platform.EntryChange{change("a", true), change("b", true), change("c", true)})
+	c.Check(names(now), qt.DeepEquals, []string{"a", "b", "c"})
+	l.recorded([]platform.EntryChange{change("b", false)})
+	c.Check(names(now), qt.DeepEquals, []string{"a", "b", "c"})
+	c.Check(names(now.Add(delistedKeep+time.Second)), qt.DeepEquals, []string{"a", "c"})
+	l.recorded([]platform.EntryChange{change("b", true)})
+	c.Check(names(now.Add(delistedKeep+time.Second)), qt.DeepEquals, []string{"a", "b", "c"})
+	l.recorded([]platform.EntryChange{change("a", false), change("b", false), change("c", false)})
+	c.Check(names(now), qt.DeepEquals, []string{"a", "b", "c", "gone"}) // none is left: any may serve
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -132,6 +132,7 @@
 		return nil
 	})
 	g.Go(func() error { e.publish(life); return nil })
+	g.Go(func() error { e.newCensus().run(life); return nil })
 	g.Go(func() error { keepLearned(life, s.Node, e.c, e.store, e.p.log); return nil })
 	g.Go(func() error { e.p.serveMetrics(life); return nil })
 	g.Go(func() error {
--- a/relay/links.go
+++ b/relay/links.go
@@ -22,6 +22,10 @@
 	redialMax   = 2 * time.Second
 	// entryForgotten is how long an entry that is listed nowhere is dialled.
 	entryForgotten = time.Minute
+	// delistedKeep is how long an entry whose record was withdrawn still counts: longer than
+	// a process needs to stop and start again, since those that place jobs change with the
+	// number of entries.
+	delistedKeep = 8 * time.Second
 	// placersServed is the number of entries that an agent serves where only some of the
 	// entries place jobs. One alone knows what is free at its endpoints; two that order
 	// at the same endpoint take the same room.
@@ -89,6 +93,10 @@
 type link struct {
 	policy.Entry
 	process ids.Incarnation // as recorded in the list of entries
+	// listed is set while the list of entries has a record of it; delisted is when it was
+	// withdrawn.
+	listed   bool
+	delisted time.Time
 	// kept is set while a goroutine keeps a connection; retire then ends it.
 	kept      bool
 	retire    chan struct{}
@@ -130,6 +138,10 @@
 	defer l.mu.Unlock()
 	for _, ch := range changes {
 		if !ch.Present {
+			if k := l.known[ch.Entry.Address]; k != nil && k.listed {
+				k.listed, k.delisted = false, time.Now()
+				l.wake()
+			}
 			continue
 		}
 		known := l.known[ch.Entry.Address] != nil
@@ -141,6 +153,10 @@
 			default:
 			}
 		}
+		if !k.listed {
+			k.listed = true
+			l.wake()
+		}
 		if k.process = ch.Entry.Node; k.Region != ch.Entry.Region || k.MilliCores != ch.Entry.MilliCores {
 			k.Region, k.MilliCores = ch.Entry.Region, ch.Entry.MilliCores
 			l.wake()
@@ -194,7 +210,11 @@
 	entries := make([]policy.Entry, 0, len(l.known))
 	down := make(map[string]bool)
 	open := make(map[string]ids.Incarnation)
+	listed := l.isAnyListed()
 	for address, k := range l.known {
+		if listed && !k.counts(now) {
+			continue
+		}
 		entries = append(entries, k.Entry)
 		down[address] = k.isDown(now)
 		if k.connected {
@@ -221,6 +241,36 @@
 	}
 }
 
+// isAnyListed reports whether the list of entries is known and has a record. l.mu is held.
+func (l *links) isAnyListed() bool {
+	for _, k := range l.known {
+		if k.listed {
+			return true
+		}
+	}
+	return false
+}
+
+// counts reports whether k is one of the entries, where the list is known: it is listed, or
+// was until now. The settings may name an entry that is gone for good.
+func (k *link) counts(now time.Time) bool {
+	return k.listed || !k.delisted.IsZero() && now.Sub(k.delisted) < delistedKeep
+}
+
+// listedEntries returns the addresses and processes of the entries that are listed, by
+// address.
+func (l *links) listedEntries() map[string]ids.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]ids.Incarnation)
+	for address, k := range l.known {
+		if k.listed {
+			out[address] = k.process
+		}
+	}
+	return out
+}
+
 // keep keeps a connection to one entry until it is retired.
 func (l *links) keep(ctx context.Context, k *link) {
 	defer l.released(k)
--- a/relay/links_test.go
+++ b/relay/links_test.go
@@ -243,3 +243,20 @@
 	waitFor(t, changed, "the end of the connection", func() bool { return replaced.connection() == nil })
 	c.Check(replaced.has(isReport(wire.RunDone)), qt.IsTrue)
 }
+
+// chooseNone is a linkOwner that connects to no entry and passes on which it may choose from.
+type chooseNone func(entries []policy.Entry)
+
+func (f chooseNone) choose(entries []policy.Entry, _ map[string]bool) []string {
+	f(entries)
+	return nil
+}
+
+func (chooseNone) attach(*transport.Conn) transport.Handler                   { return ignore{} }
+func (chooseNone) isSilent(ids.Incarnation) bool                              { return false }
+func (chooseNone) retire(context.Context, *transport.Conn, transport.Handler) {}
+
+func sorted(s []string) []string {
+	slices.Sort(s)
+	return s
+}
