relay: the list of the census test is shared under a lock

The test changed the maps of its list of entries while the census read them; sleeping in a bubble orders nothing for the race detector.

Change: a mutex in the fake, the census reads a copy. The production code was not part of the race.

Ruled out: a race in the census itself; both stacks of each report end in the fake.

--- a/relay/census_test.go
+++ b/relay/census_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +17,9 @@
 	"oriolerelay/wire"
 )
 
-// fakeList is a list of entries of which some answer.
+// fakeList is a list of entries of which some answer. The test and the census share it.
 type fakeList struct {
+	mu      sync.Mutex
 	listed  map[string]ids.Incarnation
 	answers map[string]bool
 	dropped []string
@@ -25,12 +28,21 @@
 
 func (f *fakeList) census(self string) *census {
 	return &census{
-		self: self, listed: func() map[string]ids.Incarnation { return f.listed },
+		self: self,
+		listed: func() map[string]ids.Incarnation {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return maps.Clone(f.listed)
+		},
 		reach: func(_ context.Context, address string) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			f.looks[address]++
 			return f.answers[address]
 		},
 		drop: func(_ context.Context, address string) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			f.dropped = append(f.dropped, address)
 			delete(f.listed, address)
 			return nil
@@ -38,6 +50,15 @@
 	}
 }
 
+// setAnswers sets which of the entries answer from now on.
+func (f *fakeList) setAnswers(answer bool, addresses ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range addresses {
+		f.answers[a] = answer
+	}
+}
+
 // Guards against the record of an entry that is gone for good: a deployment of three entries
 // went on as one of four after one host was replaced, and each process that started waited
 // for the dead one. Also guards against the record of one that is only started again, and
@@ -51,17 +72,17 @@
 	}{
 		{"all answer", func(*fakeList) { time.Sleep(4*round + time.Second) }, nil},
 		{"one is gone", func(l *fakeList) {
-			l.answers["c"] = false
+			l.setAnswers(false, "c")
 			time.Sleep(round + censusTries*censusRetry)
 		}, []string{"c"}},
 		{"one is started again", func(l *fakeList) {
-			l.answers["b"] = false
+			l.setAnswers(false, "b")
 			time.Sleep(censusInterval + 2*censusRetry)
-			l.answers["b"] = true
+			l.setAnswers(true, "b")
 			time.Sleep(2 * round)
 		}, nil},
 		{"it is cut off itself", func(l *fakeList) {
-			clear(l.answers)
+			l.setAnswers(false, "a", "b", "c", "d")
 			time.Sleep(3 * round)
 		}, nil},
 	}
