policy: of the jobs of one priority the one that would be refused soonest gets room first

Cause: where jobs wait, a long job whose caller waits long stood before a short one that came a moment later and was refused after half of its slack.

Change: within a priority the order is that of the time of refusal, arrival plus half of the slack, in place of arrival. Nobody is passed over for good: a job passes only those that can wait longer than itself. The mechanism 'urgent_first' switches it off.

Tests that fail before: TestUrgentJobsComeFirst, TestUrgentFirstUnderOverload (two generated overloads, both ways on the same arrivals).

--- a/policy/order.go
+++ b/policy/order.go
@@ -24,7 +24,9 @@
 
 // Compare is the order in which jobs get room: first those that can end in time;
 // among them those that have begun, since the results they have are worth nothing
-// alone; then by the operator's priority, then by arrival. It is negative when w
+// alone; then by the operator's priority, then by the time at which they would be
+// refused. A job passes only those that can wait longer, and none that came more than
+// its own wait before, so that nobody is passed over for good. It is negative when w
 // comes before o.
 func (p Policy) Compare(w, o *Waiting, now time.Time) int {
 	inTime, begun := 0, 0
@@ -34,7 +36,11 @@
 	if p.Uses(BegunFirst) {
 		begun = compareTrueFirst(w.Started, o.Started)
 	}
-	return cmp.Or(inTime, begun, cmp.Compare(w.Priority, o.Priority), w.Arrived.Compare(o.Arrived))
+	urgent := 0
+	if p.Uses(UrgentFirst) {
+		urgent = w.refusedAt().Compare(o.refusedAt())
+	}
+	return cmp.Or(inTime, begun, cmp.Compare(w.Priority, o.Priority), urgent, w.Arrived.Compare(o.Arrived))
 }
 
 func compareTrueFirst(a, b bool) int {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,10 @@
 	// BegunFirst gives room to jobs that have begun before those that have not: wide jobs
 	// under load.
 	BegunFirst Mechanism = "begun_first"
+	// UrgentFirst gives room to the job that would be refused soonest, among those of one
+	// priority, and not to the one that came first: more load than the endpoints can work
+	// off, with jobs of different length.
+	UrgentFirst Mechanism = "urgent_first"
 	// CallerAge takes callers with less patience than others for ones that have waited
 	// elsewhere: the crowd that returns after an outage, of whose jobs most are late already.
 	CallerAge Mechanism = "caller_age"
@@ -53,7 +57,7 @@
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Moves, Patience, InTimeFirst, BegunFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices,
+		Moves, Patience, InTimeFirst, BegunFirst, UrgentFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices,
 		SecondTry, RepeatedStarts, EarlyLookup,
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -129,6 +129,25 @@
 	c.Check((Policy{}).Compare(&started, &urgent, now) < 0, quicktest.IsTrue)
 }
 
+// Guards against a job that can wait for long and takes the room of a short one that came a
+// moment later and is refused, and against short jobs that pass a long one for good.
+func TestUrgentJobsComeFirst(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1000, 0)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	long := Waiting{Arrived: now, Objective: now.Add(ms(2000)), Needs: ms(1000)}
+	short := Waiting{Arrived: now.Add(ms(5)), Objective: now.Add(ms(305)), Needs: ms(100)}
+	at := now.Add(ms(10))
+	c.Check((Policy{}).Compare(&short, &long, at) < 0, quicktest.IsTrue)
+	c.Check((Policy{}).Compare(&long, &short, at) > 0, quicktest.IsTrue)
+	byArrival, err := Without(string(UrgentFirst))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(byArrival.Compare(&long, &short, at) < 0, quicktest.IsTrue)
+	later := short
+	later.Arrived, later.Objective = now.Add(ms(450)), now.Add(ms(750))
+	c.Check((Policy{}).Compare(&long, &later, now.Add(ms(460))) < 0, quicktest.IsTrue)
+}
+
 // Guards against moves that throw work away without a gain for the caller.
 func TestMove(t *testing.T) {
 	c := quicktest.New(t)
--- a/policy/refuse.go
+++ b/policy/refuse.go
@@ -18,6 +18,11 @@
 	if w.Started || w.Unplaced == 0 || !p.Uses(Patience) {
 		return false
 	}
+	return !now.Before(w.refusedAt())
+}
+
+// refusedAt is when the job is refused unless it has room.
+func (w *Waiting) refusedAt() time.Time {
 	slack := max(w.Objective.Sub(w.Arrived)-w.Needs, 0)
-	return now.Sub(w.Arrived) >= time.Duration(patienceShare*float64(slack))
+	return w.Arrived.Add(time.Duration(patienceShare * float64(slack)))
 }
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -62,6 +63,27 @@
 	}
 }
 
+// Guards against a queue in the order of arrival under more load than the endpoints can
+// work off: long jobs then take the room of short ones that are refused meanwhile. Plays
+// the load both ways on the same arrivals, and compares what callers get.
+func TestUrgentFirstUnderOverload(t *testing.T) {
+	var urgent, arrival float64
+	byArrival := parse(t, string(policy.UrgentFirst))
+	for seed, played := uint64(2001), 0; played < 2; seed++ {
+		s := Generate(seed)
+		if !slices.Contains(s.Groups, "overload") {
+			continue
+		}
+		played++
+		a, b := Play(t, s, policy.Policy{}), Play(t, s, byArrival)
+		t.Logf("seed %d: in time %d and %d of %d, worth %.3f and %.3f", seed, a.InTime, b.InTime, a.Jobs, a.Worth, b.Worth)
+		urgent, arrival = urgent+a.Worth, arrival+b.Worth
+	}
+	if urgent <= arrival {
+		t.Errorf("worth %.3f, and %.3f in the order of arrival", urgent, arrival)
+	}
+}
+
 // Guards against scenarios that differ between two policies that are compared.
 func TestGenerateIsRepeatable(t *testing.T) {
 	for seed := range uint64(20) {
