oriolectl load policies: compares policies on generated deployments

Cause: package trial could be played by hand only, one policy at a time, and its results were compared by a script outside the repository.

Change: the command builds package trial, plays the seeds of each policy in processes of their own (a simulated clock belongs to a test, which uses one processor), shows a progress bar, and prints paired differences to the policy with all mechanisms as table, JSON or plot, by group of deployments if asked for. It fails if a promise was broken. Play belongs to the tests now, the outcome to the package.

Tests: TestCompare, TestRunner, TestPoliciesErrors.

--- a/cmd/oriolectl/load.go
+++ b/cmd/oriolectl/load.go
@@ -36,7 +36,7 @@
 func (*loadCommand) Name() string     { return "load" }
 func (*loadCommand) Synopsis() string { return "measure policies and costs against separate processes" }
 func (*loadCommand) Usage() string {
-	return "load [flags]\n  Builds the programs of the module in the current directory, starts them on\n  loopback, runs every policy at every load on the same arrivals, and writes\n  result.json, result.md and ratio.svg. With -slopes it measures the cost of each\n  role instead, with -latency the time that the system adds to a request, with\n  -throughput the starts per second that the machine carries.\n"
+	return "load [flags]\nload policies [flags]\n  Builds the programs of the module in the current directory, starts them on\n  loopback, runs every policy at every load on the same arrivals, and writes\n  result.json, result.md and ratio.svg. With -slopes it measures the cost of each\n  role instead, with -latency the time that the system adds to a request, with\n  -throughput the starts per second that the machine carries. \"load policies\"\n  compares policies on generated deployments; \"load policies -help\" lists its flags.\n"
 }
 
 func (l *loadCommand) SetFlags(f *flag.FlagSet) {
@@ -68,8 +68,12 @@
 	f.Float64Var(&l.starts, "starts", 500, "starts per second of the busy window of -slopes")
 }
 
-func (l *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := l.run(ctx); err != nil {
+func (l *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	run := l.run
+	if f.Arg(0) == "policies" {
+		run = func(ctx context.Context) error { return runPolicies(ctx, f.Args()[1:]) }
+	}
+	if err := run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "oriolectl load:", err)
 		return subcommands.ExitFailure
 	}
--- a/cmd/oriolectl/oriolectl_test.go
+++ b/cmd/oriolectl/oriolectl_test.go
@@ -14,7 +14,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oriolerelay/policy"
 	"oriolerelay/transport"
+	"oriolerelay/trial"
 )
 
 // TestKeys guards against node certificates that do not belong together, and
@@ -127,3 +129,29 @@
 	_, err = run(lossesCommand{format: "table"}, path+".none")
 	c.Check(err, qt.ErrorMatches, "open log: .*none.*")
 }
+
+// Guards against a comparison that begins with flags that make no sense, and that reports
+// only after all seeds were played.
+func TestPoliciesErrors(t *testing.T) {
+	c := qt.New(t)
+	for _, tt := range []struct {
+		args string
+		want string
+	}{
+		{"-seeds 0", "-seeds must be at least 1.*"},
+		{"-format plot", `format "plot" is neither table nor json`},
+		{"-off moves,nonsense", `.*"nonsense" is no mechanism .*`},
+		{"100", "-seeds must .*"},
+	} {
+		err := new(policiesCommand).run(t.Context(), strings.Fields(tt.args), io.Discard, io.Discard)
+		c.Check(err, qt.ErrorMatches, tt.want, qt.Commentf("%s", tt.args))
+	}
+	c.Check(new(policiesCommand).run(t.Context(), []string{"-help"}, io.Discard, io.Discard), qt.IsNil)
+	var p policiesCommand
+	c.Assert(p.flags().Parse([]string{"-ablate", "-off", "moves,trust"}), qt.IsNil)
+	c.Check(p.policies()[:3], qt.DeepEquals, []string{"", "moves,trust", "moves"})
+	c.Check(p.policies(), qt.HasLen, 2+len(policy.Mechanisms()))
+	c.Check(new(policiesCommand).policies(), qt.DeepEquals, []string{"", "naive"})
+	c.Check(progressBar(1, 2), qt.Equals, "["+strings.Repeat("#", 20)+strings.Repeat(" ", 20)+"] 1/2")
+	c.Check(brokenPromises([]trial.Played{{Seed: 3, Outcome: trial.Outcome{Broken: []string{"twice"}}}}), qt.ErrorMatches, `(?s).*seed 3.*twice`)
+}
--- /dev/null
+++ b/cmd/oriolectl/policies.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+
+	"oriolerelay/policy"
+	"oriolerelay/trial"
+)
+
+// policiesCommand compares policies on generated deployments, loads and faults.
+type policiesCommand struct {
+	runner trial.Runner
+	off    []string
+	ablate bool
+	groups bool
+	format string
+	plot   string
+}
+
+const policiesUsage = `load policies [flags]
+Plays generated deployments, loads and faults in simulated time with several policies on
+the same arrivals, and prints how much more or less the answers are worth than with all
+mechanisms. Builds package trial of the module in -module. Flags:
+`
+
+func (c *policiesCommand) flags() *flag.FlagSet {
+	f := flag.NewFlagSet("load policies", flag.ContinueOnError)
+	f.Usage = func() {
+		fmt.Fprint(f.Output(), policiesUsage)
+		f.PrintDefaults()
+	}
+	f.StringVar(&c.runner.Module, "module", ".", "directory of the module")
+	f.Uint64Var(&c.runner.FirstSeed, "first", 1, "first seed")
+	f.IntVar(&c.runner.Seeds, "seeds", 100, "number of seeds")
+	f.IntVar(&c.runner.Processes, "processes", runtime.NumCPU(), "seeds that are played at once")
+	f.Func("off", "mechanisms that a further policy does without, with commas, or naive for all; repeatable", func(list string) error {
+		_, err := trial.ParsePolicy(list)
+		c.off = append(c.off, list)
+		return err
+	})
+	f.BoolVar(&c.ablate, "ablate", false, "compare with each mechanism off, one by one")
+	f.BoolVar(&c.groups, "groups", false, "also print the differences by group of deployments")
+	f.StringVar(&c.format, "format", "table", "table or json")
+	f.StringVar(&c.plot, "plot", "", "file of a plot, .svg or .png")
+	return f
+}
+
+// policies lists what is compared, all mechanisms first.
+func (c *policiesCommand) policies() []string {
+	out := append([]string{""}, c.off...)
+	if c.ablate {
+		for _, m := range policy.Mechanisms() {
+			out = append(out, string(m))
+		}
+	}
+	if len(out) == 1 {
+		out = append(out, trial.Naive)
+	}
+	return out
+}
+
+func (c *policiesCommand) run(ctx context.Context, args []string, stdout, stderr io.Writer) error {
+	f := c.flags()
+	f.SetOutput(stderr)
+	if err := f.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	if c.format != "table" && c.format != "json" {
+		return fmt.Errorf("format %q is neither table nor json", c.format)
+	}
+	if c.runner.Seeds < 1 || f.NArg() > 0 {
+		return fmt.Errorf("-seeds must be at least 1, and there are no arguments")
+	}
+	c.runner.Policies = c.policies()
+	c.runner.Progress = func(done, all int) { fmt.Fprintf(stderr, "\r%s", progressBar(done, all)) }
+	played, err := c.runner.Run(ctx)
+	fmt.Fprintln(stderr)
+	if err != nil {
+		return err
+	}
+	differences, err := trial.Compare(played, c.runner.Policies)
+	if err != nil {
+		return err
+	}
+	if c.plot != "" {
+		if err := trial.SavePlot(c.plot, differences); err != nil {
+			return err
+		}
+	}
+	if !c.groups {
+		differences = differences[:len(c.runner.Policies)] // those of all seeds come first
+	}
+	if c.format == "json" {
+		err = trial.WriteJSON(stdout, differences)
+	} else {
+		err = trial.WriteTable(stdout, differences)
+	}
+	if err != nil {
+		return err
+	}
+	return brokenPromises(played)
+}
+
+// brokenPromises fails if a promise was broken in a play.
+func brokenPromises(played []trial.Played) error {
+	var broken []string
+	for _, p := range played {
+		for _, line := range p.Outcome.Broken {
+			broken = append(broken, fmt.Sprintf("seed %d, off %q: %s", p.Seed, p.Policy, line))
+		}
+	}
+	if len(broken) > 0 {
+		return fmt.Errorf("broken promises:\n%s", strings.Join(broken, "\n"))
+	}
+	return nil
+}
+
+// progressWidth is the length of a progress bar, in characters.
+const progressWidth = 40
+
+func progressBar(done, all int) string {
+	n := progressWidth * done / max(all, 1)
+	return fmt.Sprintf("[%s%s] %d/%d", strings.Repeat("#", n), strings.Repeat(" ", progressWidth-n), done, all)
+}
+
+// runPolicies runs "load policies" with its own flags.
+func runPolicies(ctx context.Context, args []string) error {
+	return new(policiesCommand).run(ctx, args, os.Stdout, os.Stderr)
+}
--- /dev/null
+++ b/trial/compare_test.go
@@ -0,0 +1,91 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// play returns the outcome of a seed with a policy.
+func play(seed uint64, policy string, worth float64, groups ...string) Played {
+	return Played{Seed: seed, Policy: policy, Groups: groups, Outcome: Outcome{Worth: worth}}
+}
+
+// Guards against comparisons of different seeds, and against differences that are counted
+// in the wrong direction or group.
+func TestCompare(t *testing.T) {
+	c := qt.New(t)
+	played := []Played{
+		play(1, "", 0.5, "burst"), play(2, "", 0.9), play(3, "", 0.7),
+		play(2, "moves", 0.9), play(1, "moves", 0.3, "burst"),
+	}
+	got, err := Compare(played, []string{"", "moves"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.HasLen, 4)
+	c.Check(got[0].Mean, qt.Equals, 0.0)
+	c.Check(got[0].Seeds, qt.Equals, 3)
+	all, burst := got[1], got[3]
+	c.Check(all.Seeds, qt.Equals, 2) // those that both have played
+	c.Check(all.Mean > -0.1001 && all.Mean < -0.0999, qt.IsTrue, qt.Commentf("%v", all.Mean))
+	c.Check(all.Worse, qt.Equals, 1)
+	c.Check(all.Better, qt.Equals, 0)
+	c.Check(all.Half > 0.19 && all.Half < 0.2, qt.IsTrue, qt.Commentf("%v", all.Half)) // 1.96 x 0.1414 / sqrt(2)
+	c.Check(burst.Group, qt.Equals, "burst")
+	c.Check(burst.Seeds, qt.Equals, 1)
+	_, err = Compare(played, nil)
+	c.Check(err, qt.ErrorMatches, "no policy to compare with")
+
+	var table, asJSON bytes.Buffer
+	c.Assert(WriteTable(&table, got), qt.IsNil)
+	c.Check(strings.Contains(table.String(), "without moves"), qt.IsTrue)
+	c.Assert(WriteJSON(&asJSON, got), qt.IsNil)
+	c.Check(strings.Contains(asJSON.String(), `"difference": -0.`), qt.IsTrue)
+	file := filepath.Join(t.TempDir(), "differences.svg")
+	c.Assert(SavePlot(file, got), qt.IsNil)
+	svg, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	c.Check(bytes.Contains(svg, []byte("without moves")), qt.IsTrue)
+	c.Check(SavePlot(file, got[:1]), qt.ErrorMatches, ".*there is one policy")
+}
+
+// Guards against seeds that are left out, and against outcomes that depend on how seeds are
+// dealt to processes.
+func TestRunner(t *testing.T) {
+	c := qt.New(t)
+	done := 0
+	r := Runner{
+		Module: "..", Policies: []string{"", Naive}, FirstSeed: 1015, Seeds: seedsPerProcess/5 + 1, Processes: 2,
+		Progress: func(n, all int) {
+			done = n
+			c.Check(all, qt.Equals, 2*(seedsPerProcess/5+1))
+		},
+	}
+	played, err := r.Run(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Check(done, qt.Equals, len(played))
+	seen := make(map[uint64]map[string]bool)
+	for _, p := range played {
+		if seen[p.Seed] == nil {
+			seen[p.Seed] = make(map[string]bool)
+		}
+		seen[p.Seed][p.Policy] = true
+		c.Check(p.Outcome.Jobs > 0, qt.IsTrue)
+	}
+	for seed := r.FirstSeed; seed < r.FirstSeed+uint64(r.Seeds); seed++ {
+		c.Check(seen[seed], qt.DeepEquals, map[string]bool{"": true, Naive: true}, qt.Commentf("seed %d", seed))
+	}
+
+	r.Policies = []string{"", "nonsense"}
+	_, err = r.Run(t.Context())
+	c.Check(err, qt.ErrorMatches, `"nonsense" is no mechanism .*`)
+	r.Policies = []string{""}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = r.Run(ctx)
+	c.Check(err, qt.IsNotNil)
+}
--- a/trial/play.go
+++ b/trial/play_test.go
@@ -20,23 +20,6 @@
 // lateShare is what an answer is worth that comes within three objectives.
 const lateShare = 0.2
 
-// Outcome is what the callers of a trial got.
-type Outcome struct {
-	Jobs    int `json:"jobs"`
-	InTime  int `json:"in_time"`
-	Late    int `json:"late"`
-	Refused int `json:"refused"`
-	Failed  int `json:"failed"`
-	// Worth is the share of the worth of all jobs that was earned: by answers in time, and
-	// a fifth by late ones.
-	Worth float64 `json:"worth"`
-	// RefusedLate is the mean time after which refused jobs were refused, as a share of
-	// their objective.
-	RefusedLate float64 `json:"refused_late"`
-	// Broken lists the promises that were broken.
-	Broken []string `json:"broken,omitempty"`
-}
-
 // Play plays a scenario with a policy, on a simulated clock.
 func Play(t *testing.T, s Scenario, p policy.Policy) (out Outcome) {
 	t.Helper()
