policy: an endpoint that works again gets its load back within a few run times

An endpoint without trust got one task each 400 ms, and its share of failed runs falls below the bound after some seven successes: it went unused for three seconds after it had been mended.

Ruled out: the detection itself (an endpoint that fails all its runs gives no capacity); a heavier weight of successes (an endpoint that fails half of its runs would then be trusted).

Change: trial tasks that end well double the number of those that may run at once, and the next need not wait for the interval; one that fails sets it back to one.

Tests that fail before: TestEndpointThatWorksAgainGetsItsLoadBack, TestTrialTasks.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -26,6 +26,7 @@
 	silent     bool
 	distrusted bool
 	trial      time.Time // when the last trial task was ordered
+	passed     int       // trial tasks that ended well since the last one that failed
 	stops      []wire.Run
 	notes      []wire.Run // ends that the agent need not keep
 }
@@ -117,12 +118,17 @@
 	}
 	a.status = *s
 	if d := c.cfg.Policy.Distrust(a.distrusted, a.failedShare()); d != a.distrusted {
-		a.distrusted = d
+		a.distrusted, a.passed = d, 0
 		c.cfg.Log.Log(event.AgentView, "agent", a.name, "distrusted", a.distrusted, "failed_share", a.failedShare())
 	}
 	c.replan = true
 }
 
+// mayTry reports whether an endpoint that is not trusted may get a trial task.
+func (a *agent) mayTry(now time.Time, interval time.Duration) bool {
+	return len(a.tasks) < policy.TrialTasks(a.passed) && (a.passed > 0 || now.Sub(a.trial) >= interval)
+}
+
 // failedShare is the share of the endpoint's last runs that failed.
 func (a *agent) failedShare() float64 { return float64(a.status.FailedPermille) / 1000 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -27,7 +27,7 @@
 	AgentSilence time.Duration
 	// OrphanEnd is when the runs of a silent agent have surely ended.
 	OrphanEnd time.Duration
-	// TrialInterval is the time between two tasks on an endpoint that fails most.
+	// TrialInterval is the time between two tasks on an endpoint that fails all.
 	TrialInterval time.Duration
 	Tick          time.Duration
 	IdleTick      time.Duration
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -355,3 +355,39 @@
 		}
 	})
 }
+
+// Guards against an endpoint that fails no more and gets a task each 400 ms for seconds, and
+// against one that fails on and gets several at once.
+func TestEndpointThatWorksAgainGetsItsLoadBack(t *testing.T) {
+	with(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		a.c.Handle(a.name, a.connection, &wire.Status{FailedPermille: 900})
+		s := submission("j", 30)
+		s.Queue.Stretch, s.Queue.Attempts = 100, 100
+		co.loop.Post(func() { co.submit(s, waiting(), time.Now()) })
+		answer := func(run wire.Run, state wire.RunState) {
+			a.c.Handle(a.name, a.connection, &wire.Reports{
+				Reports: []wire.Report{{Run: run, State: state}},
+				Status:  &wire.Status{Count: a.count, FailedPermille: 900},
+			})
+			synctest.Wait()
+		}
+		synctest.Wait()
+		c.Assert(a.orders, quicktest.HasLen, 1)
+		answer(a.orders[0], wire.RunFailed)
+		c.Check(a.orders, quicktest.HasLen, 1)
+		time.Sleep(co.cfg.Timing.TrialInterval)
+		a.c.Handle(a.name, a.connection, &wire.Status{Count: a.count, FailedPermille: 900})
+		synctest.Wait()
+		c.Assert(a.orders, quicktest.HasLen, 2)
+		answer(a.orders[1], wire.RunDone)
+		c.Assert(a.orders, quicktest.HasLen, 4, quicktest.Commentf("two at once"))
+		answer(a.orders[2], wire.RunDone)
+		answer(a.orders[3], wire.RunDone)
+		c.Assert(a.orders, quicktest.HasLen, 4+8)
+		answer(a.orders[4], wire.RunFailed)
+		for _, run := range a.orders[5:12] {
+			answer(run, wire.RunFailed)
+		}
+		c.Check(a.orders, quicktest.HasLen, 12, quicktest.Commentf("one at a time after a failure"))
+	})
+}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -44,7 +44,7 @@
 			e.Free = e.Free.Less(t.step.Size) // not yet included in Used
 		}
 	}
-	if a.distrusted && (len(a.tasks) > 0 || now.Sub(a.trial) < c.cfg.Timing.TrialInterval) {
+	if a.distrusted && !a.mayTry(now, c.cfg.Timing.TrialInterval) {
 		e.Open = false
 	}
 	return e
@@ -225,11 +225,12 @@
 			}
 			e, a := &endpoints[choice.Index], agents[choice.Index]
 			e.Free = e.Free.Less(t.step.Size)
-			if a.distrusted {
-				e.Open, a.trial = false, now
-			}
 			t.expected = choice.RunTime
 			c.order(t, a, now)
+			if a.distrusted {
+				a.trial = now
+				e.Open = a.mayTry(now, c.cfg.Timing.TrialInterval)
+			}
 		}
 	}
 }
--- a/coordinator/run.go
+++ b/coordinator/run.go
@@ -257,6 +257,7 @@
 // done takes note that t has ended well.
 func (c *Coordinator) done(t *task, now time.Time) {
 	a, number := t.agent, t.number
+	a.passed++
 	c.detach(t)
 	c.finishTask(t, a.name, number, now)
 }
@@ -286,6 +287,7 @@
 // most of what they run say nothing about the task.
 func (c *Coordinator) failed(t *task, now time.Time) {
 	a := t.agent
+	a.passed = 0
 	t.failures++
 	switch {
 	case t.job.stored != nil:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,8 @@
 	// CallerAge takes callers with less patience than others for ones that have waited
 	// elsewhere: the crowd that returns after an outage, of whose jobs most are late already.
 	CallerAge Mechanism = "caller_age"
-	// Trust gives an endpoint that fails most of its runs only trial tasks.
+	// Trust gives an endpoint that fails most of its runs only trial tasks, more of them as
+	// they end well: endpoints that fail for a while.
 	Trust Mechanism = "trust"
 	// Avoid runs a task elsewhere than where it has failed or was slow.
 	Avoid Mechanism = "avoid"
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -227,3 +227,13 @@
 	choice, _ = without(Spread).ChooseEndpoint([]Endpoint{far, endpoint(1, 1)}, task, 0)
 	c.Check(choice.Index, quicktest.Equals, 1)
 }
+
+// Guards against an endpoint that works again and waits for its load, and against one that
+// fails on and gets more than a task at a time.
+func TestTrialTasks(t *testing.T) {
+	c := quicktest.New(t)
+	c.Check(TrialTasks(0), quicktest.Equals, 1)
+	c.Check(TrialTasks(1), quicktest.Equals, 2)
+	c.Check(TrialTasks(3), quicktest.Equals, 8)
+	c.Check(TrialTasks(1000), quicktest.Equals, 1<<maxTrialDoublings)
+}
--- a/policy/trust.go
+++ b/policy/trust.go
@@ -19,6 +19,14 @@
 	return failed >= failingShare
 }
 
+// maxTrialDoublings bounds the trial tasks at once; by then an endpoint is trusted again.
+const maxTrialDoublings = 5
+
+// TrialTasks is the number of tasks that an endpoint without trust may run at once when the
+// given number of them ended well in a row. It doubles with each: an endpoint that works again
+// has its load back after a few run times, and one that fails on costs a task at a time.
+func TrialTasks(passed int) int { return 1 << min(passed, maxTrialDoublings) }
+
 // Blames reports whether a failure on an endpoint with this share of failed runs counts
 // against the task. An endpoint that fails most of what it runs says nothing about it.
 func (p Policy) Blames(failed float64) bool { return failed < trustedShare }
