--- a/losses/analysis.go
+++ b/losses/analysis.go
@@ -121,9 +121,9 @@
 	Second int `json:"second"`
 	Jobs   int `json:"jobs"`
 	Lost   int `json:"lost"`
-	// Bound is the share of the jobs that any placing of tasks could have served: those
-	// whose arrival and whose endpoints outlived their objective, and the work for which
-	// there was capacity.
+	// Bound is the share of the jobs that could have been served if the endpoints had room
+	// without limit: all but those that were lost with a process or an endpoint, or while
+	// none served. The logs do not tell the capacity that the work needed.
 	Bound  float64 `json:"bound"`
 	Causes []Count `json:"causes"`
 }
@@ -238,8 +238,7 @@
 	return out
 }
 
-// bound returns the share of the jobs that could have been served: what was lost with a
-// process or an endpoint, or while none served, nobody could.
+// bound returns SecondReport.Bound.
 func (t *tally) bound() float64 {
 	return 1 - float64(t.causes[NobodyServed]+t.causes[InFlight])/float64(max(t.jobs, 1))
 }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// Bounds of the time after which a refused caller may come back. Load and capacity change
-// within seconds.
 const (
+	// minRetryAfter is the shortest time that the Retry-After header can tell, which has
+	// whole seconds.
 	minRetryAfter = time.Second
+	// maxRetryAfter bounds the time after which a refused caller may come back: load and
+	// capacity change within seconds.
 	maxRetryAfter = 5 * time.Second
 )
 
