router: log the age of what a forwarding entry knew of this one

Change: a placement entry puts its clock into its status, and forwarding entries return it with each job and heartbeat. Processes of older versions return nothing, which counts as age 0. No decision depends on it yet.

--- a/relay/entry.go
+++ b/relay/entry.go
@@ -85,7 +85,10 @@
 		store: platform.NewStore(s.StoreAddress, s.StorePartitions),
 	}
 	e.republish = make(chan struct{}, 1)
-	e.router = router.New(router.Config{Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Region: s.Region, Log: p.log, Metrics: router.NewMetrics(p.registry)})
+	e.router = router.New(router.Config{
+		Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Region: s.Region, Log: p.log,
+		Metrics: router.NewMetrics(p.registry), Now: boottime,
+	})
 	e.peers = newPeerConns(p, e.router)
 	e.peers.conns.setSeeds(s.seedEntries())
 	e.callers = newCallersServer(platform.NewCallerHandler(e), p.log)
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,9 @@
 	lastNumber   uint64                        // highest number of a received job
 	sentLabels   []wire.ServiceLabels          // last sent to it
 	jobs         map[uint64]context.CancelFunc // cancel the jobs that run for it, by number
+	// echoedClock is the newest ClockMillis that it has returned; 0 if it returns none. It is
+	// written with Router.mu held.
+	echoedClock atomic.Uint64
 }
 
 // ForwarderConnected adds a connection of an entry that forwards jobs to this one, and returns
@@ -54,7 +58,7 @@
 	delete(r.forwarders, f.connection)
 	if len(f.jobs) > 0 {
 		r.cfg.Log.Log(event.ForwarderLost, "entry", f.incarnation, "why", why, "jobs", len(f.jobs),
-			"heard_ms_ago", time.Since(f.lastReceived).Milliseconds())
+			"heard_ms_ago", time.Since(f.lastReceived).Milliseconds(), "status_age_ms", r.echoAge(f).Milliseconds())
 	}
 	for n, cancel := range f.jobs {
 		delete(f.jobs, n)
@@ -74,7 +78,10 @@
 	f.lastReceived = time.Now()
 	switch m := m.(type) {
 	case *wire.Place:
+		f.recordEcho(m.StatusClockMillis)
 		r.runJob(f, m)
+	case *wire.Heartbeat:
+		f.recordEcho(m.StatusClockMillis)
 	case *wire.Evacuated:
 		r.cfg.Local.SetEvacuated(*m)
 	case *wire.Withdraw:
@@ -101,7 +108,8 @@
 		return
 	}
 	r.cfg.Metrics.received.Inc()
-	r.cfg.Log.Log(event.ForwardedJobAccepted, "job", s.ID, "entry", f.incarnation, "number", m.Number, "elapsed_ms", s.Elapsed.Milliseconds())
+	r.cfg.Log.Log(event.ForwardedJobAccepted, "job", s.ID, "entry", f.incarnation, "number", m.Number, "elapsed_ms", s.Elapsed.Milliseconds(),
+		"status_age_ms", r.echoAge(f).Milliseconds())
 	ctx, cancel := context.WithCancel(context.Background())
 	f.jobs[m.Number] = cancel
 	go func() {
@@ -187,7 +195,7 @@
 
 // sendLoads sends the given loads to f, with the labels if they have changed. r.mu must be held.
 func (r *Router) sendLoads(f *forwarder, loads []wire.ServiceLoad, now time.Time) {
-	m := &wire.PlacementStatus{Services: loads, Accepted: f.lastNumber, Closed: r.closed, Draining: r.draining}
+	m := &wire.PlacementStatus{Services: loads, Accepted: f.lastNumber, Closed: r.closed, Draining: r.draining, ClockMillis: r.clockMillis()}
 	if labels := r.cfg.Local.Labels(); !sameLabels(labels, f.sentLabels) {
 		m.Labels, f.sentLabels = labels, labels
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,9 @@
 	Policy  policy.Policy
 	Log     *event.Logger
 	Metrics *Metrics
+	// Now returns a clock that also advances while the host is suspended; nil selects the
+	// process's own clock.
+	Now func() time.Duration
 }
 
 // Router forwards the jobs of callers to placement entries, and runs the jobs that other
@@ -113,6 +116,9 @@
 
 // New returns a Router that forwards nothing until it is enabled.
 func New(cfg Config) *Router {
+	if created := time.Now(); cfg.Now == nil {
+		cfg.Now = func() time.Duration { return time.Since(created) }
+	}
 	return &Router{
 		cfg: cfg, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), local: &placementEntry{incarnation: "local"},
 		placementEntries: make(map[uint64]*placementEntry), forwarders: make(map[uint64]*forwarder), changed: make(chan struct{}),
@@ -297,7 +303,7 @@
 		case now.Sub(p.lastReceived) > peerTimeout:
 			r.dropPlacementEntry(p, "no message was received from it in time")
 		case now.Sub(p.lastSent) > heartbeatInterval:
-			r.sendTo(p, &wire.Heartbeat{})
+			r.sendTo(p, &wire.Heartbeat{StatusClockMillis: p.loads.ClockMillis})
 		}
 	}
 }
--- a/wire/placement.go
+++ b/wire/placement.go
@@ -22,6 +22,9 @@
 	Number uint64 `cbor:"1,keyasint"`
 	// Job is the submission as CBOR.
 	Job []byte `cbor:"2,keyasint"`
+	// StatusClockMillis is the ClockMillis of the newest PlacementStatus that the sender has
+	// received on this connection; 0 if it has received none.
+	StatusClockMillis uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // PlaceResult is the outcome of a forwarded job.
@@ -53,6 +56,9 @@
 	// Labels holds the labels of the endpoints by service. It is empty if they have not
 	// changed since the last message on this connection.
 	Labels []ServiceLabels `cbor:"4,keyasint,omitempty"`
+	// ClockMillis is the sender's clock in ms, which the receiver returns in its Place and
+	// Heartbeat messages. It is never 0.
+	ClockMillis uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // ServiceLabels lists the labels of the endpoints of a service.
