router: a placement entry does not run a job that its forwarder has given up

What callers saw: a task that runs twice at the same time. A job was sent to a placement entry, answered 502, sent again 1.3 s later and run elsewhere, and the first placement entry then ran it as well. Cause: a placement entry that was frozen, or a connection that was held up, handles a Place whatever its age, and orders tasks of a job that it had queued before. Only orders to agents carried an echo that bounds their age; fresh statuses of agents wait beside the old Place, so the order passes. Change: a job whose forwarder returned a clock that is over 600 ms old is refused as not run; no task is ordered for a job whose forwarders are all that old or whose callers have all disconnected, also if it has started; its forwarder is dropped, which stops its runs. A job that is dropped before its start is answered as not run. Forwarders of older versions return no clock and are served as before. Why it works: the forwarder gives up 450 ms after the status that it returned at the earliest, or fails just after it, and a caller sends the job again 1,300 ms after that; 600 ms and a stop are over by then.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -99,14 +99,14 @@
 			v = c.newServiceView(&j.spec.Queue, now)
 			views[j.spec.Queue.Service] = v
 		}
-		if !j.started {
-			if j.allCallersDisconnected() {
+		if j.allCallersDisconnected() {
+			if !j.started {
 				c.dropAbandoned(j, now)
-				continue
-			}
-			if c.refuseIfOverdue(j, v, now) {
-				continue
 			}
+			continue // a started job is abandoned when its last caller is
+		}
+		if !j.started && c.refuseIfOverdue(j, v, now) {
+			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
 		v.coresAhead += float64(j.waitingMilliCores()) / 1000
@@ -133,7 +133,7 @@
 	c.cfg.Log.Log(event.CallerDisconnected, "job", j.spec.ID, "queue", j.spec.Queue.Name, "waited_ms", now.Sub(j.arrived).Milliseconds())
 	c.cfg.Metrics.abandoned.Inc()
 	c.remove(j)
-	j.answer(outcome{err: errkind.New(errkind.CancelledRunning, "the caller disconnected")})
+	j.answer(outcome{err: errkind.New(errkind.QueueFull, "the caller disconnected before the job was started")})
 }
 
 // refuseIfOverdue refuses a job that has not started and has waited too long. It reports
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -17,6 +17,7 @@
 	ForwardedJobAccepted    = define(609, Info, "forwarded job of another entry accepted")
 	PlacementEntryConnected = define(610, Info, "connected to a placement entry")
 	PlacementEntryLost      = define(611, Warn, "connection to a placement entry lost")
+	ForwardedJobStale       = define(615, Warn, "forwarded job arrived too late and was refused")
 	ForwarderLost           = define(612, Warn, "entry that forwarded jobs lost; its jobs are stopped")
 	ForwardingChanged       = define(613, Info, "forwarding of jobs enabled or disabled")
 
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -107,11 +107,16 @@
 		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.Draining, "the entry has stopped placing jobs")})
 		return
 	}
+	if r.isStale(f) {
+		r.refuseStale(f, m.Number, &s)
+		return
+	}
 	r.cfg.Metrics.received.Inc()
 	r.cfg.Log.Log(event.ForwardedJobAccepted, "job", s.ID, "entry", f.incarnation, "number", m.Number, "elapsed_ms", s.Elapsed.Milliseconds(),
 		"status_age_ms", r.echoAge(f).Milliseconds())
 	ctx, cancel := context.WithCancel(context.Background())
 	f.jobs[m.Number] = cancel
+	s.CallerDisconnected = func() bool { return r.isStale(f) }
 	go func() {
 		defer cancel()
 		state, err := r.cfg.Local.Submit(ctx, s)
@@ -223,6 +228,8 @@
 		switch {
 		case len(f.jobs) > 0 && now.Sub(f.lastReceived) > peerTimeout:
 			r.dropForwarder(f, "no message was received from it in time")
+		case len(f.jobs) > 0 && r.isStale(f):
+			r.dropForwarder(f, "its messages are out of date")
 		case changed || now.Sub(f.lastSent) > maxLoadInterval:
 			r.sendLoads(f, loads, now)
 		}
--- a/router/freshness.go
+++ b/router/freshness.go
@@ -1,6 +1,18 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"oriolerelay/errkind"
+	"oriolerelay/event"
+	"oriolerelay/job"
+)
+
+// maxForwarderAge is the age of the newest status known to a forwarder from which this entry
+// orders no more tasks for it. The forwarder may give its jobs up peerTimeout after that status
+// or fail just after it, and its callers resubmit them 1,300 ms later. By then runs that were
+// ordered within this time have been stopped.
+const maxForwarderAge = 600 * time.Millisecond
 
 // clockMillis returns the value of PlacementStatus.ClockMillis for a status sent now. It is
 // never 0.
@@ -20,3 +32,13 @@
 	}
 	return 0
 }
+
+// isStale reports whether f may have given up its jobs: this entry, or the connection between
+// them, may have been suspended while messages of f were waiting.
+func (r *Router) isStale(f *forwarder) bool { return r.echoAge(f) > maxForwarderAge }
+
+// refuseStale answers a job that arrived too late to be run.
+func (r *Router) refuseStale(f *forwarder, number uint64, s *job.Submission) {
+	r.cfg.Log.Log(event.ForwardedJobStale, "job", s.ID, "entry", f.incarnation, "number", number, "status_age_ms", r.echoAge(f).Milliseconds())
+	r.sendOutcome(f, number, outcome{err: errkind.New(errkind.QueueFull, "the forwarded job arrived too late to be placed")})
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -37,6 +37,12 @@
 	return []wire.ServiceLoad{{Service: "s", Capacity: f.capacity}}
 }
 
+func (f *fakeRunner) setCapacity(n uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.capacity = n
+}
+
 func (f *fakeRunner) Labels() []wire.ServiceLabels {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,6 +89,8 @@
 type testEntry struct {
 	*Router
 	runner *fakeRunner
+	// stripEcho makes it forward as a version does that returns no clock.
+	stripEcho bool
 }
 
 func newTestEntry(ctx context.Context, capacity uint64) *testEntry {
@@ -95,11 +103,54 @@
 
 var errDisconnected = errors.New("cut")
 
-// connect connects from, which forwards jobs, to the entry to. The returned function makes the
-// connection drop all further messages.
-func connect(ctx context.Context, from, to *testEntry, name string) (dropMessages func()) {
-	var mu sync.Mutex
-	dropping := false
+// testLink is the connection between two entries.
+type testLink struct {
+	mu       sync.Mutex
+	dropping bool
+	held     chan struct{} // closed when delivery continues; nil while it is not held up
+}
+
+// drop makes the connection drop all further messages.
+func (l *testLink) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropping = true
+}
+
+// hold holds up the messages until release, as they are while the receiver is frozen.
+func (l *testLink) hold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = make(chan struct{})
+}
+
+func (l *testLink) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.held)
+	l.held = nil
+}
+
+// accept waits while messages are held up, and reports whether the next one is delivered.
+func (l *testLink) accept(ctx context.Context) bool {
+	l.mu.Lock()
+	held := l.held
+	l.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.dropping
+}
+
+// connect connects from, which forwards jobs, to the entry to.
+func connect(ctx context.Context, from, to *testEntry, name string) *testLink {
+	l := new(testLink)
 	forward, back := make(chan wire.Message, 100), make(chan wire.Message, 100)
 	send := func(c chan wire.Message) Sender {
 		return func(m wire.Message) error {
@@ -115,10 +166,7 @@
 		for {
 			select {
 			case m := <-c:
-				mu.Lock()
-				drop := dropping
-				mu.Unlock()
-				if !drop {
+				if l.accept(ctx) {
 					handle(m)
 				}
 			case <-ctx.Done():
@@ -128,13 +176,24 @@
 	}
 	toConnection := from.Connected(name, "r", send(forward))
 	fromConnection := to.ForwarderConnected("from", send(back))
-	go deliver(forward, func(m wire.Message) { to.HandleForwarder(fromConnection, m) })
+	go deliver(forward, func(m wire.Message) {
+		if from.stripEcho {
+			m = withoutEcho(m)
+		}
+		to.HandleForwarder(fromConnection, m)
+	})
 	go deliver(back, func(m wire.Message) { from.Handle(toConnection, m) })
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		dropping = true
+	return l
+}
+
+func withoutEcho(m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case *wire.Place:
+		return &wire.Place{Number: m.Number, Job: m.Job}
+	case *wire.Heartbeat:
+		return &wire.Heartbeat{}
 	}
+	return m
 }
 
 func submission(id string, estimate time.Duration) job.Submission {
@@ -201,9 +260,9 @@
 func TestJobsOfUnresponsivePeerAreGivenUp(t *testing.T) {
 	inBubble(t, func(ctx context.Context, c *qt.C, front *testEntry) {
 		a := newTestEntry(ctx, 1000)
-		dropMessages := connect(ctx, front, a, "a")
+		link := connect(ctx, front, a, "a")
 		synctest.Wait()
-		time.AfterFunc(200*time.Millisecond, dropMessages)
+		time.AfterFunc(200*time.Millisecond, link.drop)
 		begun := time.Now()
 		_, err := front.Submit(ctx, submission("j", 5*time.Second))
 		took := time.Since(begun) - 200*time.Millisecond
@@ -221,10 +280,10 @@
 func TestSuspectEntryGetsNoJobs(t *testing.T) {
 	inBubble(t, func(ctx context.Context, c *qt.C, front *testEntry) {
 		a, b := newTestEntry(ctx, 1000), newTestEntry(ctx, 1000)
-		dropMessages := connect(ctx, front, a, "a")
+		link := connect(ctx, front, a, "a")
 		connect(ctx, front, b, "b")
 		time.Sleep(time.Second)
-		dropMessages()
+		link.drop()
 		time.Sleep(suspectTimeout + time.Millisecond)
 		for range 20 {
 			_, err := front.Submit(ctx, submission("j", time.Millisecond))
