emulator: trace overlapping runs of a task to the messages that caused them

The check compared neighbouring runs only: a run that begins while a long one continues passed if a short one had ended in between, and a run whose lease had expired unnoticed counted as alive. It now compares each run with the one that ends last and ends expired leases first. A violation is followed by the timeline of its task: submissions, Place, Orders, Stop, Claim, Reports, injected faults and the begin and end of each run. Two tests of emulated systems that checked no guarantee at their end now do.

--- a/emulator/check.go
+++ b/emulator/check.go
@@ -1,8 +1,11 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"oriolerelay/endpointapi"
@@ -26,43 +29,87 @@
 }
 
 // Check returns a line for each violation of a guarantee in the runs of the endpoints and the
-// answers to the callers.
-func (s *System) Check(answers []Answer) []string { return Check(s.Endpoints, answers) }
+// answers to the callers. Overlapping runs are followed by the timeline of their task.
+func (s *System) Check(answers []Answer) []string {
+	return append(s.checkOverlap(), checkAnswers(s.Endpoints, answers)...)
+}
+
+// checkOverlap finds tasks with two runs at the same time and adds their timelines.
+func (s *System) checkOverlap() (violations []string) {
+	runs := allRuns(s.Endpoints)
+	for _, o := range overlaps(runs) {
+		lines := append([]string{o.String()}, s.timeline.ofTask(o.first.ID.Task, runs)...)
+		violations = append(violations, strings.Join(lines, "\n"))
+	}
+	return violations
+}
+
+// allRuns returns the runs of all endpoints. Runs whose lease has expired have ended.
+func allRuns(endpoints []*Endpoint) (runs []Run) {
+	for _, e := range endpoints {
+		e.ExpireLease()
+		runs = append(runs, e.History()...)
+	}
+	return runs
+}
 
 // Check returns a line for each violation of a guarantee in the runs of the endpoints and the
 // answers to the callers: overlapping runs of a task, runs of refused jobs, completed jobs that
 // did not run, and endpoints used beyond their capacity.
-func Check(endpoints []*Endpoint, answers []Answer) []string {
-	var runs []Run
-	for _, e := range endpoints {
-		runs = append(runs, e.History()...)
+func Check(endpoints []*Endpoint, answers []Answer) (violations []string) {
+	for _, o := range overlaps(allRuns(endpoints)) {
+		violations = append(violations, o.String())
 	}
-	var violations []string
-	violations = append(violations, checkOverlap(runs)...)
-	violations = append(violations, checkRefused(runs, answers)...)
-	violations = append(violations, checkComplete(runs, answers)...)
+	return append(violations, checkAnswers(endpoints, answers)...)
+}
+
+// checkAnswers finds violations of all guarantees but that the runs of a task do not overlap.
+func checkAnswers(endpoints []*Endpoint, answers []Answer) []string {
+	runs := allRuns(endpoints)
+	violations := append(checkRefused(runs, answers), checkComplete(runs, answers)...)
 	for _, e := range endpoints {
 		violations = append(violations, checkCapacity(e, e.History())...)
 	}
 	return violations
 }
 
-// checkOverlap finds tasks with two runs at the same time.
-func checkOverlap(runs []Run) (violations []string) {
+// overlap is a pair of runs of one task that execute at the same time.
+type overlap struct{ first, second Run }
+
+// String describes the pair for a test failure.
+func (o overlap) String() string {
+	until := "the end of the test"
+	if !o.first.End.IsZero() {
+		until = o.first.End.String()
+	}
+	return fmt.Sprintf("two runs of task %s overlap: run %d on %s until %s, run %d on %s from %v", o.first.ID.Task,
+		o.first.ID.Number, o.first.Endpoint, until, o.second.ID.Number, o.second.Endpoint, o.second.Start)
+}
+
+// overlaps returns, for each task with runs at the same time, the first such pair, in order of
+// time. A run that ends when another one begins does not overlap with it.
+func overlaps(runs []Run) (out []overlap) {
 	byTask := make(map[string][]Run)
 	for _, r := range runs {
 		byTask[r.ID.Task] = append(byTask[r.ID.Task], r)
 	}
-	for task, rs := range byTask {
-		sort.Slice(rs, func(i, j int) bool { return rs[i].Start.Before(rs[j].Start) })
-		for i := 1; i < len(rs); i++ {
-			if rs[i-1].End.IsZero() || rs[i].Start.Before(rs[i-1].End) {
-				violations = append(violations, fmt.Sprintf("two runs of task %s overlap: run %d on %s until %v, run %d on %s from %v",
-					task, rs[i-1].ID.Number, rs[i-1].Endpoint, rs[i-1].End, rs[i].ID.Number, rs[i].Endpoint, rs[i].Start))
+	for _, rs := range byTask {
+		slices.SortFunc(rs, func(a, b Run) int { return a.Start.Compare(b.Start) })
+		longest := rs[0] // of the preceding runs, the one that ends last
+		for _, r := range rs[1:] {
+			if longest.End.IsZero() || r.Start.Before(longest.End) {
+				out = append(out, overlap{longest, r})
+				break
+			}
+			if r.End.IsZero() || r.End.After(longest.End) {
+				longest = r
 			}
 		}
 	}
-	return violations
+	slices.SortFunc(out, func(a, b overlap) int {
+		return cmp.Or(a.second.Start.Compare(b.second.Start), cmp.Compare(a.second.ID.Task, b.second.ID.Task))
+	})
+	return out
 }
 
 // CheckStored returns a line for each task that has overlapping runs or was started again after a
@@ -78,7 +125,7 @@
 			}
 		}
 	}
-	violations := checkOverlap(runs)
+	violations := s.checkOverlap()
 	for _, r := range runs {
 		if at, ok := done[r.ID.Task]; ok && r.Start.After(at) {
 			violations = append(violations, fmt.Sprintf("task %s was started on %s at %v, after its completion at %v", r.ID.Task, r.Endpoint, r.Start, at))
--- a/emulator/resubmit_test.go
+++ b/emulator/resubmit_test.go
@@ -115,8 +115,9 @@
 				}
 				time.Sleep(disconnectNoticeDelay)
 				noticeDisconnect()
-				c.Check((<-answer).State, quicktest.Equals, job.Completed)
-				<-blocker
+				a := <-answer
+				c.Check(a.State, quicktest.Equals, job.Completed)
+				c.Check(s.Check([]Answer{<-blocker, a}), quicktest.HasLen, 0)
 				stop()
 				time.Sleep(time.Second)
 				synctest.Wait()
--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"slices"
 
@@ -112,11 +111,18 @@
 			return nil
 		}
 	}
-	target := from.Router.Connected(fmt.Sprintf("%s.%d", to.name, to.incarnationNumber), "", send(forward))
-	forwarder := to.Router.ForwarderConnected(fmt.Sprintf("%s.%d", from.name, from.incarnationNumber), send(backward))
+	target := from.Router.Connected(to.incarnation(), "", send(forward))
+	forwarder := to.Router.ForwarderConnected(from.incarnation(), send(backward))
 	isOpen := func() bool { return true }
-	go forward.deliver(isOpen, func(m wire.Message) { to.Router.HandleForwarder(forwarder, m) })
-	go backward.deliver(isOpen, func(m wire.Message) { from.Router.Handle(target, m) })
+	number := s.timeline.newConnection()
+	go forward.deliver(isOpen, func(m wire.Message) {
+		s.timeline.addMessage(number, from.incarnation(), to.incarnation(), m)
+		to.Router.HandleForwarder(forwarder, m)
+	})
+	go backward.deliver(isOpen, func(m wire.Message) {
+		s.timeline.addMessage(number, to.incarnation(), from.incarnation(), m)
+		from.Router.Handle(target, m)
+	})
 }
 
 // Router returns the router of an entry, nil if the system is not routed.
--- a/emulator/routed_test.go
+++ b/emulator/routed_test.go
@@ -64,6 +64,7 @@
 			}
 			return s.Entry(e).Submit(ctx, j)
 		})
+		quicktest.Check(t, s.Check(out.Answers), quicktest.HasLen, 0)
 		stop()
 		time.Sleep(time.Second) // until the messages in transit are delivered
 		synctest.Wait()
--- a/emulator/system.go
+++ b/emulator/system.go
@@ -40,10 +40,11 @@
 	// Policy is the policy of all processes.
 	Policy policy.Policy
 
-	ctx     context.Context
-	mu      sync.Mutex
-	agents  []*Agent
-	entries []*Entry
+	ctx      context.Context
+	timeline timeline
+	mu       sync.Mutex
+	agents   []*Agent
+	entries  []*Entry
 }
 
 // Agent is the process that starts runs at an endpoint.
@@ -166,6 +167,9 @@
 	return n
 }
 
+// incarnation returns the identity of the process.
+func (e *Entry) incarnation() string { return fmt.Sprintf("%s.%d", e.name, e.incarnationNumber) }
+
 // Entry returns the coordinator of an entry.
 func (s *System) Entry(i int) *coordinator.Coordinator {
 	s.mu.Lock()
@@ -180,6 +184,24 @@
 	return s.entries[i].Ledger
 }
 
+// Submit submits a job to an entry as a caller does and waits for the answer. If ctx ends first, the
+// caller has disconnected.
+func (s *System) Submit(ctx context.Context, entry int, j job.Submission) Answer {
+	s.mu.Lock()
+	e := s.entries[entry]
+	s.mu.Unlock()
+	submit := e.Coordinator.Submit
+	if e.Router != nil {
+		submit = e.Router.Submit
+	}
+	a := Answer{Job: j.ID, SentAt: time.Now()}
+	s.timeline.addSubmission(j.ID, "caller to %s: submits the job", e.incarnation())
+	a.State, a.Err = submit(ctx, j)
+	a.ReceivedAt, a.Disconnected = time.Now(), ctx.Err() != nil
+	s.timeline.addSubmission(j.ID, "%s to caller: %s %v, disconnected %v", e.incarnation(), a.State, a.Err, a.Disconnected)
+	return a
+}
+
 // Drain makes the endpoint of an agent announce that it is draining.
 func (s *System) Drain(agent int) {
 	s.mu.Lock()
@@ -191,6 +213,7 @@
 
 // KillEntry stops an entry and starts a new incarnation of it.
 func (s *System) KillEntry(i int) {
+	s.timeline.addFault("entry %d is killed", i)
 	s.mu.Lock()
 	old := s.entries[i]
 	old.stop()
@@ -203,6 +226,7 @@
 
 // KillAgent stops an agent and starts a new incarnation of it.
 func (s *System) KillAgent(i int) {
+	s.timeline.addFault("agent %d is killed", i)
 	s.mu.Lock()
 	s.agents[i].stop()
 	s.agents[i] = s.newAgent(i)
@@ -214,6 +238,7 @@
 
 // Cut drops all messages between an entry and an agent, or connects them again if cut is false.
 func (s *System) Cut(entry, agent int, cut bool) {
+	s.timeline.addFault("link between entry %d and agent %d: cut %v", entry, agent, cut)
 	s.mu.Lock()
 	s.entries[entry].cut[agent] = cut
 	s.mu.Unlock()
@@ -242,7 +267,7 @@
 	if !s.connected(e, a) {
 		return
 	}
-	incarnation := fmt.Sprintf("%s.%d", e.name, e.incarnationNumber)
+	incarnation := e.incarnation()
 	toAgent, toEntry := newLink(s.ctx), newLink(s.ctx)
 	a.Executor.Connected(incarnation, func(m wire.Message) error {
 		toEntry.send(m)
@@ -253,8 +278,15 @@
 		return nil
 	})
 	isConnected := func() bool { return s.connected(e, a) }
-	go toAgent.deliver(isConnected, func(m wire.Message) { a.Executor.Handle(incarnation, m) })
-	go toEntry.deliver(isConnected, func(m wire.Message) { e.Coordinator.Handle(a.name, connection, m) })
+	number := s.timeline.newConnection()
+	go toAgent.deliver(isConnected, func(m wire.Message) {
+		s.timeline.addMessage(number, incarnation, a.name, m)
+		a.Executor.Handle(incarnation, m)
+	})
+	go toEntry.deliver(isConnected, func(m wire.Message) {
+		s.timeline.addMessage(number, a.name, incarnation, m)
+		e.Coordinator.Handle(a.name, connection, m)
+	})
 }
 
 // link delivers messages in one direction, in order and after linkDelay.
--- a/emulator/system_test.go
+++ b/emulator/system_test.go
@@ -48,9 +48,7 @@
 }
 
 func submit(s *System, entry int, j job.Submission) Answer {
-	sent := time.Now()
-	state, err := s.Entry(entry).Submit(context.Background(), j)
-	return Answer{Job: j.ID, SentAt: sent, ReceivedAt: time.Now(), State: state, Err: err}
+	return s.Submit(context.Background(), entry, j)
 }
 
 // submitAsync submits j and returns the channel on which its answer arrives.
