emulator: two failing tests of jobs that are resubmitted at once

In these tests it is reset 0.3 to 6 ms after the request was taken.

The second test shows the same in one process: a job that is abandoned is removed at once, and a copy that arrives 1 ms later starts the task elsewhere while the stop is under way.

--- a/emulator/resubmit_test.go
+++ b/emulator/resubmit_test.go
@@ -13,6 +13,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/internal/bubble"
 	"oriolerelay/job"
+	"oriolerelay/policy"
 )
 
 // disconnectNoticeDelay is the time after which a busy entry learns that the connection of a
@@ -125,3 +126,96 @@
 		})
 	}
 }
+
+// resetAndResubmit submits jobs to entry 0 whose connections are reset a few milliseconds later,
+// while the job is being forwarded or ordered. The caller submits the job to another entry at once,
+// as it does when a kept-alive connection is reset just as it sends, and entry 0 learns of the reset
+// after a millisecond.
+func resetAndResubmit(ctx context.Context, s *System, resubmitTo int) (answers []Answer) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for n := range 20 {
+		j := testJob(fmt.Sprintf("%016x", n), 4, 100*time.Millisecond)
+		j.CallerTimeout = 5 * time.Second
+		first := j
+		resetAt := time.Now().Add(time.Duration(1+n) * 300 * time.Microsecond)
+		first.CallerDisconnected = func() bool { return !time.Now().Before(resetAt) }
+		firstCtx, noticeReset := context.WithCancel(ctx)
+		submitTo := func(ctx context.Context, entry int, j job.Submission) {
+			wg.Go(func() {
+				a := s.Submit(ctx, entry, j)
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			})
+		}
+		submitTo(firstCtx, 0, first)
+		time.Sleep(time.Until(resetAt))
+		submitTo(ctx, resubmitTo, j)
+		time.Sleep(time.Millisecond)
+		noticeReset()
+		time.Sleep(300 * time.Millisecond)
+	}
+	wg.Wait()
+	return answers
+}
+
+// Guards against overlapping runs of a task: the connection of a request is reset after the entry has
+// checked it, and the caller submits the job to another entry at once, which places it at another
+// placement entry before the first one has stopped its runs.
+func TestResubmissionAfterResetDuringPlacement(t *testing.T) {
+	for name, shares := range map[string][]uint32{
+		"own agents":        {100, 100},
+		"placement entries": {100, 100, 800, 800, 100, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, stop := context.WithCancel(t.Context())
+				s := NewPolicySystem(ctx, equalEndpoints(), shares, policy.Policy{}, nil)
+				time.Sleep(time.Second)
+				answers := resetAndResubmit(ctx, s, 1)
+				c.Check(s.Check(answers), quicktest.HasLen, 0)
+				for _, a := range answers {
+					c.Check(a.Disconnected || a.State == job.Completed, quicktest.IsTrue, quicktest.Commentf("%+v", a))
+				}
+				stop()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// equalEndpoints returns endpoints among which the choice for a task is random.
+func equalEndpoints() []*Endpoint {
+	return Fleet(capacity, taskSize, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+}
+
+// Guards against overlapping runs of a task: a caller disconnects and submits its job to the same
+// entry again, which starts the tasks on other endpoints while the stopped runs have not ended.
+func TestResubmissionWaitsForStoppedRuns(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		s := NewSystem(ctx, equalEndpoints(), 1, nil)
+		time.Sleep(time.Second)
+		var answers []Answer
+		for n := range 10 {
+			j := testJob(fmt.Sprintf("%016x", n), 4, 100*time.Millisecond)
+			firstCtx, disconnect := context.WithCancel(ctx)
+			go func() { s.Submit(firstCtx, 0, j) }()
+			time.Sleep(time.Duration(n) * 3 * time.Millisecond)
+			disconnect()
+			time.Sleep(time.Millisecond)
+			answers = append(answers, s.Submit(ctx, 0, j))
+		}
+		c.Check(s.Check(answers), quicktest.HasLen, 0)
+		for _, a := range answers {
+			c.Check(a.Disconnected || a.State == job.Completed, quicktest.IsTrue, quicktest.Commentf("%+v", a))
+		}
+		stop()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
