coordinator: hold a resubmitted job's tasks until their stopped runs have ended

Seen by callers: a task ran twice if a job was submitted again to the entry that was still stopping its runs. Cause: a job whose last caller disconnects is removed and its runs are forgotten when the stop is sent. A copy of the job that arrives before the runs have ended (up to 50 ms, or the end of the lease if the agent was cut off) is placed as a new job, on any endpoint.

The coordinator now keeps the runs that it has asked to stop until the agent reports their end or has been silent for the orphan timeout, lists them in the claim on a new connection, stops them there again, and holds the tasks of a new copy until then. The copy's runs continue the numbers of the stopped ones, which the endpoint would reject as old.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -110,6 +110,7 @@
 	j.arrived = j.arrived.Add(-priorWait)
 	j.objective = j.arrived.Add(s.Queue.Objective(j.expectedRunTime))
 	c.jobs[s.ID] = j
+	c.skipUsedRunNumbers(j)
 	c.unblockTasks(j)
 	c.enqueue(j)
 	c.replan = true
@@ -120,6 +121,21 @@
 		"age_ms", priorWait.Milliseconds(), "typical_slowness", typical, "endpoints", len(endpoints), "waiting", len(c.queued))
 }
 
+// skipUsedRunNumbers makes the tasks of j begin after the numbers of their stopping runs, which
+// their endpoints would reject.
+func (c *Coordinator) skipUsedRunNumbers(j *activeJob) {
+	if len(c.stopping) == 0 {
+		return
+	}
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if s := c.stopping[t.name]; s != nil {
+				t.runNumber = max(t.runNumber, s.task.runNumber)
+			}
+		}
+	}
+}
+
 // criticalPath returns the declared run time of the longest chain of dependent steps.
 func (j *activeJob) criticalPath() time.Duration {
 	ends := make([]time.Duration, len(j.spec.Steps))
@@ -193,6 +209,7 @@
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if t.agent != nil {
+				c.stopping[t.name] = &stoppingRun{task: t, agent: t.agent}
 				c.stopRun(t)
 				c.detach(t)
 			}
@@ -200,6 +217,33 @@
 	}
 }
 
+// stoppingRun is the run of a removed job that was asked to stop and has not ended as far as is
+// known. A caller may submit the job again at once; the task must not run elsewhere until then.
+type stoppingRun struct {
+	task  *task
+	agent *agent
+}
+
+// runStopped handles a report of a run that no task waits for.
+func (c *Coordinator) runStopped(a *agent, r wire.Report) {
+	s := c.stopping[r.Run.Task]
+	if s == nil || s.agent != a || s.task.runNumber != r.Run.Number || r.State == wire.RunStarted || r.State == wire.RunSlow {
+		return
+	}
+	delete(c.stopping, r.Run.Task)
+	c.replan = true
+}
+
+// forgetStoppingRuns removes the stopping runs at an agent, which must have ended.
+func (c *Coordinator) forgetStoppingRuns(a *agent) {
+	for name, s := range c.stopping {
+		if s.agent == a {
+			delete(c.stopping, name)
+			c.replan = true
+		}
+	}
+}
+
 // finish removes j and answers it with the given outcome.
 func (c *Coordinator) finish(j *activeJob, o outcome, now time.Time) {
 	c.remove(j)
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -46,7 +46,7 @@
 		a.send, a.lastReceived, a.orderCount, a.pendingStops = send, now, 0, nil
 		a.status = wire.Status{ClosedReason: wire.RejectUnreachable} // until its first status
 		c.cfg.Log.Log(event.AgentConnected, "agent", name, "connection", connection, "runs", len(a.tasks))
-		c.sendTo(a, a.expectedRuns(), now)
+		c.sendTo(a, c.expectedRuns(a), now)
 		c.sendEvacuated(a, now)
 		if c.draining {
 			c.sendTo(a, &wire.EntryDraining{}, now)
@@ -55,15 +55,25 @@
 	return connection
 }
 
-// expectedRuns returns a claim that lists the runs which this entry believes to be at a.
-func (a *agent) expectedRuns() *wire.Claim {
+// expectedRuns returns a claim that lists the runs which this entry believes to be at a. Those
+// that are being stopped are listed as well, so that a reports their ends, and are stopped again.
+func (c *Coordinator) expectedRuns(a *agent) *wire.Claim {
 	m := &wire.Claim{}
-	for _, t := range a.tasks {
-		t.orderSequence = 0
+	add := func(t *task) {
 		group := t.orderGroup()
 		group.Runs = []wire.Run{t.runID()}
 		m.Groups = append(m.Groups, group)
 	}
+	for _, t := range a.tasks {
+		t.orderSequence = 0
+		add(t)
+	}
+	for _, s := range c.stopping {
+		if s.agent == a {
+			add(s.task)
+			a.pendingStops = append(a.pendingStops, s.task.runID())
+		}
+	}
 	return m
 }
 
@@ -135,6 +145,7 @@
 func (c *Coordinator) handleReport(a *agent, r wire.Report, now time.Time) {
 	t := a.tasks[r.Run.Task]
 	if t == nil || t.runNumber != r.Run.Number {
+		c.runStopped(a, r)
 		c.handleUnclaimedEnd(a, r)
 		return
 	}
@@ -223,6 +234,7 @@
 		}
 		if sinceReceived > c.cfg.Timing.OrphanTimeout {
 			c.requeueLostRuns(a)
+			c.forgetStoppingRuns(a)
 			if a.send == nil {
 				delete(c.agents, name)
 			}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -82,6 +82,7 @@
 	lastAgentMessage   time.Time                    // from any agent
 	agentsUnreachable  atomic.Bool                  // no message from an agent for a while; see checkReachability
 	pendingOrders      map[*agent][]wire.OrderGroup // of the current batch
+	stopping           map[string]*stoppingRun      // by task
 	serviceLoads       atomic.Pointer[[]wire.ServiceLoad]
 	serviceLoadsAt     time.Time // when serviceLoads was last updated
 	serviceLabels      atomic.Pointer[[]wire.ServiceLabels]
@@ -99,6 +100,7 @@
 		jobs:           make(map[string]*activeJob),
 		unclaimedEnds:  make(map[string][]unclaimedEnd),
 		pendingOrders:  make(map[*agent][]wire.OrderGroup),
+		stopping:       make(map[string]*stoppingRun),
 		callerTimeouts: make(map[string]*policy.CallerTimeoutModel),
 	}
 	c.agentsUnreachable.Store(true) // until the first message from an agent
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -218,7 +218,7 @@
 	}
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
-			if t.state != taskWaiting || now.Before(t.holdUntil) {
+			if t.state != taskWaiting || now.Before(t.holdUntil) || c.stopping[t.name] != nil {
 				continue
 			}
 			p := c.policyTask(t, agents, now)
--- a/emulator/resubmit_test.go
+++ b/emulator/resubmit_test.go
@@ -219,3 +219,38 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against overlapping runs of a task whose stop was lost with the connection to the agent: the
+// entry runs the resubmitted job before it has learned of the end of the run.
+func TestResubmissionWaitsForRunsOfCutOffAgents(t *testing.T) {
+	for name, cut := range map[string]time.Duration{"short": 200 * time.Millisecond, "until the lease ends": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, stop := context.WithCancel(t.Context())
+				s := NewSystem(ctx, equalEndpoints(), 1, nil)
+				time.Sleep(time.Second)
+				j := testJob("00000000000000aa", 20, 2*time.Second)
+				firstCtx, disconnect := context.WithCancel(ctx)
+				go func() { s.Submit(firstCtx, 0, j) }()
+				time.Sleep(50 * time.Millisecond)
+				setCut := func(isCut bool) {
+					for a := range 6 {
+						s.Cut(0, a, isCut)
+					}
+				}
+				setCut(true)
+				disconnect()
+				time.AfterFunc(cut, func() { setCut(false) })
+				time.Sleep(time.Millisecond)
+				a := s.Submit(ctx, 0, j)
+				c.Check(a.State, quicktest.Equals, job.Completed)
+				c.Check(s.Check([]Answer{a}), quicktest.HasLen, 0)
+				time.Sleep(4 * time.Second)
+				stop()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
