executor: an entry that hears nothing of an agent does not keep its runs alive

Cause: an entry gives the runs of an agent up 1,318 ms after its last message, on the assumption that the agent has stopped hearing the entry by then. While only the agent's messages are lost, the entry's heartbeats still arrive, until the transport closes the connection 600 ms after the last packet, which may have come 300 ms after the last message. The agent then counts its 450 ms from the last heartbeat and asks its endpoint to stop the run, which takes up to 50 ms more. Change: heartbeats return the agent's clock as orders do, and the agent stops the runs of an entry whose newest one is over 600 ms old. Stops and confirmations no longer count as heartbeats. Entries of older versions return none in heartbeats and are treated as before. Why it works: the clock that the entry returns was sent before the moment from which it counts, so the agent stops the run 700 ms before the entry runs the task again, or its lease ends in that time.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -18,7 +18,7 @@
 	connection      uint64 // number of the connection; calls for an older one are ignored
 	send            Sender // nil while not connected
 	lastReceived    time.Time
-	lastSent        time.Time
+	lastEchoed      time.Time // when its clock was last returned to it
 	profile         *wire.Profile
 	status          wire.Status
 	orderCount      uint64 // runs ordered on this connection
@@ -46,10 +46,10 @@
 		a.send, a.lastReceived, a.orderCount, a.pendingStops = send, now, 0, nil
 		a.status = wire.Status{ClosedReason: wire.RejectUnreachable} // until its first status
 		c.cfg.Log.Log(event.AgentConnected, "agent", name, "connection", connection, "runs", len(a.tasks))
-		c.sendTo(a, c.expectedRuns(a), now)
-		c.sendEvacuated(a, now)
+		c.sendTo(a, c.expectedRuns(a))
+		c.sendEvacuated(a)
 		if c.draining {
-			c.sendTo(a, &wire.EntryDraining{}, now)
+			c.sendTo(a, &wire.EntryDraining{})
 		}
 	})
 	return connection
@@ -240,8 +240,9 @@
 			}
 			continue
 		}
-		if a.send != nil && len(a.tasks) > 0 && now.Sub(a.lastSent) > c.cfg.Timing.HeartbeatInterval {
-			c.sendTo(a, &wire.Heartbeat{}, now)
+		if a.send != nil && len(a.tasks) > 0 && now.Sub(a.lastEchoed) > c.cfg.Timing.HeartbeatInterval {
+			a.lastEchoed = now
+			c.sendTo(a, &wire.Heartbeat{StatusClockMillis: a.status.ClockMillis})
 		}
 	}
 }
@@ -261,11 +262,10 @@
 	}
 }
 
-func (c *Coordinator) sendTo(a *agent, m wire.Message, now time.Time) {
+func (c *Coordinator) sendTo(a *agent, m wire.Message) {
 	if a.send == nil {
 		return
 	}
-	a.lastSent = now
 	if err := a.send(m); err != nil {
 		c.cfg.Log.Log(event.AgentDisconnected, "agent", a.name, "connection", a.connection, "error", err)
 		a.send = nil
--- a/coordinator/evacuated.go
+++ b/coordinator/evacuated.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"oriolerelay/event"
 	"oriolerelay/wire"
@@ -20,15 +19,15 @@
 		c.replan = true
 		c.cfg.Log.Log(event.EvacuationChanged, "version", m.Version, "data_centres", strings.Join(m.DataCentres, ","))
 		for _, a := range c.agents {
-			c.sendEvacuated(a, time.Now())
+			c.sendEvacuated(a)
 		}
 	})
 }
 
 // sendEvacuated informs an agent of the evacuated data centres.
-func (c *Coordinator) sendEvacuated(a *agent, now time.Time) {
+func (c *Coordinator) sendEvacuated(a *agent) {
 	if c.evacuated.Version > 0 {
 		m := c.evacuated
-		c.sendTo(a, &m, now)
+		c.sendTo(a, &m)
 	}
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -276,15 +276,16 @@
 func (c *Coordinator) sendPending(now time.Time) {
 	for a, groups := range c.pendingOrders {
 		delete(c.pendingOrders, a)
-		c.sendTo(a, &wire.Orders{Groups: groups, OrderedRuns: a.orderCount, StatusClockMillis: a.status.ClockMillis}, now)
+		a.lastEchoed = now
+		c.sendTo(a, &wire.Orders{Groups: groups, OrderedRuns: a.orderCount, StatusClockMillis: a.status.ClockMillis})
 	}
 	for _, a := range c.agents {
 		if len(a.pendingStops) > 0 {
-			c.sendTo(a, &wire.Stop{Runs: a.pendingStops}, now)
+			c.sendTo(a, &wire.Stop{Runs: a.pendingStops})
 			a.pendingStops = nil
 		}
 		if len(a.pendingConfirms) > 0 {
-			c.sendTo(a, &wire.Confirm{Runs: a.pendingConfirms}, now)
+			c.sendTo(a, &wire.Confirm{Runs: a.pendingConfirms})
 			a.pendingConfirms = nil
 		}
 	}
--- a/coordinator/service_loads.go
+++ b/coordinator/service_loads.go
@@ -105,7 +105,7 @@
 	c.loop.Do(func() {
 		c.draining = true
 		for _, a := range c.agents {
-			c.sendTo(a, &wire.EntryDraining{}, time.Now())
+			c.sendTo(a, &wire.EntryDraining{})
 		}
 	})
 }
--- a/emulator/system.go
+++ b/emulator/system.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,7 @@
 	name              string
 	incarnationNumber int
 	cut               map[int]bool // agents to which the link is cut
+	unheard           map[int]bool // agents whose messages are lost
 }
 
 // NewSystem starts an agent for each endpoint and the given number of entries, and connects every
@@ -148,7 +150,7 @@
 
 func (s *System) newEntry(i, incarnationNumber int) *Entry {
 	ctx, stop := context.WithCancel(s.ctx)
-	n := &Entry{stop: stop, name: fmt.Sprintf("entry-%d", i), incarnationNumber: incarnationNumber, cut: make(map[int]bool)}
+	n := &Entry{stop: stop, name: fmt.Sprintf("entry-%d", i), incarnationNumber: incarnationNumber, cut: make(map[int]bool), unheard: make(map[int]bool)}
 	n.Coordinator = coordinator.New(coordinator.Config{
 		DataCentre: "centre", Policy: s.Policy, Timing: coordinator.DefaultTiming(Timing().OrphanTimeout(), 1.5),
 		Log: s.logger(n.name), Metrics: coordinator.NewMetrics(prometheus.NewRegistry()),
@@ -247,6 +249,28 @@
 	}
 }
 
+// CutFromAgent drops the messages from an agent to an entry, while those of the entry arrive, or
+// connects the two again if cut is false.
+func (s *System) CutFromAgent(entry, agent int, cut bool) {
+	s.timeline.addFault("link from agent %d to entry %d: cut %v", agent, entry, cut)
+	s.mu.Lock()
+	s.entries[entry].unheard[agent] = cut
+	s.mu.Unlock()
+	if !cut {
+		s.connect(entry, agent)
+	}
+}
+
+// hears reports whether messages from an agent are delivered to an entry.
+func (s *System) hears(e *Entry, a *Agent) bool {
+	if !s.connected(e, a) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !e.unheard[slices.Index(s.agents, a)]
+}
+
 // connected reports whether messages are delivered between an entry and an agent.
 func (s *System) connected(e *Entry, a *Agent) bool {
 	s.mu.Lock()
@@ -283,7 +307,7 @@
 		s.timeline.addMessage(number, incarnation, a.name, m)
 		a.Executor.Handle(incarnation, m)
 	})
-	go toEntry.deliver(isConnected, func(m wire.Message) {
+	go toEntry.deliver(func() bool { return s.hears(e, a) }, func(m wire.Message) {
 		s.timeline.addMessage(number, a.name, incarnation, m)
 		e.Coordinator.Handle(a.name, connection, m)
 	})
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -22,6 +22,10 @@
 	orderedRuns  uint64 // on this connection
 	profileSent  bool
 	suspect      bool // see IsSuspect
+	// echoedClock is the newest Status.ClockMillis that the entry has returned, or the clock at
+	// the start of the connection. echoesInHeartbeats is false for an entry of an older version.
+	echoedClock        uint64
+	echoesInHeartbeats bool
 	// retired is set once this agent serves other entries and accepts no more orders from this
 	// one.
 	retired bool
@@ -39,7 +43,7 @@
 			x.entries[incarnation] = e
 		}
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
-		e.suspect = false
+		e.suspect, e.echoedClock = false, x.clockMillis()
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
 		x.statusDirty = true
@@ -111,6 +115,7 @@
 		e.lastReceived, e.suspect = now, false
 		switch m := m.(type) {
 		case *wire.Orders:
+			e.echoedClock = max(e.echoedClock, m.StatusClockMillis)
 			age := x.age(m.StatusClockMillis)
 			for i := range m.Groups {
 				g := &m.Groups[i]
@@ -124,6 +129,10 @@
 			}
 			e.orderedRuns = m.OrderedRuns
 			x.statusDirty = true
+		case *wire.Heartbeat:
+			if m.StatusClockMillis > 0 {
+				e.echoedClock, e.echoesInHeartbeats = max(e.echoedClock, m.StatusClockMillis), true
+			}
 		case *wire.Stop:
 			for _, id := range m.Runs {
 				x.stopOrdered(e, id, now)
@@ -272,11 +281,18 @@
 	}
 }
 
-// expireEntries stops the runs of entries that have timed out, and removes entries that are
-// disconnected and have no runs left.
+// hearsNothing reports whether e may have received no status of this agent for so long that it
+// is about to run its tasks elsewhere, although its own messages arrive here.
+func (x *Executor) hearsNothing(e *entry) bool {
+	return e.echoesInHeartbeats && x.age(e.echoedClock) > x.cfg.Timing.MaxOrderAge
+}
+
+// expireEntries stops the runs of entries that have timed out or hear nothing, and removes
+// entries that are disconnected and have no runs left.
 func (x *Executor) expireEntries(now time.Time) {
 	for incarnation, e := range x.entries {
-		if now.Sub(e.lastReceived) < x.cfg.Timing.EntryTimeout {
+		timedOut := now.Sub(e.lastReceived) >= x.cfg.Timing.EntryTimeout
+		if !timedOut && !x.hearsNothing(e) {
 			continue
 		}
 		runs := 0
@@ -287,11 +303,11 @@
 			runs++
 			if r.state != runStopping {
 				x.cfg.Log.Log(event.RunAbandoned, "task", r.id.Task, "run", r.id.Number, "entry", incarnation,
-					"silent_ms", now.Sub(e.lastReceived).Milliseconds())
+					"silent_ms", now.Sub(e.lastReceived).Milliseconds(), "status_age_ms", x.age(e.echoedClock).Milliseconds())
 				x.stop(r, 0, now)
 			}
 		}
-		if runs == 0 && e.send == nil {
+		if runs == 0 && e.send == nil && timedOut {
 			delete(x.entries, incarnation)
 		}
 	}
