endpointapi, emulator: calls carry a fencing token; the emulated endpoint enforces it

The platform's endpoint keeps the highest fencing token it has seen since its start and ignores calls with a lower one. The token was a constant of platform/, so neither the executor nor the emulator could use that rule.

Change: start, stop and observe requests carry a FencingToken; a call that the endpoint ignored for it is reported as StartFenced or FencedError. The executor still sends the constant 1, so behaviour is unchanged. The emulated endpoint keeps the highest token, ignores lower ones, and forgets it when it restarts. It can restart under the same id (CrashKeepingID), reports its start time in observations, and with Faults.LateGrants carries out unanswered observations after Delay; the lease end of late calls then counts from their arrival.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -43,6 +43,9 @@
 	// LossRate is the share of calls that get no reply. Start and stop calls among them take
 	// effect after Delay.
 	LossRate float64
+	// LateGrants makes observations that get no reply take effect after Delay as well. The
+	// lease end in a late call then counts from its arrival.
+	LateGrants bool
 }
 
 // Run is a run as an observer at the endpoint sees it.
@@ -83,6 +86,7 @@
 	changed        chan struct{}
 	history        []*Run
 	announcements  uint64
+	fencingToken   endpointapi.FencingToken // highest of the calls to this incarnation
 }
 
 type activeRun struct {
@@ -99,13 +103,14 @@
 	e.Work = func(string, string) (time.Duration, wire.Resources) {
 		return 100 * time.Millisecond, wire.Resources{MilliCores: 1000}
 	}
+	e.instance = 1
 	e.restartLocked()
 	return e
 }
 
 func (e *Endpoint) restartLocked() {
-	e.instance++
 	e.startedAt = time.Now()
+	e.fencingToken = 0
 	e.running, e.highestRun = make(map[string]*activeRun), make(map[string]uint32)
 	e.ended, e.sequence, e.ackedSequence, e.announcements = nil, 0, 0, 0
 	e.unacknowledged = make(map[uint64]*Run)
@@ -116,6 +121,18 @@
 func (e *Endpoint) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.instance++
+	e.crashLocked()
+}
+
+// CrashKeepingID is like Crash, but the new incarnation has the same instance id.
+func (e *Endpoint) CrashKeepingID() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashLocked()
+}
+
+func (e *Endpoint) crashLocked() {
 	for _, r := range e.running {
 		r.timer.Stop()
 		r.record.End, r.record.EndReason = time.Now(), endpointapi.EndLeaseExpired
@@ -246,12 +263,14 @@
 		if !lost {
 			e.faults.DelayStarts--
 		}
+		late := o
+		late.LeaseEnd = e.lateLeaseEndLocked(o.LeaseEnd)
 		time.AfterFunc(e.faults.Delay, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.expireLeaseLocked()
 			if o.Instance == e.instanceLocked() {
-				e.startLocked(o)
+				e.startLocked(late)
 			}
 		})
 		return e.noReplyLocked(ctx)
@@ -264,6 +283,23 @@
 	return endpointapi.StartReply{Result: result, Clock: e.clockLocked()}
 }
 
+// lateLeaseEndLocked returns the lease end of a call that takes effect after Faults.Delay.
+func (e *Endpoint) lateLeaseEndLocked(end time.Duration) time.Duration {
+	if end > 0 && e.faults.LateGrants {
+		return end + e.faults.Delay
+	}
+	return end
+}
+
+// passFenceLocked reports whether a call with the given token may take effect.
+func (e *Endpoint) passFenceLocked(token endpointapi.FencingToken) bool {
+	if token < e.fencingToken {
+		return false
+	}
+	e.fencingToken = token
+	return true
+}
+
 // loseCallLocked reports whether the current call gets no reply.
 func (e *Endpoint) loseCallLocked() bool {
 	if e.faults.LossRate <= 0 {
@@ -283,6 +319,9 @@
 }
 
 func (e *Endpoint) startLocked(o endpointapi.StartRequest) endpointapi.StartResult {
+	if !e.passFenceLocked(o.FencingToken) {
+		return endpointapi.StartFenced
+	}
 	if r := e.running[o.Run.Task]; r != nil && r.record.ID == o.Run {
 		return endpointapi.StartAccepted
 	}
@@ -356,23 +395,26 @@
 }
 
 // Stop implements endpointapi.Endpoint.
-func (e *Endpoint) Stop(ctx context.Context, instance string, run wire.Run) error {
+func (e *Endpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.applyFaultsLocked(ctx, instance); err != nil {
+	if err := e.applyFaultsLocked(ctx, o.Instance); err != nil {
 		return err
 	}
 	if e.loseCallLocked() {
 		time.AfterFunc(e.faults.Delay, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			if instance == e.instanceLocked() {
-				e.stopLocked(run)
+			if o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
+				e.stopLocked(o.Run)
 			}
 		})
 		return e.noReplyLocked(ctx).Err
 	}
-	e.stopLocked(run)
+	if !e.passFenceLocked(o.FencingToken) {
+		return &endpointapi.FencedError{}
+	}
+	e.stopLocked(o.Run)
 	return nil
 }
 
@@ -397,8 +439,22 @@
 		return endpointapi.Observation{}, err
 	}
 	if e.loseCallLocked() {
+		if e.faults.LateGrants {
+			end := e.lateLeaseEndLocked(o.LeaseEnd)
+			time.AfterFunc(e.faults.Delay, func() {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				e.expireLeaseLocked()
+				if o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
+					e.extendLeaseLocked(end)
+				}
+			})
+		}
 		return endpointapi.Observation{}, e.noReplyLocked(ctx).Err
 	}
+	if !e.passFenceLocked(o.FencingToken) {
+		return endpointapi.Observation{}, &endpointapi.FencedError{}
+	}
 	e.extendLeaseLocked(o.LeaseEnd)
 	e.ackedSequence = max(e.ackedSequence, o.AckedSequence)
 	for sequence, r := range e.unacknowledged {
@@ -430,7 +486,7 @@
 		}
 		e.expireLeaseLocked()
 	}
-	observation := endpointapi.Observation{Clock: e.clockLocked(), Ended: slices.Clone(e.ended)}
+	observation := endpointapi.Observation{Clock: e.clockLocked(), StartMillis: e.startedAt.UnixMilli(), Ended: slices.Clone(e.ended)}
 	for _, r := range e.running {
 		done := r.workDone
 		if !e.faults.Hang {
--- a/endpointapi/endpointapi.go
+++ b/endpointapi/endpointapi.go
@@ -15,7 +15,7 @@
 	Start(ctx context.Context, o StartRequest) StartReply
 	// Stop stops a run. After a nil error the run no longer executes, and a start of it
 	// that arrives later is rejected.
-	Stop(ctx context.Context, instance string, run wire.Run) error
+	Stop(ctx context.Context, o StopRequest) error
 	// Observe extends the lease of all runs and returns their state.
 	Observe(ctx context.Context, o ObserveRequest) (Observation, error)
 }
@@ -27,9 +27,14 @@
 	Payload  string
 	// LeaseEnd is a time on the endpoint's clock. The endpoint rejects a start that
 	// arrives later, and stops its runs at that time unless the lease is extended.
-	LeaseEnd time.Duration
+	LeaseEnd     time.Duration
+	FencingToken FencingToken
 }
 
+// FencingToken orders the calls to an endpoint. An endpoint ignores a call with a lower token
+// than the highest that it has seen since its start.
+type FencingToken uint64
+
 // StartResult is the outcome of a start.
 type StartResult uint8
 
@@ -46,11 +51,13 @@
 	StartOtherInstance
 	StartInvalid
 	StartEndpointDown // no process listens at the endpoint's address
+	StartFenced       // the endpoint has seen a higher fencing token and ignored the call
 )
 
 var startResultNames = [...]string{
 	StartUnknown: "unknown", StartAccepted: "accepted", StartNoCapacity: "no_room", StartOldRun: "old", StartLeaseExpired: "late",
 	StartRejected: "refused", StartOtherInstance: "other_instance", StartInvalid: "invalid", StartEndpointDown: "endpoint_down",
+	StartFenced: "fenced",
 }
 
 // String returns the name of r for logs and traces.
@@ -69,6 +76,13 @@
 	Err   error
 }
 
+// StopRequest asks an endpoint to stop one run.
+type StopRequest struct {
+	Instance     string
+	Run          wire.Run
+	FencingToken FencingToken
+}
+
 // ObserveRequest extends the lease and asks for the state of the runs.
 type ObserveRequest struct {
 	Instance string
@@ -78,7 +92,8 @@
 	AckedSequence uint64
 	// MaxWait is the longest time that the endpoint may delay its reply to wait for the end
 	// of a run.
-	MaxWait time.Duration
+	MaxWait      time.Duration
+	FencingToken FencingToken
 }
 
 // Observation is the state of an endpoint's runs.
@@ -125,6 +140,8 @@
 	DownError struct{ Err error }
 	// OtherInstanceError reports that another incarnation of the endpoint answered.
 	OtherInstanceError struct{ Instance string }
+	// FencedError reports that the endpoint has seen a higher fencing token and ignored the call.
+	FencedError struct{}
 )
 
 func (e *DownError) Error() string { return "endpoint is down: " + e.Err.Error() }
@@ -136,6 +153,8 @@
 	return "another incarnation of the endpoint answered: " + e.Instance
 }
 
+func (e *FencedError) Error() string { return "endpoint has seen a higher fencing token" }
+
 // Announcement describes an endpoint and its state, as the endpoint announces it. It is
 // stored as JSON under the names of its fields and of those of wire.Profile.
 type Announcement struct {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -36,8 +36,8 @@
 	return endpointapi.StartReply{Result: endpointapi.StartAccepted, Clock: time.Hour}
 }
 
-func (f *fakeEndpoint) Stop(_ context.Context, _ string, run wire.Run) error {
-	f.end(run, endpointapi.EndStopped)
+func (f *fakeEndpoint) Stop(_ context.Context, o endpointapi.StopRequest) error {
+	f.end(o.Run, endpointapi.EndStopped)
 	return nil
 }
 
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -71,7 +71,7 @@
 		return
 	}
 	x.observingNow = true
-	req := endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence()}
+	req := endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: fencingToken}
 	if !x.unreachable {
 		req.LeaseEnd = x.extendLease(now)
 	}
@@ -86,7 +86,7 @@
 	if x.profile == nil {
 		return req, false
 	}
-	req = endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence()}
+	req = endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: fencingToken}
 	if len(x.runs) == 0 && x.adoptDeadline.IsZero() && !x.unreachable && x.clock.known() &&
 		x.ackableSequence() == x.ackedSequence {
 		return req, false
--- a/executor/run.go
+++ b/executor/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"oriolerelay/endpointapi"
 	"oriolerelay/event"
 	"oriolerelay/wire"
 )
@@ -137,7 +138,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(x.ctx, x.cfg.Timing.CallTimeout)
 		defer cancel()
-		err := x.cfg.Endpoint.Stop(ctx, instance, r.id)
+		err := x.cfg.Endpoint.Stop(ctx, endpointapi.StopRequest{Instance: instance, Run: r.id, FencingToken: fencingToken})
 		x.loop.Post(func() { x.handleStopReply(r, err) })
 	}()
 }
--- a/executor/start.go
+++ b/executor/start.go
@@ -24,6 +24,9 @@
 	maxStartAttempts = 4
 )
 
+// fencingToken is sent with all calls to the endpoint.
+const fencingToken = 1
+
 // startTimeout returns the time after which an unanswered start is verified.
 func (x *Executor) startTimeout() time.Duration {
 	if !x.cfg.Policy.Uses(policy.EarlyLookup) {
@@ -98,7 +101,7 @@
 	r.verifyRequested = false
 	r.leaseEnd = x.extendLease(now)
 	x.startQueue <- r.starts.newCall(r, endpointapi.StartRequest{
-		Instance: x.profile.Instance, Run: r.id, Payload: r.payload, LeaseEnd: r.leaseEnd,
+		Instance: x.profile.Instance, Run: r.id, Payload: r.payload, LeaseEnd: r.leaseEnd, FencingToken: fencingToken,
 	})
 	x.wakeObserver()
 }
@@ -153,7 +156,7 @@
 		x.rejectStart(r, wire.RejectStartUnanswered, "start arrived after its lease end", now)
 	case endpointapi.StartInvalid:
 		x.rejectStart(r, wire.RejectInvalid, "endpoint rejected the task as invalid", now)
-	case endpointapi.StartRejected:
+	case endpointapi.StartRejected, endpointapi.StartFenced:
 		x.health.recordFailure()
 		x.rejectStart(r, wire.RejectUnreachable, "endpoint rejected the start", now)
 	case endpointapi.StartOtherInstance, endpointapi.StartEndpointDown:
@@ -186,7 +189,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(x.ctx, x.cfg.Timing.CallTimeout)
 		defer cancel()
-		if err := x.cfg.Endpoint.Stop(ctx, instance, id); err != nil {
+		err := x.cfg.Endpoint.Stop(ctx, endpointapi.StopRequest{Instance: instance, Run: id, FencingToken: fencingToken})
+		if err != nil {
 			x.cfg.Log.Log(event.StopUnanswered, "task", id.Task, "run", id.Number, "error", err)
 		}
 	}()
--- a/executor/start_test.go
+++ b/executor/start_test.go
@@ -62,11 +62,11 @@
 	return endpointapi.StartReply{Result: endpointapi.StartAccepted, Clock: time.Hour}
 }
 
-func (e *scriptedEndpoint) Stop(ctx context.Context, instance string, run wire.Run) error {
+func (e *scriptedEndpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
 	e.mu.Lock()
-	e.highestStopped[run.Task] = max(e.highestStopped[run.Task], run.Number)
+	e.highestStopped[o.Run.Task] = max(e.highestStopped[o.Run.Task], o.Run.Number)
 	e.mu.Unlock()
-	return e.fakeEndpoint.Stop(ctx, instance, run)
+	return e.fakeEndpoint.Stop(ctx, o)
 }
 
 // withScriptedEndpoint runs f with an executor whose endpoint replies to starts with reply.
