executor: raise the fencing token after each unanswered call

Callers could see a task run twice: a call to the endpoint that gets no reply may be executed seconds later. A late observation extended the lease of everything that ran there, after the agent had died and the entry had waited the orphan timeout, or after the agent had reported its runs as lost because the lease end it knew of had passed. A late start of an earlier incarnation was executed by the next one when both had the same id: the new clock is below the lease end in the start, and the memory of stopped runs is gone.

Change: a token belongs to the process and to the incarnation of the endpoint, and rises after each call without a reply. The next answered call then makes the endpoint ignore the earlier ones. An agent observes at once until a raised token is answered; while calls are answered there are no further ones. A process starts with its time of day in ms, above its predecessor; if the endpoint refuses a token it is raised by doubling steps. The lease end after which runs count as lost includes unanswered grants that can still be executed before it.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -56,6 +56,7 @@
 	adoptDeadline time.Time
 
 	clock           endpointClock
+	fence           fence
 	leaseEnd        time.Duration // latest one sent, on the endpoint's clock
 	ackedSequence   uint64        // of the last end that the endpoint was told to forget
 	lastEndSequence uint64        // of the last end that was read
@@ -86,7 +87,7 @@
 	if created := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
-	return &Executor{
+	x := &Executor{
 		cfg:         cfg,
 		loop:        loop.New(),
 		startQueue:  make(chan *startCall, startQueueSize),
@@ -95,6 +96,8 @@
 		unconfirmed: make(map[wire.Run]unconfirmedEnd),
 		entries:     make(map[string]*entry),
 	}
+	x.fence.init(time.Now())
+	return x
 }
 
 // Run executes the loop of the executor until ctx is done.
@@ -185,6 +188,7 @@
 	x.clock = endpointClock{}
 	x.clock.set(a.Clock, now)
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
+	x.fence.startIncarnation()
 	x.assumeInheritedLease(now)
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -71,7 +71,7 @@
 		return
 	}
 	x.observingNow = true
-	req := endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: fencingToken}
+	req := endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: x.fence.token()}
 	if !x.unreachable {
 		req.LeaseEnd = x.extendLease(now)
 	}
@@ -86,9 +86,9 @@
 	if x.profile == nil {
 		return req, false
 	}
-	req = endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: fencingToken}
+	req = endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: x.fence.token()}
 	if len(x.runs) == 0 && x.adoptDeadline.IsZero() && !x.unreachable && x.clock.known() &&
-		x.ackableSequence() == x.ackedSequence {
+		x.ackableSequence() == x.ackedSequence && !x.fence.isPending() {
 		return req, false
 	}
 	// The lease of an unreachable endpoint is left to expire: whether it has executed the calls
@@ -102,6 +102,22 @@
 	return req, true
 }
 
+// recordReply records the outcome of a stop or an observation for the fence. leaseEnd is the
+// lease end that the call sent, if any.
+func (x *Executor) recordReply(token endpointapi.FencingToken, leaseEnd time.Duration, sent time.Time, err error) {
+	var fenced *endpointapi.FencedError
+	switch {
+	case err == nil:
+		x.fence.recordAnswer(token)
+	case errors.As(err, &fenced):
+		x.fence.recordRefusal(token)
+	case leaseEnd > 0:
+		x.fence.recordLostGrant(token, sent)
+	default:
+		x.fence.recordNoReply(token)
+	}
+}
+
 // handleObservation processes the reply to an observation that was sent at the given time.
 func (x *Executor) handleObservation(req endpointapi.ObserveRequest, sent time.Time, obs endpointapi.Observation, err error) {
 	now := time.Now()
@@ -109,9 +125,10 @@
 		return
 	}
 	if err != nil {
-		x.handleObserveError(req, err)
+		x.handleObserveError(req, sent, err)
 		return
 	}
+	x.recordReply(req.FencingToken, req.LeaseEnd, sent, nil)
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
 		if obs.StartMillis > x.endpointStartMillis {
 			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", after a restart"})
@@ -141,13 +158,14 @@
 	x.handleUnlistedRuns(listed, sent, now)
 }
 
-func (x *Executor) handleObserveError(req endpointapi.ObserveRequest, err error) {
+func (x *Executor) handleObserveError(req endpointapi.ObserveRequest, sent time.Time, err error) {
 	var down *endpointapi.DownError
 	var other *endpointapi.OtherInstanceError
 	if errors.As(err, &down) || errors.As(err, &other) {
 		x.handleEndpointDown(err)
 		return
 	}
+	x.recordReply(req.FencingToken, req.LeaseEnd, sent, err)
 	x.failedObservations++
 	if x.failedObservations == unreachableAfterFailures {
 		x.cfg.Log.Log(event.EndpointNotAnswering, "instance", req.Instance, "error", err, "runs", len(x.runs))
@@ -178,7 +196,11 @@
 
 // expireLease reports the runs as lost once their lease has certainly expired.
 func (x *Executor) expireLease(now time.Time) {
-	if len(x.runs) == 0 || !x.clock.known() || !now.After(x.clock.latestLocalTime(x.leaseEnd)) {
+	if len(x.runs) == 0 || !x.clock.known() {
+		return
+	}
+	end := x.clock.latestLocalTime(x.leaseEnd)
+	if !now.After(x.fence.latestLeaseEnd(end, x.cfg.Timing.maxInheritedLease())) {
 		return
 	}
 	for _, r := range x.runs {
--- a/executor/run.go
+++ b/executor/run.go
@@ -134,17 +134,18 @@
 		return
 	}
 	r.stopInFlight, r.stopSentAt = true, now
-	instance := x.profile.Instance
+	req := endpointapi.StopRequest{Instance: x.profile.Instance, Run: r.id, FencingToken: x.fence.token()}
 	go func() {
 		ctx, cancel := context.WithTimeout(x.ctx, x.cfg.Timing.CallTimeout)
 		defer cancel()
-		err := x.cfg.Endpoint.Stop(ctx, endpointapi.StopRequest{Instance: instance, Run: r.id, FencingToken: fencingToken})
-		x.loop.Post(func() { x.handleStopReply(r, err) })
+		err := x.cfg.Endpoint.Stop(ctx, req)
+		x.loop.Post(func() { x.handleStopReply(r, req, err) })
 	}()
 }
 
-func (x *Executor) handleStopReply(r *run, err error) {
+func (x *Executor) handleStopReply(r *run, req endpointapi.StopRequest, err error) {
 	r.stopInFlight = false
+	x.recordReply(req.FencingToken, 0, r.stopSentAt, err)
 	if x.runs[r.id.Task] != r {
 		return
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -24,9 +24,6 @@
 	maxStartAttempts = 4
 )
 
-// fencingToken is sent with all calls to the endpoint.
-const fencingToken = 1
-
 // startTimeout returns the time after which an unanswered start is verified.
 func (x *Executor) startTimeout() time.Duration {
 	if !x.cfg.Policy.Uses(policy.EarlyLookup) {
@@ -101,7 +98,7 @@
 	r.verifyRequested = false
 	r.leaseEnd = x.extendLease(now)
 	x.startQueue <- r.starts.newCall(r, endpointapi.StartRequest{
-		Instance: x.profile.Instance, Run: r.id, Payload: r.payload, LeaseEnd: r.leaseEnd, FencingToken: fencingToken,
+		Instance: x.profile.Instance, Run: r.id, Payload: r.payload, LeaseEnd: r.leaseEnd,
 	})
 	x.wakeObserver()
 }
@@ -110,6 +107,9 @@
 	for {
 		select {
 		case call := <-x.startQueue:
+			// The token is read first: a call that is not seen as cancelled has a lower token than
+			// the calls made after its cancellation.
+			call.request.FencingToken = x.fence.token()
 			if call.cancelled.Load() {
 				continue
 			}
@@ -132,6 +132,14 @@
 	if x.profile != nil && call.request.Instance == x.profile.Instance {
 		x.clock.set(reply.Clock, now)
 	}
+	switch reply.Result {
+	case endpointapi.StartUnknown:
+		x.fence.recordLostGrant(call.request.FencingToken, *call.sentAt.Load())
+	case endpointapi.StartAccepted:
+		x.fence.recordAnswer(call.request.FencingToken)
+	case endpointapi.StartFenced:
+		x.fence.recordRefusal(call.request.FencingToken)
+	}
 	if reply.Result != endpointapi.StartUnknown {
 		r.starts.unresolved--
 	}
@@ -156,11 +164,17 @@
 		x.rejectStart(r, wire.RejectStartUnanswered, "start arrived after its lease end", now)
 	case endpointapi.StartInvalid:
 		x.rejectStart(r, wire.RejectInvalid, "endpoint rejected the task as invalid", now)
-	case endpointapi.StartRejected, endpointapi.StartFenced:
+	case endpointapi.StartRejected:
 		x.health.recordFailure()
 		x.rejectStart(r, wire.RejectUnreachable, "endpoint rejected the start", now)
 	case endpointapi.StartOtherInstance, endpointapi.StartEndpointDown:
 		x.handleEndpointDown(reply.Err)
+	case endpointapi.StartFenced:
+		if r.state == runStarting && r.starts.attempts < maxStartAttempts {
+			x.sendStart(r, now)
+			return
+		}
+		x.rejectStart(r, wire.RejectStartUnanswered, "endpoint ignored the start", now)
 	case endpointapi.StartUnknown:
 		x.cfg.Metrics.unansweredStarts.Inc()
 		x.verifyStart(r, now)
@@ -185,14 +199,15 @@
 		return
 	}
 	x.cfg.Log.Log(event.RunOrphaned, "task", id.Task, "run", id.Number, "why", "start was executed after the run was given up")
-	instance := x.profile.Instance
+	req := endpointapi.StopRequest{Instance: x.profile.Instance, Run: id, FencingToken: x.fence.token()}
 	go func() {
 		ctx, cancel := context.WithTimeout(x.ctx, x.cfg.Timing.CallTimeout)
 		defer cancel()
-		err := x.cfg.Endpoint.Stop(ctx, endpointapi.StopRequest{Instance: instance, Run: id, FencingToken: fencingToken})
+		err := x.cfg.Endpoint.Stop(ctx, req)
 		if err != nil {
 			x.cfg.Log.Log(event.StopUnanswered, "task", id.Task, "run", id.Number, "error", err)
 		}
+		x.loop.Post(func() { x.recordReply(req.FencingToken, 0, time.Time{}, err) })
 	}()
 }
 
