executor: stop listed runs that were reported as over

A run that the agent had reported as lost or ended, and that the endpoint listed as running afterwards, was never stopped: the agent took every such listing for an observation older than the end. The entry had placed the task elsewhere by then, and the observations for other runs kept extending the lease, so that both runs of the task went on until they were done. It happens when a connection is refused once and the endpoint goes on, and when an endpoint that restarted with the same id executes a late start of its earlier incarnation. An agent that saw the new incarnation by an observation first did not look at its runs at all until the next announcement.

Change: an outcome keeps the time at which it was recorded, and only observations sent before that time are ignored. Runs listed by an incarnation that has not announced itself are stopped. The fencing token rises when the endpoint is found to be down, so that the first answer of the next incarnation makes it ignore the starts that were in flight.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -228,13 +228,14 @@
 	x.sendStop(r, now)
 }
 
-// handleUnknownRun handles a run at the endpoint that this process did not start.
-func (x *Executor) handleUnknownRun(id wire.Run, now time.Time) {
+// handleUnknownRun handles a run that this process did not start or has given up, and that the
+// reply to an observation sent at the given time lists as running.
+func (x *Executor) handleUnknownRun(id wire.Run, sent, now time.Time) {
 	if x.runs[id.Task] != nil {
 		return // another run of the task is known; this one is handled once that has ended
 	}
-	if _, ended := x.recent.byRun[id]; ended {
-		return // this observation is older than the one that listed the end
+	if o, over := x.recent.byRun[id]; over && !sent.After(o.recordedAt) {
+		return // this observation may be older than the end
 	}
 	// The run may belong to a stored job, so its end is kept until it is confirmed.
 	r := &run{id: id, state: runRunning, seenAtEndpoint: true, stored: true, orderedAt: now, startedAt: now, percentRoseAt: now}
@@ -391,18 +392,23 @@
 
 // recentOutcomes holds the final states of the most recent runs.
 type recentOutcomes struct {
-	byRun map[wire.Run]wire.Report
+	byRun map[wire.Run]recentOutcome
 	order []wire.Run
 }
 
-func (c *recentOutcomes) add(r wire.Report) {
+type recentOutcome struct {
+	report     wire.Report
+	recordedAt time.Time
+}
+
+func (c *recentOutcomes) add(r wire.Report, now time.Time) {
 	if c.byRun == nil {
-		c.byRun = make(map[wire.Run]wire.Report)
+		c.byRun = make(map[wire.Run]recentOutcome)
 	}
 	if _, ok := c.byRun[r.Run]; !ok {
 		c.order = append(c.order, r.Run)
 	}
-	c.byRun[r.Run] = r
+	c.byRun[r.Run] = recentOutcome{r, now}
 	if len(c.order) > recentOutcomesCapacity {
 		delete(c.byRun, c.order[0])
 		c.order = c.order[1:]
@@ -411,8 +417,8 @@
 
 // find returns the final state of a run, or RunLost if it is not known.
 func (c *recentOutcomes) find(id wire.Run) wire.Report {
-	if r, ok := c.byRun[id]; ok {
-		return r
+	if o, ok := c.byRun[id]; ok {
+		return o.report
 	}
 	return wire.Report{Run: id, State: wire.RunLost}
 }
--- /dev/null
+++ b/executor/lost_runs_test.go
@@ -0,0 +1,118 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"oriolerelay/endpointapi"
+	"oriolerelay/internal/bubble"
+	"oriolerelay/wire"
+)
+
+// hookedEndpoint is a fakeEndpoint whose calls a test can replace.
+type hookedEndpoint struct {
+	fakeEndpoint
+	hooksMu sync.Mutex
+	observe func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error)
+	stop    func(ctx context.Context, o endpointapi.StopRequest) error
+}
+
+func (e *hookedEndpoint) setObserve(f func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error)) {
+	e.hooksMu.Lock()
+	defer e.hooksMu.Unlock()
+	e.observe = f
+}
+
+func (e *hookedEndpoint) Observe(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+	e.hooksMu.Lock()
+	f := e.observe
+	e.hooksMu.Unlock()
+	if f != nil {
+		return f(ctx, o)
+	}
+	return e.fakeEndpoint.Observe(ctx, o)
+}
+
+func (e *hookedEndpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
+	if e.stop != nil {
+		return e.stop(ctx, o)
+	}
+	return e.fakeEndpoint.Stop(ctx, o)
+}
+
+// withHookedEndpoint runs f with an executor whose adopt window has passed.
+func withHookedEndpoint(t *testing.T, f func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry)) {
+	t.Helper()
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: make(map[wire.Run]bool), maxListed: 500}}
+		x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+		go x.Run(ctx)
+		x.Announce(announcementOfLife(1))
+		entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+		x.Connected("entry.1", entry.send)
+		sendHeartbeats(x, time.Second)
+		f(quicktest.New(t), x, e, entry)
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// announcementOfLife returns an announcement of the incarnation that started at the given time.
+func announcementOfLife(startMillis int64) endpointapi.Announcement {
+	return endpointapi.Announcement{
+		Profile: wire.Profile{Instance: "i-1", Service: "s", Capacity: wire.Resources{MilliCores: 4000}}, StartMillis: startMillis, Sequence: 1, Clock: time.Hour,
+	}
+}
+
+// Guards against two concurrent runs of a task: a run that had been reported as lost, but that the
+// endpoint still listed, was taken for one that had ended and was not stopped.
+func TestListedRunReportedAsLostIsStopped(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		sendOrder(x, false, run)
+		sendHeartbeats(x, 100*time.Millisecond)
+		e.setObserve(func(context.Context, endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+			return endpointapi.Observation{}, &endpointapi.DownError{Err: errors.New("connection refused")}
+		})
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+		e.setObserve(nil)
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(e.runs(), quicktest.HasLen, 0)
+	})
+}
+
+// Guards against a late start of a run that has ended, executed by an endpoint that restarted with
+// the same ID: it ran until its end, since the agent knew the run as ended.
+func TestLateStartOfEndedRunIsStoppedAfterRestart(t *testing.T) {
+	for name, announced := range map[string]bool{"announced": true, "seen by an observation": false} {
+		t.Run(name, func(t *testing.T) {
+			withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+				run, current := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+				sendOrder(x, false, run, current)
+				sendHeartbeats(x, 100*time.Millisecond)
+				e.end(run, endpointapi.EndDone)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunDone)
+				e.mu.Lock()
+				e.startMillis, e.running, e.ended, e.lastSequence, e.acked = 2, map[wire.Run]bool{run: true}, nil, 0, 0
+				e.mu.Unlock()
+				if announced {
+					x.Announce(announcementOfLife(2))
+				}
+				sendHeartbeats(x, 300*time.Millisecond)
+				c.Check(entry.state(current), quicktest.Equals, wire.RunLost)
+				c.Check(e.runs(), quicktest.HasLen, 0)
+			})
+		})
+	}
+}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -132,6 +132,9 @@
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
 		if obs.StartMillis > x.endpointStartMillis {
 			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", after a restart"})
+			for _, r := range obs.Running {
+				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
+			}
 		}
 		return
 	}
@@ -153,7 +156,7 @@
 	listed := make(map[wire.Run]bool, len(obs.Running))
 	for _, r := range obs.Running {
 		listed[r.Run] = true
-		x.handleRunningRun(r, now)
+		x.handleRunningRun(r, sent, now)
 	}
 	x.handleUnlistedRuns(listed, sent, now)
 }
@@ -177,6 +180,7 @@
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
 	if !x.unreachable {
+		x.fence.raise() // the next incarnation may get calls that were made to this one
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
 	}
@@ -217,7 +221,7 @@
 	r := x.runs[e.Run.Task]
 	if r == nil || r.id != e.Run {
 		// An earlier process of this agent started the run, which may be a stored one.
-		x.recent.add(wire.Report{Run: e.Run, State: endState(e.End)})
+		x.recent.add(wire.Report{Run: e.Run, State: endState(e.End)}, now)
 		x.retainEnd(e, now)
 		return
 	}
@@ -247,10 +251,10 @@
 }
 
 // handleRunningRun processes a run that the endpoint lists as running.
-func (x *Executor) handleRunningRun(running endpointapi.RunningRun, now time.Time) {
+func (x *Executor) handleRunningRun(running endpointapi.RunningRun, sent, now time.Time) {
 	r := x.runs[running.Run.Task]
 	if r == nil || r.id != running.Run {
-		x.handleUnknownRun(running.Run, now)
+		x.handleUnknownRun(running.Run, sent, now)
 		return
 	}
 	x.markRunning(r, now)
--- a/executor/run.go
+++ b/executor/run.go
@@ -176,7 +176,7 @@
 	x.statusDirty = true
 	r.span.end(state, reason, why)
 	rep := wire.Report{Run: r.id, State: state, Reason: reason}
-	x.recent.add(rep)
+	x.recent.add(rep, time.Now())
 	x.report(r.entry, rep)
 	x.cfg.Metrics.countEnd(state, reason)
 	x.cfg.Log.Log(event.RunEnded, "task", r.id.Task, "run", r.id.Number, "state", state, "reason", reason,
