executor: runs of a deregistered endpoint are lost when it ends

The agent reported the runs of an endpoint as lost when it deregistered, and the entry placed the tasks elsewhere within milliseconds. The endpoint ends after it has the response, or some seconds later if it gets none, and runs its tasks until then: both runs of a task went on at the same time.

Change: a deregistered endpoint takes no new runs; its current ones are observed as before and end like those of an endpoint that crashed or does not answer.

Evidence: TestRunsOfDeregisteredEndpointAreLostWhenItEnds failed before (the run was lost at once, and the end of another one was not reported) and passes.

Verified: go test -race ./executor, go test ./emulator, go vet, staticcheck.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -206,16 +206,14 @@
 	x.wakeObserver()
 }
 
-// Deregister handles the deregistration of the given endpoint instance.
+// Deregister handles the deregistration of the given endpoint instance. Its runs continue until it
+// ends, which may take seconds.
 func (x *Executor) Deregister(instance string) {
 	x.loop.Do(func() {
 		if x.profile == nil || x.profile.Instance != instance {
 			return
 		}
 		x.cfg.Log.Log(event.EndpointWithdrawn, "instance", instance, "runs", len(x.runs))
-		for _, r := range x.runs {
-			x.finish(r, wire.RunLost, 0, "endpoint deregistered")
-		}
 		x.endpointDraining, x.statusDirty = true, true
 	})
 }
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -116,3 +116,29 @@
 		})
 	}
 }
+
+// Guards against two concurrent runs of a task: the runs of an endpoint that deregistered were
+// reported as lost at once, but it keeps them until it ends, which takes seconds if it gets no
+// response to the deregistration.
+func TestRunsOfDeregisteredEndpointAreLostWhenItEnds(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		lost, done := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+		sendOrder(x, false, lost, done)
+		sendHeartbeats(x, 100*time.Millisecond)
+		x.Deregister("i-1")
+		refused := wire.Run{Task: "v.0.0.0", Number: 1}
+		sendOrder(x, false, refused)
+		sendHeartbeats(x, 2*time.Second)
+		c.Check(entry.state(refused), quicktest.Equals, wire.RunRejected)
+		c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{lost: true, done: true})
+		c.Check(entry.state(lost), quicktest.Equals, wire.RunSlow) // it makes no progress here
+		e.end(done, endpointapi.EndDone)
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(entry.state(done), quicktest.Equals, wire.RunDone)
+		e.setObserve(func(context.Context, endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+			return endpointapi.Observation{}, &endpointapi.DownError{Err: errors.New("connection refused")}
+		})
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(entry.state(lost), quicktest.Equals, wire.RunLost)
+	})
+}
