executor: a run is stopped only when an observation after the stop lacks it

A run that had been told to stop counted as stopped when it was missing from any observation sent after the stop was. Replies on different connections may overtake each other: the endpoint could answer the observation first, then execute the start and the stop, and take up to 50 ms to stop the run. The entry placed the task elsewhere meanwhile.

Change: only an observation sent after the reply to the stop counts.

Evidence: TestRunIsStoppedWhenObservedAfterStop failed before (a run was reported as over while the endpoint still ran it) and passes.

--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -142,3 +142,65 @@
 		c.Check(entry.state(lost), quicktest.Equals, wire.RunLost)
 	})
 }
+
+// Guards against two concurrent runs of a task: a run counted as stopped although it was only being
+// stopped. The endpoint had answered the observation before it executed the start and the stop, and
+// the reply to the stop overtook that of the observation.
+func TestRunIsStoppedWhenObservedAfterStop(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: make(map[wire.Run]bool), maxListed: 500}}
+		e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+			o.MaxWait = 0
+			observation, err := e.fakeEndpoint.Observe(ctx, o)
+			time.Sleep(12 * time.Millisecond) // the reply is late
+			return observation, err
+		})
+		e.stop = func(ctx context.Context, o endpointapi.StopRequest) error {
+			time.Sleep(9 * time.Millisecond)
+			time.AfterFunc(50*time.Millisecond, func() { _ = e.fakeEndpoint.Stop(ctx, o) })
+			return nil
+		}
+		slow := &slowStartEndpoint{hookedEndpoint: e}
+		x := New(Config{Endpoint: slow, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+		go x.Run(ctx)
+		x.Announce(announcementOfLife(1))
+		overlapped := false
+		x.Connected("entry.1", func(m wire.Message) error {
+			if reports, ok := m.(*wire.Reports); ok {
+				for _, rep := range reports.Reports {
+					over := rep.State == wire.RunStopped || rep.State == wire.RunLost
+					overlapped = overlapped || over && e.runs()[rep.Run]
+				}
+			}
+			return nil
+		})
+		sendHeartbeats(x, time.Second)
+		other := wire.Run{Task: "u.0.0.0", Number: 1}
+		sendOrder(x, false, other) // keeps the agent observing
+		for phase := range 20 {
+			time.Sleep(time.Duration(phase) * time.Millisecond)
+			run := wire.Run{Task: taskName(phase), Number: 1}
+			sendOrder(x, false, run)
+			time.Sleep(time.Millisecond)
+			x.Handle("entry.1", &wire.Stop{Runs: []wire.Run{run}})
+			sendHeartbeats(x, 300*time.Millisecond)
+			c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{other: true})
+		}
+		c.Check(overlapped, quicktest.IsFalse)
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// slowStartEndpoint executes a start after 8 ms and replies 10 ms later.
+type slowStartEndpoint struct{ *hookedEndpoint }
+
+func (e *slowStartEndpoint) Start(ctx context.Context, o endpointapi.StartRequest) endpointapi.StartReply {
+	time.Sleep(8 * time.Millisecond)
+	reply := e.hookedEndpoint.Start(ctx, o)
+	time.Sleep(10 * time.Millisecond)
+	return reply
+}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -330,7 +330,9 @@
 			continue
 		}
 		switch {
-		case r.state == runStopping && r.stopAccepted && r.stopSentAt.Before(sent):
+		case r.state == runStopping && r.stopAccepted && !sent.Before(r.stopAcceptedAt):
+			// An observation sent before the reply to the stop may have been executed before the
+			// start, and the run may still be stopping.
 			x.finish(r, stoppedState(r), r.rejectReason, "stopped")
 		case r.state == runStarting && started.IsZero(): // its start is queued
 		case r.state == runStarting && r.verifyRequested && now.Sub(started) > x.startTimeout():
--- a/executor/run.go
+++ b/executor/run.go
@@ -63,6 +63,7 @@
 	stopSentAt              time.Time
 	stopInFlight            bool
 	stopAccepted            bool // the endpoint has accepted the stop
+	stopAcceptedAt          time.Time
 	verifyRequested         bool
 	span                    *runSpan // nil for a job that is not traced
 }
@@ -153,7 +154,7 @@
 		x.cfg.Log.Log(event.StopUnanswered, "task", r.id.Task, "run", r.id.Number, "error", err)
 		return // retryStops tries again
 	}
-	r.stopAccepted = true
+	r.stopAccepted, r.stopAcceptedAt = true, time.Now()
 	x.wakeObserver()
 }
 
