executor: cancel queued starts before the fencing token rises

A start worker reads the fencing token and then looks whether the call was cancelled. When the endpoint was found to be down, or a new incarnation was announced, the token rose before the queued starts of the lost runs were cancelled. A worker that took one in between sent it with the new token, and the next incarnation executed a run that had been reported as lost.

Change: the token rises after all runs are lost, so that a call taken before has a lower token and one taken later is seen as cancelled.

The race of the worker itself was found by reading.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -188,13 +188,13 @@
 	x.clock = endpointClock{}
 	x.clock.set(a.Clock, now)
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
-	x.fence.startIncarnation()
 	x.assumeInheritedLease(now)
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
 	for _, r := range x.runs {
 		x.finish(r, wire.RunLost, 0, "endpoint incarnation ended")
 	}
+	x.fence.startIncarnation()
 	if first {
 		x.adoptDeadline = now.Add(x.cfg.Timing.AdoptWindow)
 	}
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oriolerelay/endpointapi"
+	"oriolerelay/event"
 	"oriolerelay/internal/bubble"
 	"oriolerelay/wire"
 )
@@ -204,3 +205,47 @@
 	time.Sleep(10 * time.Millisecond)
 	return reply
 }
+
+// Guards against a queued start that a worker sends with a token of the next incarnation after its
+// run was lost: the fencing token must rise only once all queued starts are cancelled.
+func TestQueuedStartsAreCancelledBeforeFenceRises(t *testing.T) {
+	for name, lose := range map[string]func(x *Executor){
+		"endpoint down":   func(x *Executor) { x.handleEndpointDown(errors.New("connection refused")) },
+		"new incarnation": func(x *Executor) { x.handleAnnouncement(announcementOfLife(2), time.Now()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			out := &logHook{}
+			x := New(Config{Log: event.NewLogger(out, "agent-1"), Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+			x.handleAnnouncement(announcementOfLife(1), time.Now())
+			var calls []*startCall
+			for i := range 3 {
+				r := &run{id: wire.Run{Task: taskName(i), Number: 1}}
+				x.runs[r.id.Task] = r
+				x.start(r, time.Now())
+				calls = append(calls, r.starts.last)
+			}
+			token, violations := x.fence.token(), 0
+			out.check = func() {
+				for _, call := range calls {
+					if x.fence.token() > token && !call.cancelled.Load() {
+						violations++
+					}
+				}
+			}
+			lose(x)
+			c.Check(x.fence.token() > token, quicktest.IsTrue)
+			c.Check(violations, quicktest.Equals, 0)
+		})
+	}
+}
+
+// logHook calls check at each log line.
+type logHook struct{ check func() }
+
+func (h *logHook) Write(b []byte) (int, error) {
+	if h.check != nil {
+		h.check()
+	}
+	return len(b), nil
+}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -179,8 +179,8 @@
 // handleEndpointDown records that the incarnation of the endpoint has ended, and all its runs
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
-	if !x.unreachable {
-		x.fence.raise() // the next incarnation may get calls that were made to this one
+	reachable := !x.unreachable
+	if reachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
 	}
@@ -188,6 +188,9 @@
 	for _, r := range x.runs {
 		x.finish(r, wire.RunLost, 0, "endpoint is down")
 	}
+	if reachable {
+		x.fence.raise() // the next incarnation may get calls that were made to this one
+	}
 }
 
 // assumeInheritedLease assumes that an earlier process of this agent extended the lease just
