emulator: test of a late start of an earlier agent process

Guards the case in which agent and entry die after a start without a reply and the caller sends the job to another entry.

--- a/emulator/late_calls_test.go
+++ b/emulator/late_calls_test.go
@@ -92,3 +92,32 @@
 		return append(answers, submit(s, 0, testJob("00000000000000be", 4, 100*time.Millisecond)))
 	})
 }
+
+// Guards against two concurrent runs of a task: a start without a reply that an earlier process of
+// the agent had sent was executed when no entry knew of the run any more, and the new process did
+// not observe its idle endpoint.
+func TestLateStartOfEarlierAgentProcess(t *testing.T) {
+	withSystem(t, 2, twoEndpoints, func(c *quicktest.C, s *System) []Answer {
+		for _, e := range s.Endpoints {
+			e.SetFaults(Faults{DelayStarts: 1, Delay: 2 * time.Second, LateGrants: true})
+		}
+		j := testJob("00000000000000bf", 1, 5*time.Second)
+		submitAsync(s, 0, j)
+		time.Sleep(10 * time.Millisecond)
+		s.KillEntry(0)
+		for i, e := range s.Endpoints {
+			e.mu.Lock()
+			called := e.faults.DelayStarts == 0
+			e.mu.Unlock()
+			e.SetFaults(Faults{})
+			if called {
+				s.KillAgent(i)
+				e.SetSlowness(10) // the other endpoint gets the next run
+			}
+		}
+		time.Sleep(1300 * time.Millisecond)
+		a := submit(s, 1, j)
+		c.Check(a.Err == nil, quicktest.IsTrue)
+		return []Answer{a}
+	})
+}
