--- a/executor/executor.go
+++ b/executor/executor.go
@@ -56,6 +56,7 @@
 	adoptDeadline time.Time
 
 	clock           endpointClock
+	fence           fence
 	leaseEnd        time.Duration // latest one sent, on the endpoint's clock
 	ackedSequence   uint64        // of the last end that the endpoint was told to forget
 	lastEndSequence uint64        // of the last end that was read
@@ -86,7 +87,7 @@
 	if created := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
-	return &Executor{
+	x := &Executor{
 		cfg:         cfg,
 		loop:        loop.New(),
 		startQueue:  make(chan *startCall, startQueueSize),
@@ -95,6 +96,8 @@
 		unconfirmed: make(map[wire.Run]unconfirmedEnd),
 		entries:     make(map[string]*entry),
 	}
+	x.fence.init(time.Now())
+	return x
 }
 
 // Run executes the loop of the executor until ctx is done.
@@ -190,6 +193,7 @@
 	for _, r := range x.runs {
 		x.finish(r, wire.RunLost, 0, "endpoint incarnation ended")
 	}
+	x.fence.startIncarnation()
 	if first {
 		x.adoptDeadline = now.Add(x.cfg.Timing.AdoptWindow)
 	}
@@ -201,16 +205,14 @@
 	x.wakeObserver()
 }
 
-// Deregister handles the deregistration of the given endpoint instance.
+// Deregister handles the deregistration of the given endpoint instance. Its runs continue until it
+// ends, which may take seconds.
 func (x *Executor) Deregister(instance string) {
 	x.loop.Do(func() {
 		if x.profile == nil || x.profile.Instance != instance {
 			return
 		}
 		x.cfg.Log.Log(event.EndpointWithdrawn, "instance", instance, "runs", len(x.runs))
-		for _, r := range x.runs {
-			x.finish(r, wire.RunLost, 0, "endpoint deregistered")
-		}
 		x.endpointDraining, x.statusDirty = true, true
 	})
 }
