coordinator: send no heartbeats to a suspect agent

An entry that heard nothing from an agent started its tasks elsewhere after the orphan timeout, but went on sending heartbeats until then. If only the messages of the agent were lost, these kept the runs alive: the agent stops them 450 ms after the last heartbeat that it received, and both runs of a task went on at the same time.

Change: a suspect agent gets no heartbeat, so it stops its runs 900 ms after it was last heard, against 1,318 ms.

Evidence: TestTasksOfUnheardAgentAreStoppedBeforeTheyRunAgain failed before (run 1 until 2.88 s, run 2 from 2.48 s) and passes. The emulator does not close idle connections. By reading: the transport closes them 600 ms after the first packet sent without an answer, about 730 ms after the agent was last heard, which left some 140 ms for the stop calls; this was not played.

Remains: a stop order to a suspect agent still counts as a sign of life there, and a second failure in the 450 ms can let the lease pass the orphan timeout.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -228,7 +228,8 @@
 			}
 			continue
 		}
-		if a.send != nil && len(a.tasks) > 0 && now.Sub(a.lastSent) > c.cfg.Timing.HeartbeatInterval {
+		// A suspect agent may still receive messages. It has to stop its runs before OrphanTimeout.
+		if a.send != nil && !a.suspect && len(a.tasks) > 0 && now.Sub(a.lastSent) > c.cfg.Timing.HeartbeatInterval {
 			c.sendTo(a, &wire.Heartbeat{}, now)
 		}
 	}
--- a/emulator/system.go
+++ b/emulator/system.go
@@ -64,6 +64,7 @@
 	name              string
 	incarnationNumber int
 	cut               map[int]bool // agents to which the link is cut
+	cutFrom           map[int]bool // agents of which no message arrives
 }
 
 // NewSystem starts an agent for each endpoint and the given number of entries, and connects every
@@ -147,7 +148,7 @@
 
 func (s *System) newEntry(i, incarnationNumber int) *Entry {
 	ctx, stop := context.WithCancel(s.ctx)
-	n := &Entry{stop: stop, name: fmt.Sprintf("entry-%d", i), incarnationNumber: incarnationNumber, cut: make(map[int]bool)}
+	n := &Entry{stop: stop, name: fmt.Sprintf("entry-%d", i), incarnationNumber: incarnationNumber, cut: make(map[int]bool), cutFrom: make(map[int]bool)}
 	n.Coordinator = coordinator.New(coordinator.Config{
 		DataCentre: "centre", Policy: s.Policy, Timing: coordinator.DefaultTiming(Timing().OrphanTimeout(), 1.5),
 		Log: s.logger(n.name), Metrics: coordinator.NewMetrics(prometheus.NewRegistry()),
@@ -222,6 +223,13 @@
 	}
 }
 
+// CutToEntry drops all messages from an agent to an entry, but not those in the other direction.
+func (s *System) CutToEntry(entry, agent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[entry].cutFrom[agent] = true
+}
+
 // connected reports whether messages are delivered between an entry and an agent.
 func (s *System) connected(e *Entry, a *Agent) bool {
 	s.mu.Lock()
@@ -254,7 +262,12 @@
 	})
 	isConnected := func() bool { return s.connected(e, a) }
 	go toAgent.deliver(isConnected, func(m wire.Message) { a.Executor.Handle(incarnation, m) })
-	go toEntry.deliver(isConnected, func(m wire.Message) { e.Coordinator.Handle(a.name, connection, m) })
+	isHeard := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return !e.cutFrom[agent]
+	}
+	go toEntry.deliver(func() bool { return isConnected() && isHeard() }, func(m wire.Message) { e.Coordinator.Handle(a.name, connection, m) })
 }
 
 // link delivers messages in one direction, in order and after linkDelay.
--- a/emulator/system_test.go
+++ b/emulator/system_test.go
@@ -169,6 +169,19 @@
 	})
 }
 
+// Guards against two concurrent runs of a task when the messages of an agent are lost and those of
+// the entry arrive: the heartbeats of the entry kept the runs alive until it started them elsewhere.
+func TestTasksOfUnheardAgentAreStoppedBeforeTheyRunAgain(t *testing.T) {
+	withSystem(t, 1, fiveEndpoints, func(c *quicktest.C, s *System) []Answer {
+		done := submitAsync(s, 0, testJob("00000000000000b0", 6, 3*time.Second))
+		time.Sleep(300 * time.Millisecond)
+		s.CutToEntry(0, 0)
+		a := <-done
+		c.Check(a.State, quicktest.Equals, job.Completed)
+		return []Answer{a}
+	})
+}
+
 // Guards against jobs that fail or wait until their deadline when an endpoint in use crashes, stops
 // replying, hangs or fails all runs.
 func TestEndpointFaults(t *testing.T) {
