router: results of forwarded jobs carry the clock of the placement entry

What callers saw: 502 in place of an answer, between entries whose jobs end steadily. Cause: a result counts as a sign of life, so that no status is sent while results flow, but it carried no clock. The forwarder returned an old one and was dropped after 600 ms as out of date. Change: PlaceResult carries the clock as PlacementStatus does, and only messages that return a clock count as heartbeats of a forwarder.

--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -132,7 +132,7 @@
 
 // sendOutcome sends the outcome of a job to f. r.mu must be held.
 func (r *Router) sendOutcome(f *forwarder, number uint64, o outcome) {
-	m := &wire.PlaceResult{Number: number, State: string(o.state)}
+	m := &wire.PlaceResult{Number: number, State: string(o.state), ClockMillis: r.clockMillis()}
 	if o.err != nil {
 		m.Kind, m.Detail, m.RetryAfterMillis = string(o.err.Kind), o.err.Detail, uint32(o.err.RetryAfter.Milliseconds())
 	}
--- a/router/freshness_test.go
+++ b/router/freshness_test.go
@@ -62,6 +62,19 @@
 	})
 }
 
+// Guards against a forwarder that is dropped because results of its jobs take the place of statuses.
+func TestSteadyForwarderIsNotStale(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C, front *testEntry) {
+		a := newTestEntry(ctx, 1000)
+		connect(ctx, front, a, "a")
+		synctest.Wait()
+		for range 40 {
+			_, err := front.Submit(ctx, submission("j", maxLoadInterval-checkInterval))
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+		}
+	})
+}
+
 // Guards against refusals of jobs that an entry of an older version forwards.
 func TestForwarderWithoutEchoIsServed(t *testing.T) {
 	inBubble(t, func(ctx context.Context, c *qt.C, front *testEntry) {
--- a/router/router.go
+++ b/router/router.go
@@ -93,7 +93,8 @@
 	otherRegion  bool
 	send         Sender
 	lastReceived time.Time
-	lastSent     time.Time
+	clockMillis  uint64    // newest that it has sent
+	lastEchoed   time.Time // when its clock was last returned to it
 	// retired is set when the connection is no longer used for new jobs.
 	retired    bool
 	loads      wire.PlacementStatus
@@ -207,11 +208,13 @@
 	switch m := m.(type) {
 	case *wire.PlacementStatus:
 		p.loads = *m
+		p.clockMillis = max(p.clockMillis, m.ClockMillis)
 		if m.Labels != nil {
 			p.labels = m.Labels
 		}
 		r.notify()
 	case *wire.PlaceResult:
+		p.clockMillis = max(p.clockMillis, m.ClockMillis)
 		f := p.forwarded[m.Number]
 		if f != nil { // otherwise its caller has disconnected
 			delete(p.forwarded, m.Number)
@@ -233,7 +236,6 @@
 // sendTo sends m to p, and drops p if that fails. It reports whether m was sent. r.mu must be
 // held.
 func (r *Router) sendTo(p *placementEntry, m wire.Message) bool {
-	p.lastSent = time.Now()
 	if err := p.send(m); err != nil {
 		r.dropPlacementEntry(p, fmt.Sprintf("sending to it failed: %v", err))
 		return false
@@ -302,8 +304,9 @@
 		case len(p.forwarded) == 0:
 		case now.Sub(p.lastReceived) > peerTimeout:
 			r.dropPlacementEntry(p, "no message was received from it in time")
-		case now.Sub(p.lastSent) > heartbeatInterval:
-			r.sendTo(p, &wire.Heartbeat{StatusClockMillis: p.loads.ClockMillis})
+		case now.Sub(p.lastEchoed) > heartbeatInterval:
+			p.lastEchoed = now
+			r.sendTo(p, &wire.Heartbeat{StatusClockMillis: p.clockMillis})
 		}
 	}
 }
--- a/router/submit.go
+++ b/router/submit.go
@@ -184,7 +184,8 @@
 		return 0, false
 	}
 	p.lastNumber++
-	if !r.sendTo(p, &wire.Place{Number: p.lastNumber, Job: encoded, StatusClockMillis: p.loads.ClockMillis}) {
+	p.lastEchoed = time.Now()
+	if !r.sendTo(p, &wire.Place{Number: p.lastNumber, Job: encoded, StatusClockMillis: p.clockMillis}) {
 		return 0, false
 	}
 	p.forwarded[p.lastNumber] = f
--- a/wire/placement.go
+++ b/wire/placement.go
@@ -22,8 +22,8 @@
 	Number uint64 `cbor:"1,keyasint"`
 	// Job is the submission as CBOR.
 	Job []byte `cbor:"2,keyasint"`
-	// StatusClockMillis is the ClockMillis of the newest PlacementStatus that the sender has
-	// received on this connection; 0 if it has received none.
+	// StatusClockMillis is the newest ClockMillis that the sender has received on this
+	// connection; 0 if it has received none.
 	StatusClockMillis uint64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -35,6 +35,8 @@
 	Kind             string `cbor:"3,keyasint,omitempty"`
 	Detail           string `cbor:"4,keyasint,omitempty"`
 	RetryAfterMillis uint32 `cbor:"5,keyasint,omitempty"`
+	// ClockMillis is the sender's clock as in PlacementStatus.
+	ClockMillis uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Withdraw stops forwarded jobs whose callers disconnected.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -136,8 +136,8 @@
 	Load   Load   `cbor:"2,keyasint"`
 	// Members is the membership statement of an entry to a peer entry.
 	Members *MemberStatement `cbor:"3,keyasint,omitempty"`
-	// StatusClockMillis is the ClockMillis of the newest status that an entry has received from
-	// the agent or placement entry to which it sends this heartbeat; 0 if it returns none.
+	// StatusClockMillis is the newest ClockMillis that an entry has received from the agent or
+	// placement entry to which it sends this heartbeat; 0 if it returns none.
 	StatusClockMillis uint64 `cbor:"4,keyasint,omitempty"`
 }
 
