executor: a deregistration ends runs only with the endpoint

A deregistration of the known instance reported all runs as lost at once, although nothing had shown that they were over. An endpoint may start again under the id that it had, so a deregistration of its previous life that was delayed, or one from other software, ended the runs of the new life for the entries, which started the tasks elsewhere beside them.

The endpoint is now closed and observed. Its runs count as lost when a call is refused or answered by another incarnation, or when their lease has ended. The next announcement of a living endpoint opens it again.

TestDeregistrationEndsRunsOnlyWithEndpoint (ended=false) failed before.

--- a/executor/announcement_test.go
+++ b/executor/announcement_test.go
@@ -245,3 +245,28 @@
 		})
 	}
 }
+
+// Guards against two concurrent runs of a task: a deregistration that was delayed until the
+// endpoint had started again under its id, or that came from other software, ended all its runs
+// for the entries.
+func TestDeregistrationEndsRunsOnlyWithEndpoint(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		t.Run(fmt.Sprint("ended=", ended), func(t *testing.T) {
+			withIncarnations(t, func(c *quicktest.C, x *Executor, e *incarnationEndpoint, entry *fakeEntry, _ *savedAnnouncements) {
+				run := wire.Run{Task: "t.0.0.0", Number: 1}
+				c.Assert(x.Announce(announcement("i-1", bornMillis, 1)), quicktest.IsTrue)
+				sendOrder(x, false, run)
+				sendHeartbeats(x, 100*time.Millisecond)
+				if ended {
+					e.set("i-2", bornMillis+1)
+				}
+				x.Deregister("i-1")
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(entry.state(run) == wire.RunLost, quicktest.Equals, ended)
+				if !ended {
+					checkUsable(c, x, e, 2)
+				}
+			})
+		})
+	}
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -273,17 +273,17 @@
 	x.wakeObserver()
 }
 
-// Deregister handles the deregistration of the given endpoint instance.
+// Deregister handles the deregistration of the given endpoint instance. Its runs count as lost
+// once a call shows that the endpoint has ended: the message may have been delayed until the
+// endpoint has started again under the same id, or come from other software.
 func (x *Executor) Deregister(instance string) {
 	x.loop.Do(func() {
 		if x.profile == nil || x.profile.Instance != instance {
 			return
 		}
 		x.cfg.Log.Log(event.EndpointWithdrawn, "instance", instance, "runs", len(x.runs))
-		for _, r := range x.runs {
-			x.finish(r, wire.RunLost, 0, "endpoint deregistered")
-		}
 		x.endpointDraining, x.statusDirty = true, true
+		x.observeNow(time.Now())
 	})
 }
 
