executor: recover from a false sequence number of an announcement

One announcement with the right incarnation and a sequence number that is too high made all true announcements after it stale. A drain announced later was acknowledged and not seen, so the endpoint got runs while it drained; if the false one said that the endpoint drains, it stayed closed for good.

A drain is now accepted whatever its sequence number, since an endpoint that drains does not become ready again. Three announcements with rising lower numbers over 1.5 s replace the known number. Delayed announcements arrive together, and newer ones come between them.

--- a/executor/announcement_test.go
+++ b/executor/announcement_test.go
@@ -270,3 +270,53 @@
 		})
 	}
 }
+
+// Guards against an announcement with a false sequence number that makes all true ones after it
+// stale: the endpoint stayed closed, or got runs while it was draining.
+func TestFalseSequenceDoesNotHideLaterAnnouncements(t *testing.T) {
+	for _, oddDraining := range []bool{false, true} {
+		t.Run(fmt.Sprint("draining=", oddDraining), func(t *testing.T) {
+			withIncarnations(t, func(c *quicktest.C, x *Executor, e *incarnationEndpoint, _ *fakeEntry, _ *savedAnnouncements) {
+				closed := func() (reason wire.RejectReason) {
+					x.loop.Do(func() { reason = x.closedReason() })
+					return reason
+				}
+				a := announcement("i-1", bornMillis, 1)
+				c.Assert(x.Announce(a), quicktest.IsTrue)
+				odd := announcement("i-1", bornMillis, math.MaxUint64)
+				odd.Draining = oddDraining
+				x.Announce(odd)
+				if !oddDraining {
+					draining := a
+					draining.Sequence, draining.Draining = 2, true
+					c.Check(x.Announce(draining), quicktest.IsTrue)
+					c.Check(closed(), quicktest.Equals, wire.RejectDraining)
+					return
+				}
+				c.Check(closed(), quicktest.Equals, wire.RejectDraining)
+				for range 4 {
+					time.Sleep(time.Second)
+					a.Sequence++
+					x.Announce(a)
+				}
+				c.Check(closed(), quicktest.Equals, wire.RejectReason(0))
+			})
+		})
+	}
+}
+
+// Guards against announcements that were delayed together and that open a draining endpoint again.
+func TestDelayedAnnouncementsDoNotReopenEndpoint(t *testing.T) {
+	withIncarnations(t, func(c *quicktest.C, x *Executor, _ *incarnationEndpoint, _ *fakeEntry, _ *savedAnnouncements) {
+		draining := announcement("i-1", bornMillis, 9)
+		draining.Draining = true
+		c.Assert(x.Announce(draining), quicktest.IsTrue)
+		for sequence := range uint64(9) {
+			c.Check(x.Announce(announcement("i-1", bornMillis, sequence)), quicktest.IsFalse)
+		}
+		time.Sleep(3 * time.Second)
+		draining.Sequence++
+		c.Check(x.Announce(draining), quicktest.IsTrue)
+		c.Check(x.Announce(announcement("i-1", bornMillis, 8)), quicktest.IsFalse)
+	})
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -48,6 +48,7 @@
 	endpointStartMillis int64
 	incarnationSince    time.Time // when this incarnation became the known one
 	sequence            uint64    // of the newest announcement
+	lower               lowerSequences
 	endpointDraining    bool
 	evacuated           wire.Evacuated // evacuated data centres
 	persisted           persistedState // of the last announcement that was saved
@@ -140,7 +141,9 @@
 	case p == nil:
 		return false, true
 	case a.Profile.Instance == p.Instance && a.StartMillis == x.endpointStartMillis:
-		if a.Sequence < x.sequence {
+		// An endpoint that drains does not become ready again, so also a delayed announcement of a
+		// drain is true.
+		if a.Sequence < x.sequence && !a.Draining && !x.lower.replaceKnown(a.Sequence, now) {
 			x.logStale(a)
 			return false, false
 		}
@@ -163,7 +166,7 @@
 
 // applyAnnouncement applies an announcement of the known incarnation.
 func (x *Executor) applyAnnouncement(a endpointapi.Announcement) {
-	x.sequence = a.Sequence
+	x.sequence, x.lower = a.Sequence, lowerSequences{}
 	if a.Draining != x.endpointDraining {
 		x.endpointDraining = a.Draining
 		x.statusDirty = true
@@ -174,6 +177,31 @@
 	x.save(a)
 }
 
+// lowerSequences counts the consecutive announcements with rising sequence numbers below the known
+// one. The known one is false if they go on, since the endpoint sends newer announcements at
+// intervals, while delayed ones arrive together.
+type lowerSequences struct {
+	count int
+	last  uint64
+	since time.Time
+}
+
+const (
+	minLowerSequences      = 3
+	minLowerSequencePeriod = 1500 * time.Millisecond
+)
+
+// replaceKnown adds the sequence number of an announcement, and reports whether it replaces the
+// known one.
+func (l *lowerSequences) replaceKnown(sequence uint64, now time.Time) bool {
+	if l.count == 0 || sequence <= l.last {
+		l.count, l.since = 0, now
+	}
+	l.count++
+	l.last = sequence
+	return l.count >= minLowerSequences && now.Sub(l.since) >= minLowerSequencePeriod
+}
+
 // incarnationQueryAttempts is the number of calls after which a query about an incarnation is
 // given up until the next announcement.
 const incarnationQueryAttempts = 3
@@ -252,7 +280,7 @@
 	first := x.profile == nil
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
-	x.incarnationSince = now
+	x.incarnationSince, x.lower = now, lowerSequences{}
 	x.clock = endpointClock{}
 	x.clock.set(a.Clock, now)
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
