--- a/soak/soak.go
+++ b/soak/soak.go
@@ -194,7 +194,7 @@
 			return err
 		}
 		w.agents = append(w.agents, p)
-		running.Go(func() { announce(ctx, e, s.AnnounceAddress) })
+		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress) })
 	}
 	return nil
 }
@@ -237,12 +237,14 @@
 // announceInterval is the time between announcements of an endpoint.
 const announceInterval = 500 * time.Millisecond
 
-// announce sends the announcements of an endpoint to its agent. A failed announcement
+// announce sends the announcements of the endpoint at address to its agent. A failed announcement
 // is not retried; the next one replaces it.
-func announce(ctx context.Context, e *emulator.Endpoint, agent string) {
+func announce(ctx context.Context, e *emulator.Endpoint, address, agent string) {
 	c := &http.Client{Timeout: announceInterval}
 	for ctx.Err() == nil {
-		_ = standin.Announce(ctx, c, agent, e.Announcement(false))
+		a := e.Announcement(false)
+		a.Profile.Address = address
+		_ = standin.Announce(ctx, c, agent, a)
 		select {
 		case <-time.After(announceInterval):
 		case <-ctx.Done():
