job: bound the tasks and the estimates of a job

A placement entry admitted a job that another process forwarded without validating it at all, and ended with one without steps or with a dependency out of range.

A job has at most 65,536 tasks, each with an estimate of 0 to 24 h, and a placement entry validates what is forwarded to it.

--- a/job/job.go
+++ b/job/job.go
@@ -104,16 +104,33 @@
 	return ""
 }
 
+const (
+	// MaxTasks is the maximum number of tasks of a job. An entry allocates the state of all of them
+	// when it admits the job.
+	MaxTasks = 1 << 16
+	// MaxEstimate is the maximum declared run time of a task. The sum over MaxTasks steps does not
+	// overflow.
+	MaxEstimate = 24 * time.Hour
+)
+
 // Validate returns an error if the job is malformed.
 func (s *Submission) Validate() error {
 	if len(s.Steps) == 0 {
 		return fmt.Errorf("the job has no steps")
 	}
+	tasks := 0
 	for i := range s.Steps {
 		st := &s.Steps[i]
 		if st.Count <= 0 {
 			return fmt.Errorf("step %d has %d tasks", i, st.Count)
 		}
+		if st.Count > MaxTasks-tasks {
+			return fmt.Errorf("the job has more than %d tasks", MaxTasks)
+		}
+		tasks += st.Count
+		if st.Estimate < 0 || st.Estimate > MaxEstimate {
+			return fmt.Errorf("the estimate of step %d is not between 0 and %s", i, MaxEstimate)
+		}
 		for _, a := range st.After {
 			if a < 0 || a >= i {
 				return fmt.Errorf("step %d depends on step %d, which is not an earlier step", i, a)
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -96,6 +96,10 @@
 		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.InvalidRequest, "decode the job: %w", err)})
 		return
 	}
+	if err := s.Validate(); err != nil {
+		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.InvalidRequest, "%w", err)})
+		return
+	}
 	if r.closed {
 		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.Draining, "the entry has stopped placing jobs")})
 		return
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oriolerelay/errkind"
@@ -345,3 +348,40 @@
 		}
 	})
 }
+
+// Guards against a placement entry that ends because of a forwarded job that no entry has
+// validated.
+func TestMalformedForwardedJobIsRefused(t *testing.T) {
+	inBubble(t, func(ctx context.Context, c *qt.C, _ *testEntry) {
+		place := newTestEntry(ctx, 8000)
+		results := make(chan *wire.PlaceResult, 10)
+		connection := place.ForwarderConnected("from", func(m wire.Message) error {
+			if r, ok := m.(*wire.PlaceResult); ok {
+				results <- r
+			}
+			return nil
+		})
+		valid, err := cbor.Marshal(submission("valid", time.Millisecond))
+		c.Assert(err, qt.IsNil)
+		bodies := [][]byte{nil, {0xff}, {0xf6}, []byte(strings.Repeat("\x81", 100_000) + "\x01")}
+		for _, change := range []func(s *job.Submission){
+			func(s *job.Submission) { s.Steps = nil },
+			func(s *job.Submission) { s.Steps[0].Count = -1 },
+			func(s *job.Submission) { s.Steps[0].Count = math.MaxInt },
+			func(s *job.Submission) { s.Steps[0].After = []int{7} },
+			func(s *job.Submission) { s.Steps[0].Estimate = math.MaxInt64 },
+		} {
+			s := submission("malformed", time.Millisecond)
+			change(&s)
+			b, err := cbor.Marshal(s)
+			c.Assert(err, qt.IsNil)
+			bodies = append(bodies, b)
+		}
+		for i, b := range bodies {
+			c.Check(place.HandleForwarder(connection, &wire.Place{Number: uint64(i + 1), Job: b}), qt.IsTrue)
+			c.Check((<-results).Kind, qt.Equals, string(errkind.InvalidRequest), qt.Commentf("job %d", i))
+		}
+		c.Check(place.HandleForwarder(connection, &wire.Place{Number: 100, Job: valid}), qt.IsTrue)
+		c.Check((<-results).Kind, qt.Equals, "")
+	})
+}
