ledger: ignore records that no entry can have written

One record in the topic of stored jobs, such as an accepted job with a negative or very large count or with a dependency out of range, ended the owner of its partition with a panic as soon as it ran its jobs; the next owner ended in the same way, and again after each restart. A record whose job has another id than its key was run under that id: the true job with that id was never adopted. Progress with an unknown state, a cancellation or progress without an accepted job, and records that could not be decoded showed a job that nobody had submitted.

Accepted jobs and progress are validated when they are read, a record that cannot be decoded creates no job, and one without a submission or a final state is not shown.

Deep nesting up to a million levels, arrays of 2^32, other types and bytes that are no CBOR were ignored already.

--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -174,14 +174,16 @@
 			return
 		}
 		e = &storedJob{}
-		p.jobs[id] = e
 	}
 	switch kind {
 	case kindAccepted:
-		if e.submission == nil && inOrder && p.owned && p.ownerRead {
+		first := e.submission == nil
+		if !l.applyAccepted(e, id, r.Value) {
+			return
+		}
+		if first && inOrder && p.owned && p.ownerRead {
 			e.firstEpoch = p.epoch
 		}
-		l.applyAccepted(e, r.Value)
 	case kindCancelled:
 		e.cancelled = len(r.Value) > 0
 	case kindProgress:
@@ -189,7 +191,7 @@
 			delete(p.jobs, id)
 			return
 		}
-		progress, err := decode[job.Progress](r.Value)
+		progress, err := decodeProgress(r.Value)
 		if err != nil {
 			l.cfg.Log.Log(event.RecordIgnored, "key", r.Key, "error", err)
 			return
@@ -204,7 +206,10 @@
 			}
 			l.markEnded(p, id, e)
 		}
+	default:
+		return // written by other software or by a later version
 	}
+	p.jobs[id] = e
 }
 
 // applyOwner applies a record of kindOwner. A former owner releases the partition before it
@@ -223,19 +228,21 @@
 	}
 }
 
-func (l *Ledger) applyAccepted(e *storedJob, value []byte) {
+// applyAccepted applies a record of kindAccepted. It reports whether the record is valid.
+func (l *Ledger) applyAccepted(e *storedJob, id string, value []byte) bool {
 	if len(value) == 0 || e.progress.State != "" {
 		e.submission = nil
-		return
+		return true
 	}
-	s, err := decode[job.Submission](value)
+	s, err := decodeSubmission(id, value)
 	if err != nil {
-		l.cfg.Log.Log(event.RecordIgnored, "error", err)
-		return
+		l.cfg.Log.Log(event.RecordIgnored, "key", recordKey(kindAccepted, id), "error", err)
+		return false
 	}
 	if e.submission == nil {
 		e.submission = s
 	}
+	return true
 }
 
 // markEnded marks a job as ended, and schedules the deletion of its records by the owner
@@ -274,7 +281,7 @@
 		return // a run of a former owner may not have ended
 	}
 	switch {
-	case e.progress.State != "":
+	case e.progress.State != "" || e.submission == nil:
 	case e.cancelled:
 		if e.running {
 			l.cfg.Runner.StopJob(id)
@@ -283,7 +290,7 @@
 		if _, ok := p.dirty[id]; !ok {
 			p.markDirty(id, job.Progress{State: job.Cancelled})
 		}
-	case e.submission != nil && !e.running:
+	case !e.running:
 		e.running = true
 		s := *e.submission
 		if q, ok := l.cfg.Queue(s.Queue.Name); ok {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -8,6 +8,8 @@
 	"hash/fnv"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"oriolerelay/job"
 )
 
 // Kinds of records of a job. The key of a record is its kind followed by the job's id. The
@@ -59,3 +61,35 @@
 	}
 	return v, nil
 }
+
+// decodeSubmission decodes and validates the value of a record of kindAccepted: other software may
+// have written it, and it must not end the process that runs the job.
+func decodeSubmission(id string, b []byte) (*job.Submission, error) {
+	s, err := decode[job.Submission](b)
+	if err != nil {
+		return nil, err
+	}
+	if s.ID != id {
+		return nil, fmt.Errorf("the record holds job %q", s.ID)
+	}
+	return s, s.Validate()
+}
+
+// decodeProgress decodes and validates the value of a record of kindProgress.
+func decodeProgress(b []byte) (*job.Progress, error) {
+	p, err := decode[job.Progress](b)
+	if err != nil {
+		return nil, err
+	}
+	switch p.State {
+	case "", job.Cancelled, job.Completed, job.Failed:
+	default:
+		return nil, fmt.Errorf("%q is not a final state", p.State)
+	}
+	for task, n := range p.Failures {
+		if n < 0 {
+			return nil, fmt.Errorf("task %q has %d failures", task, n)
+		}
+	}
+	return p, nil
+}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -16,7 +16,10 @@
 	p.noteRequest(l.cfg.Timing)
 	e, loaded, next := p.jobs[id], p.loaded, p.nextOffset
 	l.mu.Unlock()
-	if e != nil && (l.owns(p) || l.hasEnded(e)) {
+	if e != nil && l.owns(p) {
+		return l.lookUp(p, id)
+	}
+	if e != nil && l.hasEnded(e) {
 		return e, nil
 	}
 	if !loaded {
@@ -40,7 +43,8 @@
 func (l *Ledger) lookUp(p *partition, id string) (*storedJob, *errkind.Error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := p.jobs[id]; e != nil {
+	// A cancellation or progress alone shows no job: other software may have written it.
+	if e := p.jobs[id]; e != nil && (e.submission != nil || e.progress.State != "") {
 		return e, nil
 	}
 	return nil, errkind.New(errkind.JobUnknown, "no such job is stored")
