coordinator: ignore learned models that no entry can have learned

A stored model of a queue's caller timeouts with a mean or a weight that is too large made the callers of each job look as if they had waited for ages. A job of the queue was refused as soon as it had to wait for capacity. Every entry that started later used the model in place of its own and stored it again under its own name, and later jobs hardly changed it.

Models are checked for what observations can yield: the weight, the means, the variances and the covariance. A false model within these bounds is still used.

TestLearnedModelsAreValid shows that models of observed times from 1 ns to the longest duration pass.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -390,3 +390,35 @@
 		c.Check(a.orders, quicktest.HasLen, 12, quicktest.Commentf("one at a time after a failure"))
 	})
 }
+
+// Guards against a stored model that no entry has learned and that makes every job of its queue
+// look too late: it was refused as soon as it had to wait, at all entries and for good.
+func TestFalseLearnedStateIsIgnored(t *testing.T) {
+	for name, m := range map[string]policy.CallerTimeoutModel{
+		"none":                 {},
+		"largest numbers":      {Weight: math.MaxFloat64, MeanLogTimeout: math.MaxFloat64, VarLogRunTime: math.MaxFloat64, VarLogTimeout: math.MaxFloat64, Covariance: math.MaxFloat64},
+		"timeout overflows":    {Weight: 500, MeanLogTimeout: 1000},
+		"weight too large":     {Weight: 501, MeanLogTimeout: 5},
+		"negative weight":      {Weight: -1},
+		"negative variance":    {Weight: 500, MeanLogTimeout: 5, VarLogTimeout: -1},
+		"slope too large":      {Weight: 500, VarLogRunTime: 1e-300, Covariance: -10},
+		"covariance too large": {Weight: 500, MeanLogTimeout: 5, VarLogRunTime: 1, VarLogTimeout: 1, Covariance: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+				if name != "none" {
+					co.ImportLearned(LearnedState{CallerTimeouts: map[string]policy.CallerTimeoutModel{"q": m}})
+				}
+				c.Check(co.ExportLearned().CallerTimeouts, quicktest.HasLen, 0)
+				a.c.Handle(a.name, a.connection, &wire.Status{ClosedReason: wire.RejectDraining})
+				s, w := submission("j", 2), newWaiter()
+				s.CallerTimeout = 2 * time.Second
+				co.loop.Post(func() { co.submit(s, w, time.Now()) })
+				time.Sleep(20 * time.Millisecond)
+				a.c.Handle(a.name, a.connection, &wire.Status{})
+				synctest.Wait()
+				c.Check(a.orders, quicktest.HasLen, 2)
+			})
+		})
+	}
+}
--- a/coordinator/learned.go
+++ b/coordinator/learned.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"oriolerelay/event"
 	"oriolerelay/policy"
 )
 
@@ -43,11 +44,16 @@
 }
 
 // ImportLearned merges the learned state of an earlier process or of another entry. A model of
-// this process that is based on more jobs is kept.
+// this process that is based on more jobs is kept. Invalid models, which other software may have
+// stored, are ignored: every process would use them and store them again.
 func (c *Coordinator) ImportLearned(l LearnedState) {
 	l.CallerTimeouts = maps.Clone(l.CallerTimeouts)
 	c.loop.Post(func() {
 		for name, m := range l.CallerTimeouts {
+			if !m.Valid() {
+				c.cfg.Log.Log(event.RecordIgnored, "read", "learned", "queue", name, "weight", m.Weight)
+				continue
+			}
 			if own := c.callerTimeouts[name]; own == nil || own.Weight < m.Weight {
 				c.callerTimeouts[name] = &m
 			}
--- a/policy/caller_timeout.go
+++ b/policy/caller_timeout.go
@@ -37,6 +37,19 @@
 	Covariance     float64 `json:"covariance"`
 }
 
+// maxLogSeconds bounds the absolute value of the logarithm of a time.Duration in seconds.
+const maxLogSeconds = 23
+
+// Valid reports whether m can be the result of calls of Observe.
+func (m *CallerTimeoutModel) Valid() bool {
+	validMean := func(mean float64) bool { return math.Abs(mean) <= maxLogSeconds }
+	validVariance := func(v float64) bool { return v >= 0 && v <= maxLogSeconds*maxLogSeconds }
+	const rounding = 1e-6
+	return m.Weight >= 0 && m.Weight <= modelWindowJobs && validMean(m.MeanLogRunTime) && validMean(m.MeanLogTimeout) &&
+		validVariance(m.VarLogRunTime) && validVariance(m.VarLogTimeout) &&
+		m.Covariance*m.Covariance <= (1+rounding)*m.VarLogRunTime*m.VarLogTimeout+rounding
+}
+
 // Observe updates the model with the expected run time of a job and its caller's timeout.
 func (m *CallerTimeoutModel) Observe(runTime, timeout time.Duration) {
 	if runTime <= 0 || timeout <= 0 {
--- a/policy/caller_timeout_test.go
+++ b/policy/caller_timeout_test.go
@@ -81,3 +81,22 @@
 	}
 	c.Check(falsePositives < 50, qt.IsTrue, qt.Commentf("%d of 1000 first requests get a prior wait after the change", falsePositives))
 }
+
+// Guards against a model that an entry has learned and that it does not accept after a restart.
+func TestLearnedModelsAreValid(t *testing.T) {
+	times := []time.Duration{1, time.Millisecond, 50 * time.Millisecond, time.Second, time.Hour, math.MaxInt64}
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		var m CallerTimeoutModel
+		for n := range 2000 {
+			runTime, timeout := times[random.IntN(len(times))], times[random.IntN(len(times))]
+			if seed%3 == 0 { // exactly correlated
+				timeout = runTime
+			}
+			m.Observe(runTime, timeout)
+			if !m.Valid() {
+				t.Fatalf("seed %d: model of %d jobs is not valid: %+v", seed, n+1, m)
+			}
+		}
+	}
+}
