--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -17,6 +18,11 @@
 		qt.Assert(f, err, qt.IsNil)
 		f.Add(b)
 	}
+	for _, m := range sampleRunMessages() {
+		b, err := Encode(Frame{Body: m})
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(b)
+	}
 	for _, malformed := range []string{
 		"", "\x84", "\x84\x05\x00\xf4", // truncated
 		"\x84\x05\x00\xf4\xf6",                                             // null body
@@ -66,6 +72,21 @@
 	}
 }
 
+// sampleRunMessages returns messages between entries, and between an entry and an agent, with
+// numbers at the ends of their ranges.
+func sampleRunMessages() []Message {
+	run := Run{Task: "5c0e7a21d94b36f8.0.1.17", Number: math.MaxUint32}
+	group := OrderGroup{Payload: "text", Size: Resources{MilliCores: math.MaxUint32}, EstimateMillis: math.MaxUint32, Runs: []Run{run}, Stored: true}
+	status := &Status{Profile: &Profile{Instance: "i-1", Labels: []string{"a"}}, OrderedRuns: math.MaxUint64, ClockMillis: math.MaxUint64}
+	return []Message{
+		&Orders{Groups: []OrderGroup{group}, OrderedRuns: math.MaxUint64}, &Claim{Groups: []OrderGroup{group}},
+		&Reports{Reports: []Report{{Run: run, State: 255, Reason: 255}}, Status: status}, status, &Stop{Runs: []Run{run}}, &Confirm{Runs: []Run{run}},
+		&Place{Number: math.MaxUint64, Job: []byte{0xf6}}, &PlaceResult{Number: 1, Kind: "x"}, &Withdraw{Numbers: []uint64{0, math.MaxUint64}},
+		&PlacementStatus{Services: []ServiceLoad{{Service: "s", Capacity: math.MaxUint64, Used: math.MaxUint64}}, Labels: []ServiceLabels{{Service: "s"}}},
+		&EntryDraining{}, &Evacuated{Version: math.MaxUint64, DataCentres: []string{""}},
+	}
+}
+
 // Guards against a message type that newMessage doesn't know or that has no name, and
 // against frames above the size limit.
 func TestMessagesAreDecoded(t *testing.T) {
