executor: replace a false profile of an endpoint

The service, the capacity and the labels of an endpoint were those of the first announcement of its incarnation, or of the stored one, until its end. If other software had sent that one, with the right incarnation and a service that nobody uses, the endpoint got no task any more.

Two consecutive announcements that agree on another profile replace it; a single one does not.

TestFalseProfileDoesNotStay (first=true) failed before.

--- a/executor/announcement_test.go
+++ b/executor/announcement_test.go
@@ -320,3 +320,49 @@
 		c.Check(x.Announce(announcement("i-1", bornMillis, 8)), quicktest.IsFalse)
 	})
 }
+
+// Guards against an endpoint whose service or capacity stays false until its end because one
+// announcement stated another one, and against a single one that replaces the true profile.
+func TestFalseProfileDoesNotStay(t *testing.T) {
+	for _, oddFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint("first=", oddFirst), func(t *testing.T) {
+			withIncarnations(t, func(c *quicktest.C, x *Executor, _ *incarnationEndpoint, _ *fakeEntry, saved *savedAnnouncements) {
+				var mu sync.Mutex
+				var sent []wire.Profile
+				x.Connected("entry.2", func(m wire.Message) error {
+					mu.Lock()
+					defer mu.Unlock()
+					if s, ok := m.(*wire.Status); ok && s.Profile != nil {
+						sent = append(sent, *s.Profile)
+					}
+					return nil
+				})
+				valid, odd := announcement("i-1", bornMillis, 1), announcement("i-1", bornMillis, 1)
+				odd.Profile.Service, odd.Profile.Capacity.MilliCores = "other", 64000
+				odd.Profile.Labels = []string{"x"}
+				announce := func(a endpointapi.Announcement, sequence uint64) {
+					a.Sequence = sequence
+					c.Check(x.Announce(a), quicktest.IsTrue)
+					time.Sleep(time.Second)
+				}
+				want := []wire.Profile{valid.Profile}
+				if oddFirst {
+					announce(odd, 1)
+					want = []wire.Profile{odd.Profile, valid.Profile}
+				} else {
+					announce(valid, 1)
+				}
+				announce(valid, 2)
+				announce(odd, 3)
+				announce(valid, 4)
+				announce(odd, 5)
+				announce(valid, 6)
+				announce(valid, 7)
+				mu.Lock()
+				defer mu.Unlock()
+				c.Check(sent, quicktest.DeepEquals, want)
+				c.Check(saved.list[len(saved.list)-1].Profile, quicktest.DeepEquals, valid.Profile)
+			})
+		})
+	}
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -44,7 +45,9 @@
 	ctx         context.Context
 	startedAt   time.Time // of this process
 
-	profile             *wire.Profile // nil until the endpoint has announced itself
+	profile *wire.Profile // nil until the endpoint has announced itself
+	// otherProfile is the profile in the newest announcement if that differs from profile.
+	otherProfile        *wire.Profile
 	endpointStartMillis int64
 	incarnationSince    time.Time // when this incarnation became the known one
 	sequence            uint64    // of the newest announcement
@@ -167,6 +170,7 @@
 // applyAnnouncement applies an announcement of the known incarnation.
 func (x *Executor) applyAnnouncement(a endpointapi.Announcement) {
 	x.sequence, x.lower = a.Sequence, lowerSequences{}
+	x.checkProfile(a)
 	if a.Draining != x.endpointDraining {
 		x.endpointDraining = a.Draining
 		x.statusDirty = true
@@ -177,6 +181,26 @@
 	x.save(a)
 }
 
+// checkProfile replaces the profile of the known incarnation once two consecutive announcements
+// state the same other one. A profile does not change, so that the first one was false.
+func (x *Executor) checkProfile(a endpointapi.Announcement) {
+	p := a.Profile
+	switch {
+	case reflect.DeepEqual(p, *x.profile):
+		x.otherProfile = nil
+	case x.otherProfile == nil || !reflect.DeepEqual(p, *x.otherProfile):
+		x.otherProfile = &p
+	default:
+		x.cfg.Log.Log(event.EndpointAnnounced, "instance", p.Instance, "born", a.StartMillis, "service", p.Service,
+			"millicores", p.Capacity.MilliCores, "runs", len(x.runs), "replaced_service", x.profile.Service)
+		x.profile, x.otherProfile, x.statusDirty = &p, nil, true
+		x.persisted = persistedState{} // the new profile is saved
+		for _, e := range x.entries {
+			e.profileSent = false
+		}
+	}
+}
+
 // lowerSequences counts the consecutive announcements with rising sequence numbers below the known
 // one. The known one is false if they go on, since the endpoint sends newer announcements at
 // intervals, while delayed ones arrive together.
@@ -280,7 +304,7 @@
 	first := x.profile == nil
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
-	x.incarnationSince, x.lower = now, lowerSequences{}
+	x.incarnationSince, x.lower, x.otherProfile = now, lowerSequences{}, nil
 	x.clock = endpointClock{}
 	x.clock.set(a.Clock, now)
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
