executor: save the known profile with a change of the drain state

An announcement that changed the drain state was saved with its own profile, also if that was a false one that the executor did not use. The next process of the agent would have started with it.

The check added to TestFalseProfileDoesNotStay failed before.

--- a/executor/announcement_test.go
+++ b/executor/announcement_test.go
@@ -355,13 +355,20 @@
 				announce(valid, 2)
 				announce(odd, 3)
 				announce(valid, 4)
+				odd.Draining = true
 				announce(odd, 5)
+				savedProfile := func() wire.Profile {
+					saved.mu.Lock()
+					defer saved.mu.Unlock()
+					return saved.list[len(saved.list)-1].Profile
+				}
+				c.Check(savedProfile(), quicktest.DeepEquals, want[0]) // the known profile
 				announce(valid, 6)
 				announce(valid, 7)
 				mu.Lock()
 				defer mu.Unlock()
 				c.Check(sent, quicktest.DeepEquals, want)
-				c.Check(saved.list[len(saved.list)-1].Profile, quicktest.DeepEquals, valid.Profile)
+				c.Check(savedProfile(), quicktest.DeepEquals, valid.Profile)
 			})
 		})
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -136,8 +136,8 @@
 	return accepted
 }
 
-// handleAnnouncement processes an announcement of the known incarnation. verify is set if a names
-// another one, which the endpoint must confirm.
+// handleAnnouncement processes a if it announces the known incarnation. verify is set if it
+// announces another one, which the endpoint must confirm.
 func (x *Executor) handleAnnouncement(a endpointapi.Announcement, now time.Time) (accepted, verify bool) {
 	p := x.profile
 	switch {
@@ -178,6 +178,7 @@
 			x.cfg.Log.Log(event.EndpointDraining, "instance", a.Profile.Instance, "runs", len(x.runs), "sequence", a.Sequence)
 		}
 	}
+	a.Profile = *x.profile
 	x.save(a)
 }
 
