relay: reject settings that are out of range

A max_lease_ms of 1e300 was accepted and became a duration of undefined value, a negative one on x86-64 and the longest one on arm64. A billion store partitions were accepted and exhausted the memory of an entry, and so were ports 0, -1 and 99999, with which the process ended when it listened or could reach nothing.

TestSettingsOutOfRange failed before in 10 of 14 cases; numbers beyond their type and nesting of 10,000 and 100,000 levels were rejected already.

--- a/relay/settings.go
+++ b/relay/settings.go
@@ -63,6 +63,13 @@
 	return p
 }
 
+const (
+	// maxSeconds bounds all times, which are converted to durations.
+	maxSeconds = 365 * 24 * 3600
+	// maxStorePartitions bounds the partitions, each of which is followed by two goroutines.
+	maxStorePartitions = 10_000
+)
+
 // Check implements settings.Checker.
 func (s *Settings) Check(p *settings.Problems) {
 	if s.Node == "" {
@@ -86,8 +93,15 @@
 			checkAddress(p, path, a)
 		}
 	}
-	if s.StorePartitions < 0 {
-		p.Add("store_partitions", "%d is negative", s.StorePartitions)
+	if s.StorePartitions < 0 || s.StorePartitions > maxStorePartitions {
+		p.Add("store_partitions", "%d is not between 0 and %d", s.StorePartitions, maxStorePartitions)
+	}
+	for path, d := range map[string]float64{
+		"min_membership_ms": s.MinMembershipMS / 1000, "max_lease_ms": s.MaxLeaseMS / 1000, "keep_state_s": s.KeepStateS, "stop_grace_s": s.StopGraceS,
+	} {
+		if d < 0 || d > maxSeconds {
+			p.Add(path, "is not between 0 and %d s", maxSeconds)
+		}
 	}
 	if s.ProcessorShare < 0 {
 		p.Add("processor_share", "%v is negative", s.ProcessorShare)
@@ -105,7 +119,8 @@
 }
 
 func checkAddress(p *settings.Problems, path, a string) {
-	if _, port, err := net.SplitHostPort(a); err != nil || port == "" {
+	_, port, err := net.SplitHostPort(a)
+	if n, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || n == 0 {
 		p.Add(path, "%q is not ip:port", a)
 	}
 }
--- a/relay/settings_test.go
+++ b/relay/settings_test.go
@@ -62,3 +62,31 @@
 		c.Check(strings.Contains(string(b), `"`+field+`":`), quicktest.IsTrue, quicktest.Commentf("%s", field))
 	}
 }
+
+// Guards against settings whose values overflow a duration, name a port that does not exist or
+// need more memory than there is, and against deep nesting that ends the process.
+func TestSettingsOutOfRange(t *testing.T) {
+	c := quicktest.New(t)
+	for _, tc := range []struct{ old, new, path string }{
+		{`"max_lease_ms":1000`, `"max_lease_ms":1e300`, "max_lease_ms"},
+		{`"max_lease_ms":1000`, `"max_lease_ms":1e400`, "max_lease_ms"},
+		{`"min_membership_ms":1000`, `"min_membership_ms":1e300`, "min_membership_ms"},
+		{`"min_membership_ms":1000`, `"min_membership_ms":-1`, "min_membership_ms"},
+		{`"keep_state_s":120`, `"keep_state_s":1e300`, "keep_state_s"},
+		{`"keep_state_s":120`, `"keep_state_s":-1`, "keep_state_s"},
+		{`"stop_grace_s":6`, `"stop_grace_s":1e300`, "stop_grace_s"},
+		{`"store_partitions":24`, `"store_partitions":1000000000`, "store_partitions"},
+		{`"store_partitions":24`, `"store_partitions":9223372036854775808`, "store_partitions"},
+		{`10.1.0.13:8161`, `10.1.0.13:99999`, "callers_address"},
+		{`10.1.0.13:8161`, `10.1.0.13:0`, "callers_address"},
+		{`10.1.0.13:8161`, `10.1.0.13:-1`, "callers_address"},
+		{`"far_factor":1.5`, `"far_factor":` + strings.Repeat("[", 10_000) + strings.Repeat("]", 10_000), "depth"},
+		{`"far_factor":1.5`, `"far_factor":` + strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000), "depth"},
+	} {
+		changed := strings.Replace(entrySettings, tc.old, tc.new, 1)
+		c.Assert(changed, quicktest.Not(quicktest.Equals), entrySettings)
+		var s Settings
+		err := settings.Parse([]byte(changed), &s)
+		c.Check(err, quicktest.ErrorMatches, "(?s).*"+tc.path+".*", quicktest.Commentf("%.40s", tc.new))
+	}
+}
