--- a/executor/observe.go
+++ b/executor/observe.go
@@ -130,14 +130,15 @@
 	}
 	x.recordReply(req.FencingToken, req.LeaseEnd, sent, nil)
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
-		if obs.StartMillis > x.endpointStartMillis {
-			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", after a restart"})
+		if !sent.Before(x.incarnationSince) { // otherwise the reply may be that of an earlier incarnation
+			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", started at another time"})
 			for _, r := range obs.Running {
 				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
 			}
 		}
 		return
 	}
+	x.endpointStartMillis = max(x.endpointStartMillis, obs.StartMillis)
 	x.ackedSequence = max(x.ackedSequence, req.AckedSequence)
 	if x.unreachable {
 		x.cfg.Log.Log(event.EndpointAnswering, "instance", req.Instance, "misses", x.failedObservations)
@@ -157,9 +158,7 @@
 }
 
 func (x *Executor) handleObserveError(req endpointapi.ObserveRequest, sent time.Time, err error) {
-	var down *endpointapi.DownError
-	var other *endpointapi.OtherInstanceError
-	if errors.As(err, &down) || errors.As(err, &other) {
+	if isEndpointDown(err) {
 		x.handleEndpointDown(err)
 		return
 	}
@@ -171,6 +170,13 @@
 	}
 }
 
+// isEndpointDown reports whether err means that the incarnation that was called has ended.
+func isEndpointDown(err error) bool {
+	var down *endpointapi.DownError
+	var other *endpointapi.OtherInstanceError
+	return errors.As(err, &down) || errors.As(err, &other)
+}
+
 // handleEndpointDown records that the incarnation of the endpoint has ended, and all its runs
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
