executor: stops wait with the claim until the endpoint is known

A starting agent holds the claim of an entry until it knows its endpoint, but answered a stop at once: the run was unknown, so it was reported as lost while the endpoint still executed it for the earlier process. The entry started the task elsewhere, and the later claim even adopted the first run.

Change: stop orders that follow a waiting claim are processed after it.

Evidence: TestStopBeforeEndpointIsKnown failed before (reported as lost, then still running 200 ms after the announcement) and passes.

Verified: go test -race ./executor, go test ./emulator, go vet, staticcheck.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -31,6 +31,7 @@
 	retired bool
 	// pendingClaim is a Claim that arrived before the endpoint was known.
 	pendingClaim *wire.Claim
+	pendingStops []wire.Run // stop orders since that Claim
 	reports      []wire.Report
 }
 
@@ -43,7 +44,7 @@
 			x.entries[incarnation] = e
 		}
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
-		e.suspect, e.echoedClock = false, x.clockMillis()
+		e.pendingStops, e.suspect, e.echoedClock = nil, false, x.clockMillis()
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
 		x.statusDirty = true
@@ -168,6 +169,10 @@
 
 // stopOrdered stops a run on behalf of the entry that ordered it.
 func (x *Executor) stopOrdered(e *entry, id wire.Run, now time.Time) {
+	if e.pendingClaim != nil {
+		e.pendingStops = append(e.pendingStops, id) // the endpoint may execute the run
+		return
+	}
 	r := x.runs[id.Task]
 	if r == nil || r.id != id || r.entry != e.incarnation {
 		x.report(e.incarnation, x.recent.find(id))
@@ -264,8 +269,12 @@
 	}
 	for _, e := range x.entries {
 		if c := e.pendingClaim; c != nil {
-			e.pendingClaim = nil
+			stops := e.pendingStops
+			e.pendingClaim, e.pendingStops = nil, nil
 			x.reconcileClaim(e, c, now)
+			for _, id := range stops {
+				x.stopOrdered(e, id, now)
+			}
 		}
 	}
 }
