executor: stops wait with the claim until the endpoint is known

A starting agent holds the claim of an entry until it knows its endpoint, but answered a stop at once: the run was unknown, so it was reported as lost while the endpoint still executed it for the earlier process. The entry started the task elsewhere, and the later claim even adopted the first run.

Change: stop orders that follow a waiting claim are processed after it.

Evidence: TestStopBeforeEndpointIsKnown failed before (reported as lost, then still running 200 ms after the announcement) and passes.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -27,6 +27,7 @@
 	retired bool
 	// pendingClaim is a Claim that arrived before the endpoint was known.
 	pendingClaim *wire.Claim
+	pendingStops []wire.Run // stop orders since that Claim
 	reports      []wire.Report
 }
 
@@ -39,6 +40,7 @@
 			x.entries[incarnation] = e
 		}
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
+		e.pendingStops = nil
 		e.suspect = false
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
@@ -159,6 +161,10 @@
 
 // stopOrdered stops a run on behalf of the entry that ordered it.
 func (x *Executor) stopOrdered(e *entry, id wire.Run, now time.Time) {
+	if e.pendingClaim != nil {
+		e.pendingStops = append(e.pendingStops, id) // the endpoint may execute the run
+		return
+	}
 	r := x.runs[id.Task]
 	if r == nil || r.id != id || r.entry != e.incarnation {
 		x.report(e.incarnation, x.recent.find(id))
@@ -253,8 +259,12 @@
 	}
 	for _, e := range x.entries {
 		if c := e.pendingClaim; c != nil {
-			e.pendingClaim = nil
+			stops := e.pendingStops
+			e.pendingClaim, e.pendingStops = nil, nil
 			x.reconcileClaim(e, c, now)
+			for _, id := range stops {
+				x.stopOrdered(e, id, now)
+			}
 		}
 	}
 }
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -249,3 +249,29 @@
 	}
 	return len(b), nil
 }
+
+// Guards against two concurrent runs of a task: a starting agent reported a run as lost that its
+// entry stopped, before it knew the endpoint on which an earlier process had started the run.
+func TestStopBeforeEndpointIsKnown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: map[wire.Run]bool{run: true}, maxListed: 500}}
+		x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+		go x.Run(ctx)
+		entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+		x.Connected("entry.1", entry.send)
+		x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+		x.Handle("entry.1", &wire.Stop{Runs: []wire.Run{run}})
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
+		x.Announce(announcementOfLife(1))
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunStopped)
+		c.Check(e.runs(), quicktest.HasLen, 0)
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
