executor: an endpoint may restart with an earlier start time

Announcements of an incarnation that started before the known one are ignored, since they may be delayed. If the time of day had jumped back when an endpoint restarted, its announcements were ignored for good, and observations that it answered were dropped: its runs counted as running and their lease as extended, and it got no further run. With another instance id the runs were lost, but the endpoint got no run either.

Change: an observation that was sent after the last incarnation was announced proves, if it names another start time, that this incarnation has ended, and so does an answer of another instance. The next announcement of another incarnation is then accepted. A delayed one of an older incarnation is refuted in the same way.

Evidence: TestEndpointRestartWithEarlierStartTime and TestOtherInstanceWithEarlierStartTime failed before and pass.

Verified: go test -race ./executor, go test ./emulator, go vet, staticcheck.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -46,11 +46,14 @@
 
 	profile             *wire.Profile // nil until the endpoint has announced itself
 	endpointStartMillis int64
-	sequence            uint64 // of the newest announcement
-	endpointDraining    bool
-	evacuated           wire.Evacuated // evacuated data centres
-	persisted           persistedState // of the last announcement that was saved
-	shuttingDown        bool           // of this process
+	// incarnationEnded is set once the endpoint has answered as another incarnation than the
+	// announced one. Start times do not order incarnations if the time of day jumps back.
+	incarnationEnded bool
+	sequence         uint64 // of the newest announcement
+	endpointDraining bool
+	evacuated        wire.Evacuated // evacuated data centres
+	persisted        persistedState // of the last announcement that was saved
+	shuttingDown     bool           // of this process
 	// adoptDeadline is when inherited runs that no entry has claimed are stopped; zero once
 	// that is done.
 	adoptDeadline time.Time
@@ -112,7 +115,7 @@
 
 // Announce processes an announcement of the endpoint and reports whether it was accepted. An
 // announcement of an older incarnation, or one that is older than an accepted one, is
-// ignored.
+// ignored, unless the known incarnation has ended.
 func (x *Executor) Announce(a endpointapi.Announcement) (accepted bool) {
 	x.loop.Do(func() { accepted = x.handleAnnouncement(a, time.Now()) })
 	return accepted
@@ -121,6 +124,8 @@
 func (x *Executor) handleAnnouncement(a endpointapi.Announcement, now time.Time) bool {
 	p := x.profile
 	switch {
+	case x.incarnationEnded && (a.Profile.Instance != p.Instance || a.StartMillis != x.endpointStartMillis):
+		x.newIncarnation(a, now)
 	case p == nil || a.Profile.Instance != p.Instance && a.StartMillis >= x.endpointStartMillis || a.StartMillis > x.endpointStartMillis:
 		x.newIncarnation(a, now)
 	case a.Profile.Instance != p.Instance || a.StartMillis < x.endpointStartMillis || a.Sequence < x.sequence:
@@ -187,6 +192,7 @@
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
 	x.clock = endpointClock{}
 	x.clock.set(a.Clock, now)
+	x.incarnationEnded = false
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
 	x.assumeInheritedLease(now)
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -275,3 +275,51 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against runs that count as running for good, and an endpoint that gets no runs, after it
+// restarted while its time of day had jumped back: its start time is then before the known one.
+func TestEndpointRestartWithEarlierStartTime(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		c.Check(x.Announce(announcementOfLife(5000)), quicktest.IsTrue)
+		e.mu.Lock()
+		e.startMillis = 5000
+		e.mu.Unlock()
+		sendHeartbeats(x, 100*time.Millisecond)
+		lost, next := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+		sendOrder(x, false, lost)
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(x.Announce(announcementOfLife(3000)), quicktest.IsFalse) // may be a delayed one
+		e.mu.Lock()
+		e.startMillis, e.running = 3000, make(map[wire.Run]bool)
+		e.mu.Unlock()
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(lost), quicktest.Equals, wire.RunLost)
+		c.Check(x.Announce(announcementOfLife(3000)), quicktest.IsTrue)
+		sendHeartbeats(x, 100*time.Millisecond)
+		sendOrder(x, false, next)
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{next: true})
+		c.Check(x.Announce(announcementOfLife(2000)), quicktest.IsFalse)
+	})
+}
+
+// Guards against an endpoint that gets no runs after another instance with an earlier start time has
+// taken its place.
+func TestOtherInstanceWithEarlierStartTime(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		x.Announce(announcementOfLife(5000))
+		e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+			if o.Instance != "i-2" {
+				return endpointapi.Observation{}, &endpointapi.OtherInstanceError{Instance: "i-2"}
+			}
+			return e.fakeEndpoint.Observe(ctx, o)
+		})
+		other := announcementOfLife(3000)
+		other.Profile.Instance = "i-2"
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		sendOrder(x, false, run)
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+		c.Check(x.Announce(other), quicktest.IsTrue)
+	})
+}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -130,7 +130,7 @@
 	}
 	x.recordReply(req.FencingToken, req.LeaseEnd, sent, nil)
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
-		if obs.StartMillis > x.endpointStartMillis {
+		if obs.StartMillis > x.endpointStartMillis || req.FencingToken >= x.fence.first {
 			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", after a restart"})
 			for _, r := range obs.Running {
 				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
@@ -179,6 +179,8 @@
 // handleEndpointDown records that the incarnation of the endpoint has ended, and all its runs
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
+	var other *endpointapi.OtherInstanceError
+	x.incarnationEnded = x.incarnationEnded || errors.As(err, &other)
 	reachable := !x.unreachable
 	if reachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
