executor: keep claimed runs when the restored announcement is stale

A starting agent restores the announcement that an earlier process saved. If the endpoint had restarted since and the save had failed, as while the store is down, the entries' claims were matched with the earlier incarnation. The first answer or announcement of the current one then made the agent report the claimed runs as lost, and the entries started the tasks elsewhere, while the endpoint executed them under the lease of the earlier agent process. If the endpoint did not answer at all, the claimed runs were never reported.

Change: a restored profile is unverified until the endpoint answers or announces itself. If it turns out to be of another incarnation, it is dropped and the claimed runs are kept for adoption.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -49,6 +49,9 @@
 	// incarnationEnded is set once the endpoint has answered as another incarnation than the
 	// announced one. Start times do not order incarnations if the time of day jumps back.
 	incarnationEnded bool
+	// unverified is set while the profile was restored and the endpoint has not answered. The
+	// runs that entries claim then may be those of a later incarnation, which was not saved.
+	unverified       bool
 	sequence         uint64 // of the newest announcement
 	endpointDraining bool
 	evacuated        wire.Evacuated // evacuated data centres
@@ -133,7 +136,7 @@
 			"sequence", a.Sequence, "known_instance", p.Instance, "known_born", x.endpointStartMillis, "known_sequence", x.sequence)
 		return false
 	}
-	x.sequence = a.Sequence
+	x.sequence, x.unverified = a.Sequence, false
 	if !x.clock.known() {
 		x.clock.set(a.Clock, now)
 	}
@@ -159,6 +162,7 @@
 		a.Sequence, a.Clock = 0, 0
 		x.persisted = persistedStateOf(a)
 		x.handleAnnouncement(a, time.Now())
+		x.unverified = true
 	})
 }
 
@@ -183,11 +187,12 @@
 	}
 }
 
-// newIncarnation discards the state of an earlier incarnation of the endpoint.
+// newIncarnation discards the state of an earlier incarnation of the endpoint. Runs that were
+// claimed before the endpoint was known are kept.
 func (x *Executor) newIncarnation(a endpointapi.Announcement, now time.Time) {
 	x.cfg.Log.Log(event.EndpointAnnounced, "instance", a.Profile.Instance, "born", a.StartMillis,
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
-	first := x.profile == nil
+	first := x.profile == nil || x.unverified
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
 	x.clock = endpointClock{}
@@ -197,8 +202,8 @@
 	x.assumeInheritedLease(now)
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "endpoint incarnation ended")
+	if !first {
+		x.loseRuns("endpoint incarnation ended")
 	}
 	x.fence.startIncarnation()
 	if first {
@@ -212,6 +217,27 @@
 	x.wakeObserver()
 }
 
+// loseRuns reports all runs as lost.
+func (x *Executor) loseRuns(why string) {
+	for _, r := range x.runs {
+		x.finish(r, wire.RunLost, 0, why)
+	}
+}
+
+// forgetRestored discards the restored profile of an incarnation that has ended.
+func (x *Executor) forgetRestored(err error) {
+	x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
+	x.profile, x.endpointStartMillis, x.unverified, x.statusDirty = nil, 0, false, true
+}
+
+// loseClaimedRuns reports the runs as lost that entries have claimed if the endpoint is still
+// unknown, or has not answered, when the lease of an earlier process has expired.
+func (x *Executor) loseClaimedRuns(now time.Time) {
+	if !x.clock.known() && now.Sub(x.startedAt) >= x.cfg.Timing.maxInheritedLease() {
+		x.loseRuns("endpoint is unknown")
+	}
+}
+
 // Deregister handles the deregistration of the given endpoint instance. Its runs continue until it
 // ends, which may take seconds.
 func (x *Executor) Deregister(instance string) {
@@ -258,6 +284,7 @@
 // Tick implements loop.Controller.
 func (x *Executor) Tick(now time.Time) {
 	x.expireLease(now)
+	x.loseClaimedRuns(now)
 	x.verifyUnansweredStarts(now)
 	x.expireEntries(now)
 	x.applyPendingClaims(now)
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -323,3 +323,90 @@
 		c.Check(x.Announce(other), quicktest.IsTrue)
 	})
 }
+
+// Guards against two concurrent runs of a task: a starting agent restored the announcement of an
+// incarnation that had ended, since that of the next one was never saved, and reported the claimed
+// runs of the next one as lost.
+func TestStaleRestoredAnnouncementKeepsRuns(t *testing.T) {
+	for name, tc := range map[string]struct {
+		instance string        // of the endpoint; the restored one is i-1
+		announce time.Duration // time until the endpoint announces itself
+	}{
+		"restarted with the same id, observed first":  {"i-1", 100 * time.Millisecond},
+		"restarted with the same id, announced first": {"i-1", 0},
+		"other instance, observed first":              {"i-2", 100 * time.Millisecond},
+		"other instance, announced first":             {"i-2", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				run := wire.Run{Task: "t.0.0.0", Number: 1}
+				e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: map[wire.Run]bool{run: true}, maxListed: 500, startMillis: 9}}
+				e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+					if tc.announce == 0 {
+						time.Sleep(5 * time.Millisecond)
+					}
+					if o.Instance != tc.instance {
+						return endpointapi.Observation{}, &endpointapi.OtherInstanceError{Instance: tc.instance}
+					}
+					return e.fakeEndpoint.Observe(ctx, o)
+				})
+				x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+				go x.Run(ctx)
+				x.Restore(announcementOfLife(1))
+				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+				x.Connected("entry.1", entry.send)
+				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000, Runs: []wire.Run{run}}}})
+				sendHeartbeats(x, tc.announce)
+				c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
+				a := announcementOfLife(9)
+				a.Profile.Instance = tc.instance
+				x.Announce(a)
+				sendHeartbeats(x, 600*time.Millisecond)
+				c.Check([]wire.RunState{wire.RunStarted, wire.RunSlow}, quicktest.Contains, entry.state(run))
+				c.Check(e.runs(), quicktest.HasLen, 1)
+				e.end(run, endpointapi.EndDone)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunDone)
+				cancel()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against claimed runs that are never reported: the endpoint does not announce itself, and the
+// restored announcement is stale or the endpoint does not answer.
+func TestClaimedRunsOfUnknownEndpointAreLost(t *testing.T) {
+	for name, answers := range map[string]bool{"stale announcement": true, "no answer": false} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				run := wire.Run{Task: "t.0.0.0", Number: 1}
+				e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: make(map[wire.Run]bool), maxListed: 500, startMillis: 9}}
+				if !answers {
+					e.setObserve(func(ctx context.Context, _ endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+						<-ctx.Done()
+						return endpointapi.Observation{}, ctx.Err()
+					})
+				}
+				x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+				go x.Run(ctx)
+				x.Restore(announcementOfLife(1))
+				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+				x.Connected("entry.1", entry.send)
+				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+				sendHeartbeats(x, 700*time.Millisecond) // the lease of the earlier process
+				c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
+				sendHeartbeats(x, 300*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+				cancel()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -130,14 +130,18 @@
 	}
 	x.recordReply(req.FencingToken, req.LeaseEnd, sent, nil)
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
-		if obs.StartMillis > x.endpointStartMillis || req.FencingToken >= x.fence.first {
-			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", after a restart"})
+		err := &endpointapi.OtherInstanceError{Instance: req.Instance + ", after a restart"}
+		if x.unverified {
+			x.forgetRestored(err)
+		} else if obs.StartMillis > x.endpointStartMillis || req.FencingToken >= x.fence.first {
+			x.handleEndpointDown(err)
 			for _, r := range obs.Running {
 				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
 			}
 		}
 		return
 	}
+	x.unverified = false
 	x.ackedSequence = max(x.ackedSequence, req.AckedSequence)
 	if x.unreachable {
 		x.cfg.Log.Log(event.EndpointAnswering, "instance", req.Instance, "misses", x.failedObservations)
@@ -180,6 +184,10 @@
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
 	var other *endpointapi.OtherInstanceError
+	if errors.As(err, &other) && x.unverified {
+		x.forgetRestored(err)
+		return
+	}
 	x.incarnationEnded = x.incarnationEnded || errors.As(err, &other)
 	reachable := !x.unreachable
 	if reachable {
@@ -187,9 +195,7 @@
 		x.unreachable, x.statusDirty = true, true
 	}
 	x.failedObservations = unreachableAfterFailures
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "endpoint is down")
-	}
+	x.loseRuns("endpoint is down")
 	if reachable {
 		x.fence.raise() // the next incarnation may get calls that were made to this one
 	}
@@ -212,9 +218,7 @@
 	if !now.After(x.fence.latestLeaseEnd(end, x.cfg.Timing.maxInheritedLease())) {
 		return
 	}
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "lease expired")
-	}
+	x.loseRuns("lease expired")
 }
 
 // handleEndedRun processes a run that the endpoint lists as ended.
