executor: a claimed run keeps its estimate

A run that an entry claimed before the agent's first observation had no declared run time. It was reported as stalled after 90 ms without progress in whole percents, and the entry moved the task, throwing its work away.

Change: claimRun takes estimate and payload from the claim, as it does for a run that was observed first.

Evidence: TestClaimedRunKeepsEstimate failed before (state slow) and passes. TestStaleRestoredAnnouncementKeepsRuns again expects the state started.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -221,7 +221,10 @@
 	}
 	// An earlier process of this agent may have sent the start. The stop ends the run, or makes
 	// the endpoint reject a start that arrives later, before the loss is reported.
-	r = &run{id: id, entry: e.incarnation, size: g.Size, orderedAt: now, state: runStopping, stored: g.Stored}
+	r = &run{
+		id: id, entry: e.incarnation, payload: g.Payload, size: g.Size, orderedAt: now, state: runStopping, stored: g.Stored,
+		declaredRunTime: time.Duration(g.EstimateMillis) * time.Millisecond,
+	}
 	x.runs[id.Task] = r
 	x.used = x.used.Plus(r.size)
 	if !x.adoptDeadline.IsZero() {
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -364,7 +364,7 @@
 				a.Profile.Instance = tc.instance
 				x.Announce(a)
 				sendHeartbeats(x, 600*time.Millisecond)
-				c.Check([]wire.RunState{wire.RunStarted, wire.RunSlow}, quicktest.Contains, entry.state(run))
+				c.Check(entry.state(run), quicktest.Equals, wire.RunStarted)
 				c.Check(e.runs(), quicktest.HasLen, 1)
 				e.end(run, endpointapi.EndDone)
 				sendHeartbeats(x, 100*time.Millisecond)
@@ -377,6 +377,22 @@
 	}
 }
 
+// Guards against a claimed run that is reported as slow, and moved, at once: its estimate was lost.
+func TestClaimedRunKeepsEstimate(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		x.loop.Do(func() {
+			x.adoptDeadline = time.Now().Add(time.Second)
+			x.claimRun(x.entries["entry.1"], run, &wire.OrderGroup{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000}, time.Now())
+		})
+		e.mu.Lock()
+		e.running[run] = true
+		e.mu.Unlock()
+		sendHeartbeats(x, 600*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunStarted)
+	})
+}
+
 // Guards against claimed runs that are never reported: the endpoint does not announce itself, and the
 // restored announcement is stale or the endpoint does not answer.
 func TestClaimedRunsOfUnknownEndpointAreLost(t *testing.T) {
