executor: verify an announced incarnation before the runs are lost

Any announcement with a later start time made the agent report all runs as lost, and the entries started the tasks elsewhere at once. Start times do not prove that the known incarnation has ended: after a jump of the time of day, a delayed announcement of its predecessor names a later one. Both runs of each task then went on, and the agent called an incarnation that was gone.

Change: while runs are there, a seemingly newer announcement only makes the agent observe the known incarnation. It is taken when that refuses the connection, answers as another incarnation, or has let its lease end; an answer of the known incarnation refutes it.

Evidence: both cases of TestDelayedAnnouncementDoesNotLoseRuns failed before (the run was reported as lost while the endpoint executed it) and pass; TestNewIncarnationIsTakenOnceTheKnownOneHasEnded guards the delay. TestQueuedStartsAreCancelledBeforeFenceRises calls newIncarnation directly now, since the announcement alone no longer loses the runs.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -49,6 +49,11 @@
 	// incarnationEnded is set once the endpoint has answered as another incarnation than the
 	// announced one. Start times do not order incarnations if the time of day jumps back.
 	incarnationEnded bool
+	// candidate is an announcement of an incarnation that seems newer than the known one, which
+	// executes runs. It is taken once an observation shows that the known one has ended: start
+	// times do not prove that, and the runs would be started again elsewhere.
+	candidate   *endpointapi.Announcement
+	candidateAt time.Time
 	// unverified is set while the profile was restored and the endpoint has not answered. The
 	// runs that entries claim then may be those of a later incarnation, which was not saved.
 	unverified       bool
@@ -130,6 +135,11 @@
 	case x.incarnationEnded && (a.Profile.Instance != p.Instance || a.StartMillis != x.endpointStartMillis):
 		x.newIncarnation(a, now)
 	case p == nil || a.Profile.Instance != p.Instance && a.StartMillis >= x.endpointStartMillis || a.StartMillis > x.endpointStartMillis:
+		if p != nil && !x.unverified && len(x.runs) > 0 {
+			x.candidate, x.candidateAt = &a, now
+			x.observeNow(now)
+			return true
+		}
 		x.newIncarnation(a, now)
 	case a.Profile.Instance != p.Instance || a.StartMillis < x.endpointStartMillis || a.Sequence < x.sequence:
 		x.cfg.Log.Log(event.AnnouncementStale, "instance", a.Profile.Instance, "born", a.StartMillis,
@@ -197,7 +207,7 @@
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
 	x.clock = endpointClock{}
 	x.clock.set(a.Clock, now)
-	x.incarnationEnded = false
+	x.incarnationEnded, x.candidate = false, nil
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
 	x.assumeInheritedLease(now)
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -211,7 +211,7 @@
 func TestQueuedStartsAreCancelledBeforeFenceRises(t *testing.T) {
 	for name, lose := range map[string]func(x *Executor){
 		"endpoint down":   func(x *Executor) { x.handleEndpointDown(errors.New("connection refused")) },
-		"new incarnation": func(x *Executor) { x.handleAnnouncement(announcementOfLife(2), time.Now()) },
+		"new incarnation": func(x *Executor) { x.newIncarnation(announcementOfLife(2), time.Now()) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -303,6 +303,65 @@
 	})
 }
 
+// Guards against two concurrent runs of a task: an announcement of an incarnation that had ended, but
+// that seemed to be newer since the time of day had jumped back, made the agent report the runs of
+// the current one as lost.
+func TestDelayedAnnouncementDoesNotLoseRuns(t *testing.T) {
+	for name, instance := range map[string]string{"same id": "i-1", "other id": "i-0"} {
+		t.Run(name, func(t *testing.T) {
+			withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+				e.mu.Lock()
+				e.startMillis = 1
+				e.mu.Unlock()
+				run, next := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+				sendOrder(x, false, run)
+				sendHeartbeats(x, 100*time.Millisecond)
+				delayed := announcementOfLife(2)
+				delayed.Profile.Instance = instance
+				x.Announce(delayed)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
+				sendOrder(x, false, next)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{run: true, next: true})
+			})
+		})
+	}
+}
+
+// Guards against an agent that waits for another announcement when an observation shows that the
+// announced incarnation has replaced the known one.
+func TestNewIncarnationIsTakenOnceTheKnownOneHasEnded(t *testing.T) {
+	for name, err := range map[string]error{
+		"refused": &endpointapi.DownError{Err: errors.New("connection refused")}, "other instance": &endpointapi.OtherInstanceError{Instance: "i-2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+				run, next := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+				sendOrder(x, false, run)
+				sendHeartbeats(x, 100*time.Millisecond)
+				e.mu.Lock()
+				e.running, e.startMillis = make(map[wire.Run]bool), 2
+				e.mu.Unlock()
+				e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+					if o.Instance != "i-2" {
+						return endpointapi.Observation{}, err
+					}
+					return e.fakeEndpoint.Observe(ctx, o)
+				})
+				a := announcementOfLife(2)
+				a.Profile.Instance = "i-2"
+				x.Announce(a)
+				sendHeartbeats(x, 50*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+				sendOrder(x, false, next)
+				sendHeartbeats(x, 50*time.Millisecond)
+				c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{next: true})
+			})
+		})
+	}
+}
+
 // Guards against an endpoint that gets no runs after another instance with an earlier start time has
 // taken its place.
 func TestOtherInstanceWithEarlierStartTime(t *testing.T) {
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -142,6 +142,11 @@
 		return
 	}
 	x.unverified = false
+	if x.candidate != nil && !sent.Before(x.candidateAt) {
+		x.cfg.Log.Log(event.AnnouncementStale, "instance", x.candidate.Profile.Instance, "born", x.candidate.StartMillis,
+			"sequence", x.candidate.Sequence, "known_instance", x.profile.Instance, "known_born", x.endpointStartMillis, "known_sequence", x.sequence)
+		x.candidate = nil
+	}
 	x.ackedSequence = max(x.ackedSequence, req.AckedSequence)
 	if x.unreachable {
 		x.cfg.Log.Log(event.EndpointAnswering, "instance", req.Instance, "misses", x.failedObservations)
@@ -199,6 +204,10 @@
 	if reachable {
 		x.fence.raise() // the next incarnation may get calls that were made to this one
 	}
+	if a := x.candidate; a != nil {
+		x.newIncarnation(*a, time.Now())
+		x.save(*a)
+	}
 }
 
 // assumeInheritedLease assumes that an earlier process of this agent extended the lease just
