--- a/executor/executor.go
+++ b/executor/executor.go
@@ -55,7 +55,10 @@
 	endpointDraining    bool
 	evacuated           wire.Evacuated // evacuated data centres
 	persisted           persistedState // of the last announcement that was saved
-	shuttingDown        bool           // of this process
+	// unverified is set while the profile was restored and the endpoint has not answered. The
+	// runs that entries claim then may be those of a later incarnation, which was not saved.
+	unverified   bool
+	shuttingDown bool // of this process
 	// adoptDeadline is when inherited runs that no entry has claimed are stopped; zero once
 	// that is done.
 	adoptDeadline time.Time
@@ -279,9 +282,31 @@
 		a.Sequence, a.Clock = 0, 0
 		x.persisted = persistedStateOf(a)
 		x.newIncarnation(a, time.Now())
+		x.unverified = true
 	})
 }
 
+// forgetRestored discards the restored profile of an incarnation that has ended.
+func (x *Executor) forgetRestored(err error) {
+	x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
+	x.profile, x.endpointStartMillis, x.unverified, x.statusDirty = nil, 0, false, true
+}
+
+// loseRuns reports all runs as lost.
+func (x *Executor) loseRuns(why string) {
+	for _, r := range x.runs {
+		x.finish(r, wire.RunLost, 0, why)
+	}
+}
+
+// loseClaimedRuns reports the runs as lost that entries have claimed if the endpoint is still
+// unknown, or has not answered, when the lease of an earlier process has expired.
+func (x *Executor) loseClaimedRuns(now time.Time) {
+	if !x.clock.known() && now.Sub(x.startedAt) >= x.cfg.Timing.maxInheritedLease() {
+		x.loseRuns("endpoint is unknown")
+	}
+}
+
 // persistedState is the part of an announcement that is saved whenever it changes.
 type persistedState struct {
 	instance    string
@@ -303,11 +328,13 @@
 	}
 }
 
-// newIncarnation discards the state of an earlier incarnation of the endpoint.
+// newIncarnation discards the state of an earlier incarnation of the endpoint. Runs that were
+// claimed before the endpoint was known are kept.
 func (x *Executor) newIncarnation(a endpointapi.Announcement, now time.Time) {
 	x.cfg.Log.Log(event.EndpointAnnounced, "instance", a.Profile.Instance, "born", a.StartMillis,
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
-	first := x.profile == nil
+	first := x.profile == nil || x.unverified
+	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
 	x.incarnationSince, x.lower, x.otherProfile = now, lowerSequences{}, nil
@@ -316,8 +343,8 @@
 	x.setClock(a.Clock, now, "first announcement")
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "endpoint incarnation ended")
+	if !first {
+		x.loseRuns("endpoint incarnation ended")
 	}
 	x.fence.startIncarnation()
 	if first {
@@ -379,6 +406,7 @@
 // Tick implements loop.Controller.
 func (x *Executor) Tick(now time.Time) {
 	x.expireLease(now)
+	x.loseClaimedRuns(now)
 	x.verifyUnansweredStarts(now)
 	x.expireEntries(now)
 	x.applyPendingClaims(now)
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -275,3 +275,213 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against runs that count as running for good, and an endpoint that gets no runs, after it
+// restarted while its time of day had jumped back: its start time is then before the known one.
+func TestEndpointRestartWithEarlierStartTime(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		c.Check(x.Announce(announcementOfLife(5000)), quicktest.IsTrue)
+		e.mu.Lock()
+		e.startMillis = 5000
+		e.mu.Unlock()
+		sendHeartbeats(x, 100*time.Millisecond)
+		lost, next := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+		sendOrder(x, false, lost)
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(x.Announce(announcementOfLife(3000)), quicktest.IsFalse) // may be a delayed one
+		e.mu.Lock()
+		e.startMillis, e.running = 3000, make(map[wire.Run]bool)
+		e.mu.Unlock()
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(lost), quicktest.Equals, wire.RunLost)
+		c.Check(x.Announce(announcementOfLife(3000)), quicktest.IsTrue)
+		sendHeartbeats(x, 100*time.Millisecond)
+		sendOrder(x, false, next)
+		sendHeartbeats(x, 100*time.Millisecond)
+		c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{next: true})
+		c.Check(x.Announce(announcementOfLife(2000)), quicktest.IsFalse)
+	})
+}
+
+// Guards against two concurrent runs of a task: an announcement of an incarnation that had ended, but
+// that seemed to be newer since the time of day had jumped back, made the agent report the runs of
+// the current one as lost.
+func TestDelayedAnnouncementDoesNotLoseRuns(t *testing.T) {
+	for name, instance := range map[string]string{"same id": "i-1", "other id": "i-0"} {
+		t.Run(name, func(t *testing.T) {
+			withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+				e.mu.Lock()
+				e.startMillis = 1
+				e.mu.Unlock()
+				run, next := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+				sendOrder(x, false, run)
+				sendHeartbeats(x, 100*time.Millisecond)
+				delayed := announcementOfLife(2)
+				delayed.Profile.Instance = instance
+				x.Announce(delayed)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
+				sendOrder(x, false, next)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{run: true, next: true})
+			})
+		})
+	}
+}
+
+// Guards against an agent that waits for another announcement when an observation shows that the
+// announced incarnation has replaced the known one.
+func TestNewIncarnationIsTakenOnceTheKnownOneHasEnded(t *testing.T) {
+	for name, err := range map[string]error{
+		"refused": &endpointapi.DownError{Err: errors.New("connection refused")}, "other instance": &endpointapi.OtherInstanceError{Instance: "i-2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+				run, next := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "u.0.0.0", Number: 1}
+				sendOrder(x, false, run)
+				sendHeartbeats(x, 100*time.Millisecond)
+				e.mu.Lock()
+				e.running, e.startMillis = make(map[wire.Run]bool), 2
+				e.mu.Unlock()
+				e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+					if o.Instance != "i-2" {
+						return endpointapi.Observation{}, err
+					}
+					return e.fakeEndpoint.Observe(ctx, o)
+				})
+				a := announcementOfLife(2)
+				a.Profile.Instance = "i-2"
+				x.Announce(a)
+				sendHeartbeats(x, 50*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+				sendOrder(x, false, next)
+				sendHeartbeats(x, 50*time.Millisecond)
+				c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{next: true})
+			})
+		})
+	}
+}
+
+// Guards against an endpoint that gets no runs after another instance with an earlier start time has
+// taken its place.
+func TestOtherInstanceWithEarlierStartTime(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		x.Announce(announcementOfLife(5000))
+		e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+			if o.Instance != "i-2" {
+				return endpointapi.Observation{}, &endpointapi.OtherInstanceError{Instance: "i-2"}
+			}
+			return e.fakeEndpoint.Observe(ctx, o)
+		})
+		other := announcementOfLife(3000)
+		other.Profile.Instance = "i-2"
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		sendOrder(x, false, run)
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+		c.Check(x.Announce(other), quicktest.IsTrue)
+	})
+}
+
+// Guards against two concurrent runs of a task: a starting agent restored the announcement of an
+// incarnation that had ended, since that of the next one was never saved, and reported the claimed
+// runs of the next one as lost.
+func TestStaleRestoredAnnouncementKeepsRuns(t *testing.T) {
+	for name, tc := range map[string]struct {
+		instance string        // of the endpoint; the restored one is i-1
+		announce time.Duration // time until the endpoint announces itself
+	}{
+		"restarted with the same id, observed first":  {"i-1", 100 * time.Millisecond},
+		"restarted with the same id, announced first": {"i-1", 0},
+		"other instance, observed first":              {"i-2", 100 * time.Millisecond},
+		"other instance, announced first":             {"i-2", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				run := wire.Run{Task: "t.0.0.0", Number: 1}
+				e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: map[wire.Run]bool{run: true}, maxListed: 500, startMillis: 9}}
+				e.setObserve(func(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+					if tc.announce == 0 {
+						time.Sleep(5 * time.Millisecond)
+					}
+					if o.Instance != tc.instance {
+						return endpointapi.Observation{}, &endpointapi.OtherInstanceError{Instance: tc.instance}
+					}
+					return e.fakeEndpoint.Observe(ctx, o)
+				})
+				x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+				go x.Run(ctx)
+				x.Restore(announcementOfLife(1))
+				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+				x.Connected("entry.1", entry.send)
+				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000, Runs: []wire.Run{run}}}})
+				sendHeartbeats(x, tc.announce)
+				c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
+				a := announcementOfLife(9)
+				a.Profile.Instance = tc.instance
+				x.Announce(a)
+				sendHeartbeats(x, 600*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunStarted)
+				c.Check(e.runs(), quicktest.HasLen, 1)
+				e.end(run, endpointapi.EndDone)
+				sendHeartbeats(x, 100*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunDone)
+				cancel()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a claimed run that is reported as slow, and moved, at once: its estimate was lost.
+func TestClaimedRunKeepsEstimate(t *testing.T) {
+	withHookedEndpoint(t, func(c *quicktest.C, x *Executor, e *hookedEndpoint, entry *fakeEntry) {
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		x.loop.Do(func() {
+			x.adoptDeadline = time.Now().Add(time.Second)
+			x.claimRun(x.entries["entry.1"], run, &wire.OrderGroup{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000}, time.Now())
+		})
+		e.mu.Lock()
+		e.running[run] = true
+		e.mu.Unlock()
+		sendHeartbeats(x, 600*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Equals, wire.RunStarted)
+	})
+}
+
+// Guards against claimed runs that are never reported: the endpoint does not announce itself, and the
+// restored announcement is stale or the endpoint does not answer.
+func TestClaimedRunsOfUnknownEndpointAreLost(t *testing.T) {
+	for name, answers := range map[string]bool{"stale announcement": true, "no answer": false} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				run := wire.Run{Task: "t.0.0.0", Number: 1}
+				e := &hookedEndpoint{fakeEndpoint: fakeEndpoint{running: make(map[wire.Run]bool), maxListed: 500, startMillis: 9}}
+				if !answers {
+					e.setObserve(func(ctx context.Context, _ endpointapi.ObserveRequest) (endpointapi.Observation, error) {
+						<-ctx.Done()
+						return endpointapi.Observation{}, ctx.Err()
+					})
+				}
+				x := New(Config{Endpoint: e, Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
+				go x.Run(ctx)
+				x.Restore(announcementOfLife(1))
+				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
+				x.Connected("entry.1", entry.send)
+				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+				sendHeartbeats(x, 700*time.Millisecond) // the lease of the earlier process
+				c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
+				sendHeartbeats(x, 300*time.Millisecond)
+				c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
+				cancel()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -130,14 +130,19 @@
 	}
 	x.recordReply(req.FencingToken, req.LeaseEnd, sent, nil)
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
-		if !sent.Before(x.incarnationSince) { // otherwise the reply may be that of an earlier incarnation
-			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", started at another time"})
+		err := &endpointapi.OtherInstanceError{Instance: req.Instance + ", started at another time"}
+		switch {
+		case x.unverified:
+			x.forgetRestored(err)
+		case !sent.Before(x.incarnationSince): // otherwise the reply may be that of an earlier incarnation
+			x.handleEndpointDown(err)
 			for _, r := range obs.Running {
 				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
 			}
 		}
 		return
 	}
+	x.unverified = false
 	x.endpointStartMillis = max(x.endpointStartMillis, obs.StartMillis)
 	x.ackedSequence = max(x.ackedSequence, req.AckedSequence)
 	if x.unreachable {
@@ -180,15 +185,18 @@
 // handleEndpointDown records that the incarnation of the endpoint has ended, and all its runs
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
+	var other *endpointapi.OtherInstanceError
+	if errors.As(err, &other) && x.unverified {
+		x.forgetRestored(err)
+		return
+	}
 	reachable := !x.unreachable
 	if reachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
 	}
 	x.failedObservations = unreachableAfterFailures
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "endpoint is down")
-	}
+	x.loseRuns("endpoint is down")
 	if reachable {
 		x.fence.raise() // the next incarnation may get calls that were made to this one
 	}
@@ -219,9 +227,7 @@
 	}
 	x.cfg.Log.Log(event.LeaseExpired, "lease_end_ms", x.leaseEnd.Milliseconds(), "clock_ms", x.clock.reading.Milliseconds(),
 		"clock_age_ms", now.Sub(x.clock.readAt).Milliseconds(), "failed_observations", x.failedObservations, "runs", len(x.runs))
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "lease expired")
-	}
+	x.loseRuns("lease expired")
 }
 
 // handleEndedRun processes a run that the endpoint lists as ended.
