--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -57,7 +57,7 @@
 	s.connectSelected(placementEntries, 1)
 	for _, e := range s.entries {
 		e.Router = router.New(router.Config{
-			Local: e.Coordinator, Policy: s.Policy, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
+			Local: e.Coordinator, Self: e.incarnation(), Policy: s.Policy, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
 		})
 		e.Router.SetEnabled(len(milliCores) > policy.SmallDeploymentEntries)
 		go e.Router.Run(ctx)
--- a/policy/placement_entry.go
+++ b/policy/placement_entry.go
@@ -1,8 +1,12 @@
 package policy
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // PlacementCandidate is an entry that may place a job, with the load of the endpoints of the
@@ -20,8 +24,19 @@
 	// Draining is set for an entry that will stop. It gets a job only if all others are full or
 	// cannot run jobs.
 	Draining bool
+	// Draw is a pseudo-random number between 0 and 1 that depends only on the job and the candidate.
+	Draw float64
+}
+
+// JobDraw returns the Draw of an entry incarnation for a job.
+func JobDraw(jobID, incarnation string) float64 {
+	return (float64(xxhash.Sum64String(jobID+"|"+incarnation)>>11) + 0.5) / (1 << 53)
 }
 
+// rank orders the candidates for a job so that each comes first for a share of the jobs in
+// proportion to its capacity (weighted rendezvous hashing).
+func (c *PlacementCandidate) rank() float64 { return -math.Log(c.Draw) / float64(c.Capacity) }
+
 // load returns the ratio of demand to capacity.
 func (c *PlacementCandidate) load() float64 {
 	return float64(c.Used+c.Waiting+c.Sent) / float64(c.Capacity)
@@ -31,12 +46,12 @@
 // endpoint near the job's data and candidates that are not draining are preferred.
 const fullLoad = 0.9
 
-// ChoosePlacementEntry returns the index of the candidate that gets a job: the less loaded of
-// two that are drawn at random in proportion to their capacity (power of two choices). All
-// entries that see the same loads would otherwise forward their jobs to the same candidate until
-// it reports that it is full. ok is false if no candidate has capacity. tried is the index of a
-// candidate that has refused the job, or -1; after a refusal the least loaded of the others is
-// chosen.
+// ChoosePlacementEntry returns the index of the candidate that gets a job: the first that is not
+// full in an order that depends on the job. Copies of a job that its caller resubmits to other
+// entries meet at one placement entry, which joins them, and the jobs are spread in proportion to
+// the capacities. Without ByJob it is the less loaded of two that are drawn at random (power of
+// two choices). ok is false if no candidate has capacity. tried is the index of a candidate that
+// has refused the job, or -1; after a refusal the least loaded of the others is chosen.
 func (p Policy) ChoosePlacementEntry(candidates []PlacementCandidate, tried int, random *rand.Rand) (index int, ok bool) {
 	among := eligible(candidates, tried)
 	if len(among) == 0 {
@@ -50,6 +65,9 @@
 	if tried >= 0 {
 		return leastLoaded(candidates, among), true
 	}
+	if p.Uses(ByJob) {
+		return firstNotFull(candidates, among), true
+	}
 	drawn := []int{drawByCapacity(candidates, among, random)}
 	if p.Uses(TwoChoices) {
 		drawn = append(drawn, drawByCapacity(candidates, among, random))
@@ -89,6 +107,17 @@
 	return among
 }
 
+// firstNotFull returns the first of among by rank that is not full, or the first one if all are.
+func firstNotFull(candidates []PlacementCandidate, among []int) int {
+	slices.SortFunc(among, func(a, b int) int { return cmp.Compare(candidates[a].rank(), candidates[b].rank()) })
+	for _, i := range among {
+		if candidates[i].load() <= fullLoad {
+			return i
+		}
+	}
+	return among[0]
+}
+
 func leastLoaded(candidates []PlacementCandidate, among []int) int {
 	best := among[0]
 	for _, i := range among[1:] {
--- a/policy/placement_entry_test.go
+++ b/policy/placement_entry_test.go
@@ -71,8 +71,10 @@
 	}
 	got := make([]int, len(candidates))
 	const n = 9000
+	twoChoices, err := Without(string(ByJob))
+	c.Assert(err, qt.IsNil)
 	for range n {
-		i, ok := (Policy{}).ChoosePlacementEntry(candidates, -1, random)
+		i, ok := twoChoices.ChoosePlacementEntry(candidates, -1, random)
 		c.Assert(ok, qt.IsTrue)
 		got[i]++
 	}
@@ -98,7 +100,7 @@
 	candidates := []PlacementCandidate{{Capacity: 1000}, {Capacity: 4000}}
 	got := make([]int, 2)
 	for range 5000 {
-		i, _ := (Policy{}).ChoosePlacementEntry(candidates, -1, random)
+		i, _ := (Policy{}).ChoosePlacementEntry(withDraws(candidates, random), -1, random)
 		candidates[i].Sent += 1000
 		got[i]++
 		if candidates[0].Sent+candidates[1].Sent > 4000 {
@@ -133,7 +135,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			got := make(map[int]int)
 			for range 200 {
-				i, ok := (Policy{}).ChoosePlacementEntry(tt.candidates, -1, random)
+				i, ok := (Policy{}).ChoosePlacementEntry(withDraws(tt.candidates, random), -1, random)
 				qt.Assert(t, ok, qt.IsTrue)
 				got[i]++
 			}
@@ -150,3 +152,39 @@
 		})
 	}
 }
+
+// withDraws returns the candidates as they are for a new job.
+func withDraws(candidates []PlacementCandidate, random *rand.Rand) []PlacementCandidate {
+	job := fmt.Sprintf("%016x", random.Uint64())
+	for i := range candidates {
+		candidates[i].Draw = JobDraw(job, fmt.Sprintf("entry-%d", i))
+	}
+	return candidates
+}
+
+// Guards against copies of a job that run at two placement entries because the entries that forward them see slightly different loads.
+func TestCopiesOfJobMeetAtOnePlacementEntry(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	seen := []PlacementCandidate{{Capacity: 1000, Used: 700}, {Capacity: 1000, Used: 650}, {Capacity: 2000, Used: 1300}, {Capacity: 1000, Used: 990}}
+	got := make([]int, len(seen))
+	const n = 8000
+	for range n {
+		first := withDraws(seen, random)
+		later := slices.Clone(first)
+		for i := range later[:3] {
+			later[i].Used = later[i].Used * uint64(90+random.IntN(20)) / 100
+		}
+		slices.Reverse(later)
+		i, ok := (Policy{}).ChoosePlacementEntry(first, -1, random)
+		c.Assert(ok, qt.IsTrue)
+		j, ok := (Policy{}).ChoosePlacementEntry(later, -1, random)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(len(later)-1-j, qt.Equals, i)
+		got[i]++
+	}
+	c.Check(got[3], qt.Equals, 0) // full
+	for i, want := range []int{n / 4, n / 4, n / 2} {
+		c.Check(got[i] > want*9/10 && got[i] < want*11/10, qt.IsTrue, qt.Commentf("%v", got))
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,8 +43,11 @@
 	// Local prefers endpoints in this process's data centre among otherwise equal ones.
 	Local Mechanism = "local"
 	// TwoChoices draws two placement entries and forwards a job to the less loaded one, instead
-	// of drawing only one: for many entries that forward jobs.
+	// of drawing only one: for many entries that forward jobs. It is used without ByJob.
 	TwoChoices Mechanism = "two_choices"
+	// ByJob forwards all copies of a job to the same placement entry: for callers that submit a
+	// job again while another entry still has it.
+	ByJob Mechanism = "by_job"
 	// SecondTry forwards a job that one placement entry has refused to another one.
 	SecondTry Mechanism = "second_try"
 	// RepeatedStarts repeats the start of a task that had no effect at the endpoint: for start
@@ -58,7 +61,7 @@
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Moves, Patience, InTimeFirst, BegunFirst, UrgentFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices,
+		Moves, Patience, InTimeFirst, BegunFirst, UrgentFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices, ByJob,
 		SecondTry, RepeatedStarts, EarlyLookup,
 	}
 }
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -86,7 +86,7 @@
 	}
 	e.republish = make(chan struct{}, 1)
 	e.router = router.New(router.Config{
-		Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Region: s.Region, Log: p.log,
+		Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Self: p.incarnation.String(), Region: s.Region, Log: p.log,
 		Metrics: router.NewMetrics(p.registry), Now: boottime,
 	})
 	e.peers = newPeerConns(p, e.router)
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -57,6 +58,7 @@
 // Config holds the dependencies and settings of a Router.
 type Config struct {
 	Local   JobRunner
+	Self    string // incarnation of this process, as other entries know it
 	Region  string
 	Policy  policy.Policy
 	Log     *event.Logger
@@ -120,7 +122,7 @@
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
 	return &Router{
-		cfg: cfg, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), local: &placementEntry{incarnation: "local"},
+		cfg: cfg, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), local: &placementEntry{incarnation: cmp.Or(cfg.Self, "local")},
 		placementEntries: make(map[uint64]*placementEntry), forwarders: make(map[uint64]*forwarder), changed: make(chan struct{}),
 	}
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -222,9 +223,9 @@
 		connect(ctx, front, a, "a")
 		connect(ctx, front, b, "b")
 		synctest.Wait()
-		for range 20 {
-			state, err := front.Submit(ctx, submission("j", 100*time.Millisecond))
-			c.Assert(err == nil, qt.IsTrue)
+		for i := range 20 {
+			state, err := front.Submit(ctx, submission(fmt.Sprintf("j%d", i), 100*time.Millisecond))
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 			c.Check(state, qt.Equals, job.Completed)
 		}
 		c.Check(a.runner.count() > 0, qt.IsTrue)
@@ -287,7 +288,7 @@
 		time.Sleep(suspectTimeout + time.Millisecond)
 		for range 20 {
 			_, err := front.Submit(ctx, submission("j", time.Millisecond))
-			c.Assert(err == nil, qt.IsTrue)
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 		}
 		c.Check(b.runner.count(), qt.Equals, 20)
 	})
@@ -313,7 +314,7 @@
 		time.AfterFunc(40*time.Millisecond, func() { connect(ctx, front, a, "a") })
 		begun := time.Now()
 		state, err := front.Submit(ctx, submission("j", 200*time.Millisecond))
-		c.Assert(err == nil, qt.IsTrue)
+		c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 		c.Check(state, qt.Equals, job.Completed)
 		c.Check(time.Since(begun) < 250*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
 		c.Check(a.runner.submitted[0].Elapsed >= 40*time.Millisecond, qt.IsTrue) // the wait counts towards the latency objective
@@ -339,9 +340,9 @@
 		synctest.Wait()
 		for range 10 {
 			_, err := front.Submit(ctx, submission("j", 10*time.Millisecond))
-			c.Assert(err == nil, qt.IsTrue)
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 			_, err = a.Submit(ctx, submission("j", 10*time.Millisecond))
-			c.Assert(err == nil, qt.IsTrue)
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 		}
 		c.Check(a.runner.count(), qt.Equals, 0)
 		c.Check(b.runner.count(), qt.Equals, 20)
@@ -361,10 +362,10 @@
 			s := submission("j", 10*time.Millisecond)
 			s.Steps[0].Label = "kind-b"
 			_, err := front.Submit(ctx, s)
-			c.Assert(err == nil, qt.IsTrue)
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 			s.Steps[0].Label, s.Steps[0].DataRack = "kind-a", "r2"
 			_, err = front.Submit(ctx, s)
-			c.Assert(err == nil, qt.IsTrue)
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
 		}
 		c.Check(a.runner.count(), qt.Equals, 0)
 		c.Check(b.runner.count(), qt.Equals, 40)
--- a/router/submit.go
+++ b/router/submit.go
@@ -82,6 +82,7 @@
 	var candidates []policy.PlacementCandidate
 	triedIndex := -1
 	add := func(p *placementEntry, c policy.PlacementCandidate) {
+		c.Draw = policy.JobDraw(s.ID, p.incarnation)
 		if p.incarnation == triedIncarnation {
 			triedIndex = len(entries)
 		}
