ledger: log renewals that fail or are late, and the end of a takeover

The logs don't show whether an owner lost its partition because renewals failed, because the process was not scheduled, or because the takeover didn't end: a failed renewal writes no line, nor does a failed read at the end of a takeover. Result: go test -race ./ledger ./event passes. No behaviour is changed.

--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -19,7 +19,11 @@
 		switch canRun := l.cfg.Runner.CanRun(); {
 		case canRun:
 			member = true
-			if err := l.renew(ctx, failures); err != nil {
+			err := l.renew(ctx, failures)
+			if (failures > 0) != (err != nil) {
+				l.cfg.Log.Log(event.MembershipRenewalFailed, "failures", failures, "lease_left_ms", l.leaseLeft().Milliseconds(), "error", err)
+			}
+			if err != nil {
 				failures++
 				pause = l.retryPause(err)
 			} else {
@@ -31,14 +35,21 @@
 		default:
 			pause = canRunCheckInterval
 		}
+		due := l.cfg.Now() + pause
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
 		}
+		if late := l.cfg.Now() - due; late > maxRenewalLateness {
+			l.cfg.Log.Log(event.MembershipRenewedLate, "late_ms", late.Milliseconds(), "member", member)
+		}
 	}
 	l.leaveGroup(context.WithoutCancel(ctx), "the process stops")
 }
 
+// maxRenewalLateness is the lateness of a renewal from which it is logged.
+const maxRenewalLateness = 200 * time.Millisecond
+
 // canRunCheckInterval is the time between two calls of CanRun while this entry is not a
 // member.
 const canRunCheckInterval = 50 * time.Millisecond
@@ -104,6 +115,13 @@
 // leaseValid is HoldsLease with l.mu held.
 func (l *Ledger) leaseValid() bool { return l.cfg.Now() < l.leaseExpiry }
 
+// leaseLeft returns the remaining time of the lease, which is negative after its expiry.
+func (l *Ledger) leaseLeft() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaseExpiry - l.cfg.Now()
+}
+
 // HoldsLease reports whether the lease of this process is valid, so that it may order tasks
 // of stored jobs.
 func (l *Ledger) HoldsLease() bool {
@@ -132,10 +150,12 @@
 	p.dirty = make(map[string]job.Progress)
 	l.cfg.Log.Log(event.PartitionAcquired, "partition", p.index, "epoch", epoch)
 	p.wakeFollower()
-	takeoverEnd := l.cfg.Now() + l.cfg.Timing.TakeoverDelay
+	acquired := l.cfg.Now()
+	takeoverEnd := acquired + l.cfg.Timing.TakeoverDelay
 	go func() {
-		for n := 0; ; n++ {
-			err := l.fence(ctx, p, epoch, n)
+		fenceAttempts, reads := 1, 1
+		for ; ; fenceAttempts++ {
+			err := l.fence(ctx, p, epoch, fenceAttempts-1)
 			if err == nil {
 				break
 			}
@@ -159,13 +179,16 @@
 		}
 		// Read what the former owner recorded before it was fenced.
 		err := l.catchUp(ctx, p, false, 0, false)
-		for ; err != nil && ctx.Err() == nil; err = l.catchUp(ctx, p, false, 0, false) {
+		for ; err != nil && ctx.Err() == nil; reads++ {
 			time.Sleep(l.cfg.Timing.RetryDelay)
+			err = l.catchUp(ctx, p, false, 0, false)
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if p.owned && p.epoch == epoch {
 			p.takenOver = true
+			l.cfg.Log.Log(event.PartitionTakenOver, "partition", p.index, "epoch", epoch, "jobs", len(p.jobs),
+				"took_ms", (l.cfg.Now() - acquired).Milliseconds(), "fence_attempts", fenceAttempts, "reads", reads)
 			l.startJobs(p)
 			p.wakeFollower()
 		}
