soak: callers that leave early, resubmit at once or repeat, and lines on scheduling

Cause: the soak's callers all waited 3 s for an answer and resubmitted 1.3 s later. None left before its deadline, resubmitted a stored job at once when its connection broke, or repeated one after it was accepted. Change: four kinds of callers, drawn from a stream of the seed of their own, so that faults and jobs of a seed are the same as before. A failed run prints the submissions of the jobs in its violations, and when the process was not scheduled for 300 ms. The judge of runs at the same time (emulator.Check over the runs of all endpoints, with those that a crash ended) is as before. The flag -soak.prompt lets prompt callers resubmit ephemeral jobs at once as well.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +17,6 @@
 
 	"oriolerelay/emulator"
 	"oriolerelay/endpointapi"
-	"oriolerelay/errkind"
 	"oriolerelay/job"
 	"oriolerelay/platform/standin"
 	"oriolerelay/relay"
@@ -57,6 +57,9 @@
 	// AllFaults adds process pauses, faults of connections, endpoints and the store,
 	// and stored jobs. Without it processes are only killed, stopped and reloaded.
 	AllFaults bool
+	// PromptEphemeral lets prompt callers resubmit ephemeral jobs too. The platform's callers
+	// resubmit these resubmitDelay after a broken connection.
+	PromptEphemeral bool
 }
 
 // Timing of a run.
@@ -72,6 +75,8 @@
 	// callerTimeout is how long a caller waits for an answer.
 	callerTimeout     = 3 * time.Second
 	statePollInterval = 250 * time.Millisecond
+	// maxSchedulingDelay is the delay of a timer from which a run logs it.
+	maxSchedulingDelay = 300 * time.Millisecond
 )
 
 // soakRun is the state of one soak run.
@@ -89,6 +94,7 @@
 
 	mu            sync.Mutex
 	events        []string
+	submissions   map[string][]string // lines for each job
 	answers       []emulator.Answer
 	submittedJobs map[string]*submittedJob
 }
@@ -118,7 +124,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	w := &soakRun{
 		Options: o, faultRNG: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: time.Now(), store: standin.NewStore(4),
-		submittedJobs: make(map[string]*submittedJob),
+		submittedJobs: make(map[string]*submittedJob), submissions: make(map[string][]string),
 	}
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -127,6 +133,7 @@
 		return Result{}, err
 	}
 	time.Sleep(startupDelay)
+	running.Go(func() { w.watchScheduling(ctx) })
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	running.Go(func() { w.generateLoad(loadCtx, &running) })
 	w.injectFaults(ctx)
@@ -259,79 +266,18 @@
 	return time.Duration(ms) * time.Millisecond, wire.Resources{MilliCores: milliCores, MemoryMiB: 64}
 }
 
-// generateLoad submits jobs until ctx ends.
-func (w *soakRun) generateLoad(ctx context.Context, running *sync.WaitGroup) {
-	rng := rand.New(rand.NewPCG(w.Seed, 2))
-	clients := make([]*standin.Caller, len(w.callerProxies))
-	for i := range clients {
-		clients[i] = &standin.Caller{
-			HTTP: &http.Client{}, Address: hostPort(w.hostIP(10+i), callersProxyPort), Host: queueHost, Prefix: queuePrefix,
+// watchScheduling logs when this process was not scheduled for maxSchedulingDelay or longer. The
+// daemons then may have been held up as well.
+func (w *soakRun) watchScheduling(ctx context.Context) {
+	const interval = 50 * time.Millisecond
+	for last := time.Now(); ctx.Err() == nil; {
+		time.Sleep(interval)
+		now := time.Now()
+		if late := now.Sub(last) - interval; late >= maxSchedulingDelay {
+			w.logEvent("this process was not scheduled for %v", late.Round(time.Millisecond))
 		}
+		last = now
 	}
-	for n := 0; ctx.Err() == nil; n++ {
-		ms := []uint32{30, 120, 400, 900}[rng.IntN(4)]
-		j := standin.Job{
-			ID: fmt.Sprintf("%08x%08x", w.Seed, n), Payload: fmt.Sprintf("%d %d", ms, 2000), Tasks: 1 + rng.IntN(4),
-			MilliCores: 2000, MemoryMiB: 64, Estimate: time.Duration(ms) * time.Millisecond, Ephemeral: !w.AllFaults || n%8 != 0,
-		}
-		first, again := rng.IntN(len(clients)), rng.IntN(len(clients))
-		running.Go(func() { w.runCaller(clients[first], clients[again], j) })
-		time.Sleep(time.Duration(20+rng.IntN(100)) * time.Millisecond) // offers about half of the capacity
-	}
-}
-
-// runCaller simulates the caller of one job. It continues after the load has ended, until
-// the final state of its stored job is known or a time limit has passed.
-func (w *soakRun) runCaller(first, again *standin.Caller, j standin.Job) {
-	h := &submittedJob{Job: j, sent: time.Now()}
-	w.mu.Lock()
-	w.submittedJobs[j.ID] = h
-	w.mu.Unlock()
-	switch outcomeKnown, retryAfter := w.submit(first, h); {
-	case !outcomeKnown:
-		time.Sleep(resubmitDelay)
-		w.submit(again, h)
-	case retryAfter > 0 && time.Since(h.sent)+retryAfter < callerTimeout:
-		time.Sleep(retryAfter)
-		w.submit(again, h)
-	}
-	for end := time.Now().Add(w.FaultDuration + recoveryDelay); !j.Ephemeral && h.accepted && !h.completed && !h.failed && time.Now().Before(end); {
-		time.Sleep(statePollInterval)
-		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-		a, err := again.State(ctx, j.ID)
-		cancel()
-		w.mu.Lock()
-		h.completed = err == nil && a.State == job.Completed
-		h.failed = err == nil && a.State == job.Failed
-		w.mu.Unlock()
-	}
-}
-
-// submit sends a job once. It reports whether the outcome is known to the caller, and
-// the delay after which a refused caller may retry.
-func (w *soakRun) submit(c *standin.Caller, h *submittedJob) (outcomeKnown bool, retryAfter time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-	defer cancel()
-	sent := time.Now()
-	got, err := c.Submit(ctx, h.Job, callerTimeout)
-	a := emulator.Answer{Job: h.ID, SentAt: sent, ReceivedAt: time.Now(), Disconnected: true}
-	switch {
-	case err != nil:
-	case got.Status == http.StatusOK:
-		a.Disconnected = false
-		if h.Ephemeral {
-			a.State = got.State
-		}
-	case got.Status == http.StatusTooManyRequests || got.Status == http.StatusServiceUnavailable || got.Status == http.StatusNotFound:
-		a.Disconnected = false
-		a.Err = errkind.New(errkind.QueueFull, "refused with status %d", got.Status)
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.answers = append(w.answers, a)
-	h.completed = h.completed || a.State == job.Completed
-	h.accepted = h.accepted || got.Status == http.StatusOK && err == nil
-	return !a.Disconnected, got.RetryAfter
 }
 
 func (w *soakRun) logEvent(format string, args ...any) {
@@ -350,6 +296,13 @@
 	defer w.mu.Unlock()
 	r := Result{Violations: emulator.Check(w.endpoints, w.answers), Events: w.events, Jobs: len(w.submittedJobs)}
 	r.Violations = append(r.Violations, w.checkTasks()...)
+	for id, lines := range w.submissions {
+		if slices.ContainsFunc(r.Violations, func(v string) bool { return strings.Contains(v, id) }) {
+			for _, line := range lines {
+				r.Events = append(r.Events, "job "+id+": "+line)
+			}
+		}
+	}
 	submitted, completed := 0, 0
 	for _, h := range w.submittedJobs {
 		if h.sent.After(from) && h.sent.Before(to) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 	all     = flag.Bool("soak.all", false, "inject all kinds of faults and submit stored jobs; for manual runs on an idle machine")
 	entries = flag.Int("soak.entries", 2, "number of entries; with more than three, only some are placement entries")
 	agents  = flag.Int("soak.agents", 3, "number of agents")
+	prompt  = flag.Bool("soak.prompt", false, "prompt callers resubmit ephemeral jobs at once too, which the platform's callers don't")
 	length  = flag.Duration("soak.length", 4*time.Second, "time during which faults are injected")
 )
 
@@ -63,7 +64,7 @@
 		}
 	}
 	r, err := Run(t.Context(), Options{
-		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, Binary: binary, Dir: dir,
+		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, Binary: binary, Dir: dir,
 		Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
 	})
 	if err != nil {
@@ -76,7 +77,7 @@
 	if r.CompletedShare < minCompletedShare {
 		t.Errorf("only %.2f of the jobs after the faults were completed", r.CompletedShare)
 	}
-	if t.Failed() {
+	if t.Failed() || testing.Verbose() {
 		for _, e := range r.Events {
 			t.Log(e)
 		}
