ledger: a renewal starts from the timeout that the last response needed

Cause: the attempts of a renewal time out after 150, 150, 300, 300 and 600 ms, one after the other, and each renewal started again from 150 ms. While the store answers after more than 300 ms, 900 ms pass before the attempt that can succeed, 1.3 s from one lease to the next with the pause of 400 ms; the lease lasts 1.05 s. Each owner loses its partitions with every renewal, acquires them with the next, and the takeover of 1.6 s never ends: stored jobs are accepted and don't start until the store is faster again, however long that takes. Change: a renewal starts from the first timeout that is half as long again as the last response took, and the time of a response counts towards the pause. Evidence: TestStoredJobsRunWhileStoreIsSlow failed before with a delay of 320 and of 450 ms: none of 8 accepted jobs had started 12 s later. It passes now. It passed before with 100 and 240 ms, the latter being the slowest that the platform's store is known to get, so this needs a loaded machine or a slow link.

--- a/emulator/store.go
+++ b/emulator/store.go
@@ -32,6 +32,9 @@
 	LoseNext int
 	// NoWakeups keeps appends from waking up waiting reads.
 	NoWakeups bool
+	// Delay is added to the latency of every call. A call that its client gives up within that
+	// time has no effect.
+	Delay time.Duration
 }
 
 // Store emulates the platform's store of jobs in memory.
@@ -89,13 +92,16 @@
 
 // applyFaults applies the faults that affect every call.
 func (s *Store) applyFaults(ctx context.Context) error {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
 	select {
-	case <-time.After(storeLatency):
+	case <-time.After(storeLatency + f.Delay):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	s.mu.Lock()
-	f := s.faults
+	f = s.faults
 	s.mu.Unlock()
 	switch {
 	case f.Down:
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -71,8 +71,19 @@
 // attemptTimeout returns the timeout of the nth attempt of a call, counted from 0. It doubles
 // every second attempt, since a missing response may be slow rather than lost.
 func (t Timing) attemptTimeout(n int) time.Duration {
-	const maxDoublings = 3
-	return t.ResponseTimeout << min(n/2, maxDoublings)
+	return t.ResponseTimeout << min(n/2, maxTimeoutDoublings)
+}
+
+const maxTimeoutDoublings = 3
+
+// attemptFor returns the first attempt whose timeout is at least half as long again as the time
+// that the last response took. If each renewal started from the first attempt, the attempts that
+// time out while the store is slow would take longer than the lease.
+func (t Timing) attemptFor(took time.Duration) (n int) {
+	for n < 2*maxTimeoutDoublings && t.attemptTimeout(n) < took+took/2 {
+		n++
+	}
+	return n
 }
 
 // DefaultTiming returns the defaults for a store whose minimum membership TTL is minTTL.
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -14,12 +14,14 @@
 // runner can run jobs.
 func (l *Ledger) keepMembership(ctx context.Context) {
 	member, failures := false, 0
+	first := 0 // attempt that the timeouts of the next renewal start from
 	for ctx.Err() == nil {
 		pause := l.cfg.Timing.RenewInterval
 		switch canRun := l.cfg.Runner.CanRun(); {
 		case canRun:
 			member = true
-			err := l.renew(ctx, failures)
+			sent := l.cfg.Now()
+			err := l.renew(ctx, first+failures)
 			if (failures > 0) != (err != nil) {
 				l.cfg.Log.Log(event.MembershipRenewalFailed, "failures", failures, "lease_left_ms", l.leaseLeft().Milliseconds(), "error", err)
 			}
@@ -27,7 +29,9 @@
 				failures++
 				pause = l.retryPause(err)
 			} else {
-				failures = 0
+				took := l.cfg.Now() - sent
+				failures, first = 0, l.cfg.Timing.attemptFor(took)
+				pause = max(pause-took, 0)
 			}
 		case member:
 			l.leaveGroup(ctx, "no agent is reachable")
@@ -79,13 +83,13 @@
 	}
 }
 
-// renew renews the membership and acquires or releases partitions accordingly. failures is the
-// number of preceding failed attempts.
-func (l *Ledger) renew(ctx context.Context, failures int) error {
+// renew renews the membership and acquires or releases partitions accordingly. attempt selects
+// the timeout of the call.
+func (l *Ledger) renew(ctx context.Context, attempt int) error {
 	// The lease starts when the call is sent, since the response may be read long after
 	// the store sent it.
 	sent := l.cfg.Now()
-	callCtx, cancel := context.WithTimeout(ctx, l.cfg.Timing.attemptTimeout(failures))
+	callCtx, cancel := context.WithTimeout(ctx, l.cfg.Timing.attemptTimeout(attempt))
 	m, err := l.cfg.Store.Join(callCtx, l.cfg.Member, l.generation, l.cfg.Timing.TTL)
 	cancel()
 	l.mu.Lock()
