entry: a late reply on an open connection doesn't count as a lost home

Callers saw 502 home_unreachable for an answer of 4 MB that its home was about to send, on a loaded machine under the race detector (TestLargeAnswer). Cause: the home encodes the answer after the job has ended, and nothing bounds that time: 0.7 s alone under the race detector, over 5 s beside 13 copies on two cores. The forwarding entry waits for the job's deadline and replySlack, 4 s in the test, closes the connection, which is open and serves other calls, sends the submission once more, waits 4 s more and answers 502. Evidence: 14 copies on two cores failed 9 and 8 times. A trace of all calls of failed copies shows only the first call, twice, each given up after 4.0 s with the connection open; a dump of the goroutines after 7 s shows the home in encodeJSON. Change: a call that times out on an open connection is repeated on it, up to four times, instead of closing it. A home that doesn't answer the transport either is still detected within 2 s, and a retry on a new connection is still made once. Event 407 shows how long the call took and whether it was open. Result: TestLateReplyOfLiveHome, where a connected home replies 4.2 s late, got 502 before and gets 200 now. TestLargeAnswer is unchanged: 14 of 14 copies and 6 of 6 pass on two cores.

--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -257,6 +257,27 @@
 	c.Assert(cl.starts.count("veil", "order-19"), qt.Equals, 0)
 }
 
+// TestLateReplyOfLiveHome guards against a submission that is answered with "home
+// unreachable", and against the loss of the other calls on the connection, because a home
+// that is connected replies late.
+func TestLateReplyOfLiveHome(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cl := newCluster(t, 2)
+	home, other := cl.nodes[1], cl.nodes[0]
+	cl.setHomeEverywhere(home)
+	release := home.blockJobs()
+	defer release()
+	conn, err := other.server.peers.connTo(t.Context(), home.server.self)
+	c.Assert(err, qt.IsNil)
+	body := fmt.Sprintf(`{"id":"order-17","submitted_at":%d,"service":"veil-desk","kind":"preview","deadline_ms":10}`, time.Now().UnixMilli())
+	answer := other.postAsync("veil-secret", body)
+	time.AfterFunc(forwardAttempts*(replySlack+100*time.Millisecond), release)
+	c.Assert(receive(t, answer).Status, qt.Equals, 200)
+	c.Assert(conn.Err(), qt.IsNil)
+	c.Assert(cl.starts.count("veil", "order-17"), qt.Equals, 1)
+}
+
 // TestLargeAnswer guards against a forwarded response that is truncated or refused
 // because it is larger than one frame.
 func TestLargeAnswer(t *testing.T) {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -19,6 +19,9 @@
 	maxHops = 2
 	// forwardAttempts allows for one retry on a new connection.
 	forwardAttempts = 2
+	// maxLateReplies is the number of timeouts on a live connection after which a call is given
+	// up. The home may take long to encode a large answer on a loaded host.
+	maxLateReplies = 4
 	// replySlack is the time after the deadline of a submission in which the reply
 	// of its home is still awaited. It covers the network delay of a home that fails
 	// the submission at its deadline.
@@ -88,15 +91,18 @@
 	return part
 }
 
-// withHomeConn runs call with a connection to home. A failed call is retried once
-// on a new connection, which is safe because the home joins a resubmission to the
-// running one. The error is of kind HomeUnreachable or HomeLost.
+// withHomeConn runs call with a connection to home. A call whose connection fails is
+// retried once on a new one, and a call that times out is retried on its connection as
+// long as that is open, which the transport checks more often. Retries are safe because
+// the home joins a resubmission to the running one. The error is of kind
+// HomeUnreachable or HomeLost.
 func (s *Server) withHomeConn(ctx context.Context, home ids.Incarnation, call func(*transport.Conn) error) error {
-	for range forwardAttempts {
+	for failures, late := 0, 0; failures < forwardAttempts && late < maxLateReplies; {
 		conn, err := s.peers.connTo(ctx, home)
 		if err != nil {
 			return err
 		}
+		start := time.Now()
 		if err = call(conn); err == nil {
 			return nil
 		}
@@ -104,7 +110,13 @@
 			break
 		}
 		s.metrics.forwardsLost.Inc()
-		s.log.Log(event.EntryForwardFailed, "home", home, "err", err)
+		open := conn.Err() == nil
+		s.log.Log(event.EntryForwardFailed, "home", home, "err", err, "took_ms", time.Since(start).Milliseconds(), "connection_open", open)
+		if open && errors.Is(err, context.DeadlineExceeded) {
+			late++ // closing it would fail the calls of other callers
+			continue
+		}
+		failures++
 		conn.Close() // the retry must not use a connection that may be dead
 	}
 	return errkind.New(errkind.HomeUnreachable, "no reply from the home %s", home)
