--- a/executor/entry.go
+++ b/executor/entry.go
@@ -22,6 +22,10 @@
 	orderedRuns  uint64 // on this connection
 	profileSent  bool
 	suspect      bool // see IsSuspect
+	// echoedClock is the newest Status.ClockMillis that the entry has returned, or the clock at
+	// the start of the connection. echoesInHeartbeats is false for an entry of an older version.
+	echoedClock        uint64
+	echoesInHeartbeats bool
 	// retired is set once this agent serves other entries and accepts no more orders from this
 	// one.
 	retired bool
@@ -39,7 +43,7 @@
 			x.entries[incarnation] = e
 		}
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
-		e.suspect = false
+		e.suspect, e.echoedClock = false, x.clockMillis()
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
 		x.statusDirty = true
@@ -111,6 +115,7 @@
 		e.lastReceived, e.suspect = now, false
 		switch m := m.(type) {
 		case *wire.Orders:
+			e.echoedClock = max(e.echoedClock, m.StatusClockMillis)
 			age := x.age(m.StatusClockMillis)
 			for i := range m.Groups {
 				g := &m.Groups[i]
@@ -124,6 +129,10 @@
 			}
 			e.orderedRuns = m.OrderedRuns
 			x.statusDirty = true
+		case *wire.Heartbeat:
+			if m.StatusClockMillis > 0 {
+				e.echoedClock, e.echoesInHeartbeats = max(e.echoedClock, m.StatusClockMillis), true
+			}
 		case *wire.Stop:
 			for _, id := range m.Runs {
 				x.stopOrdered(e, id, now)
@@ -176,6 +185,8 @@
 		e.pendingClaim = c
 		return
 	}
+	x.cfg.Log.Log(event.ClaimReceived, "entry", e.incarnation, "groups", len(c.Groups), "runs", len(x.runs),
+		"adopting", !x.adoptDeadline.IsZero())
 	claimed := make(map[wire.Run]bool)
 	for i := range c.Groups {
 		g := &c.Groups[i]
@@ -228,13 +239,14 @@
 	x.sendStop(r, now)
 }
 
-// handleUnknownRun handles a run at the endpoint that this process did not start.
-func (x *Executor) handleUnknownRun(id wire.Run, now time.Time) {
+// handleUnknownRun handles a run that this process did not start or has given up, and that the
+// reply to an observation sent at the given time lists as running.
+func (x *Executor) handleUnknownRun(id wire.Run, sent, now time.Time) {
 	if x.runs[id.Task] != nil {
 		return // another run of the task is known; this one is handled once that has ended
 	}
-	if _, ended := x.recent.byRun[id]; ended {
-		return // this observation is older than the one that listed the end
+	if o, over := x.recent.byRun[id]; over && !sent.After(o.recordedAt) {
+		return // this observation may be older than the end
 	}
 	// The run may belong to a stored job, so its end is kept until it is confirmed.
 	r := &run{id: id, state: runRunning, seenAtEndpoint: true, stored: true, orderedAt: now, startedAt: now, percentRoseAt: now}
@@ -272,11 +284,18 @@
 	}
 }
 
-// expireEntries stops the runs of entries that have timed out, and removes entries that are
-// disconnected and have no runs left.
+// hearsNothing reports whether e may have received no status of this agent for so long that it
+// is about to run its tasks elsewhere, although its own messages arrive here.
+func (x *Executor) hearsNothing(e *entry) bool {
+	return e.echoesInHeartbeats && x.age(e.echoedClock) > x.cfg.Timing.MaxOrderAge
+}
+
+// expireEntries stops the runs of entries that have timed out or hear nothing, and removes
+// entries that are disconnected and have no runs left.
 func (x *Executor) expireEntries(now time.Time) {
 	for incarnation, e := range x.entries {
-		if now.Sub(e.lastReceived) < x.cfg.Timing.EntryTimeout {
+		timedOut := now.Sub(e.lastReceived) >= x.cfg.Timing.EntryTimeout
+		if !timedOut && !x.hearsNothing(e) {
 			continue
 		}
 		runs := 0
@@ -287,11 +306,11 @@
 			runs++
 			if r.state != runStopping {
 				x.cfg.Log.Log(event.RunAbandoned, "task", r.id.Task, "run", r.id.Number, "entry", incarnation,
-					"silent_ms", now.Sub(e.lastReceived).Milliseconds())
+					"silent_ms", now.Sub(e.lastReceived).Milliseconds(), "status_age_ms", x.age(e.echoedClock).Milliseconds())
 				x.stop(r, 0, now)
 			}
 		}
-		if runs == 0 && e.send == nil {
+		if runs == 0 && e.send == nil && timedOut {
 			delete(x.entries, incarnation)
 		}
 	}
@@ -391,18 +410,23 @@
 
 // recentOutcomes holds the final states of the most recent runs.
 type recentOutcomes struct {
-	byRun map[wire.Run]wire.Report
+	byRun map[wire.Run]recentOutcome
 	order []wire.Run
 }
 
-func (c *recentOutcomes) add(r wire.Report) {
+type recentOutcome struct {
+	report     wire.Report
+	recordedAt time.Time
+}
+
+func (c *recentOutcomes) add(r wire.Report, now time.Time) {
 	if c.byRun == nil {
-		c.byRun = make(map[wire.Run]wire.Report)
+		c.byRun = make(map[wire.Run]recentOutcome)
 	}
 	if _, ok := c.byRun[r.Run]; !ok {
 		c.order = append(c.order, r.Run)
 	}
-	c.byRun[r.Run] = r
+	c.byRun[r.Run] = recentOutcome{r, now}
 	if len(c.order) > recentOutcomesCapacity {
 		delete(c.byRun, c.order[0])
 		c.order = c.order[1:]
@@ -411,8 +435,8 @@
 
 // find returns the final state of a run, or RunLost if it is not known.
 func (c *recentOutcomes) find(id wire.Run) wire.Report {
-	if r, ok := c.byRun[id]; ok {
-		return r
+	if o, ok := c.byRun[id]; ok {
+		return o.report
 	}
 	return wire.Report{Run: id, State: wire.RunLost}
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"oriolerelay/endpointapi"
 	"oriolerelay/event"
 	"oriolerelay/wire"
 )
@@ -62,6 +63,7 @@
 	stopSentAt              time.Time
 	stopInFlight            bool
 	stopAccepted            bool // the endpoint has accepted the stop
+	stopAcceptedAt          time.Time
 	verifyRequested         bool
 	span                    *runSpan // nil for a job that is not traced
 }
@@ -133,17 +135,18 @@
 		return
 	}
 	r.stopInFlight, r.stopSentAt = true, now
-	instance := x.profile.Instance
+	req := endpointapi.StopRequest{Instance: x.profile.Instance, Run: r.id, FencingToken: x.fence.token()}
 	go func() {
 		ctx, cancel := context.WithTimeout(x.ctx, x.cfg.Timing.CallTimeout)
 		defer cancel()
-		err := x.cfg.Endpoint.Stop(ctx, instance, r.id)
-		x.loop.Post(func() { x.handleStopReply(r, err) })
+		err := x.cfg.Endpoint.Stop(ctx, req)
+		x.loop.Post(func() { x.handleStopReply(r, req, err) })
 	}()
 }
 
-func (x *Executor) handleStopReply(r *run, err error) {
+func (x *Executor) handleStopReply(r *run, req endpointapi.StopRequest, err error) {
 	r.stopInFlight = false
+	x.recordReply(req.FencingToken, 0, r.stopSentAt, err)
 	if x.runs[r.id.Task] != r {
 		return
 	}
@@ -151,7 +154,7 @@
 		x.cfg.Log.Log(event.StopUnanswered, "task", r.id.Task, "run", r.id.Number, "error", err)
 		return // retryStops tries again
 	}
-	r.stopAccepted = true
+	r.stopAccepted, r.stopAcceptedAt = true, time.Now()
 	x.wakeObserver()
 }
 
@@ -174,7 +177,7 @@
 	x.statusDirty = true
 	r.span.end(state, reason, why)
 	rep := wire.Report{Run: r.id, State: state, Reason: reason}
-	x.recent.add(rep)
+	x.recent.add(rep, time.Now())
 	x.report(r.entry, rep)
 	x.cfg.Metrics.countEnd(state, reason)
 	x.cfg.Log.Log(event.RunEnded, "task", r.id.Task, "run", r.id.Number, "state", state, "reason", reason,
