--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -14,16 +14,24 @@
 // runner can run jobs.
 func (l *Ledger) keepMembership(ctx context.Context) {
 	member, failures := false, 0
+	first := 0 // attempt that the timeouts of the next renewal start from
 	for ctx.Err() == nil {
 		pause := l.cfg.Timing.RenewInterval
 		switch canRun := l.cfg.Runner.CanRun(); {
 		case canRun:
 			member = true
-			if err := l.renew(ctx, failures); err != nil {
+			sent := l.cfg.Now()
+			err := l.renew(ctx, first+failures)
+			if (failures > 0) != (err != nil) {
+				l.cfg.Log.Log(event.MembershipRenewalFailed, "failures", failures, "lease_left_ms", l.leaseLeft().Milliseconds(), "error", err)
+			}
+			if err != nil {
 				failures++
 				pause = l.retryPause(err)
 			} else {
-				failures = 0
+				took := l.cfg.Now() - sent
+				failures, first = 0, l.cfg.Timing.attemptFor(took)
+				pause = max(pause-took, 0)
 			}
 		case member:
 			l.leaveGroup(ctx, "no agent is reachable")
@@ -31,14 +39,21 @@
 		default:
 			pause = canRunCheckInterval
 		}
+		due := l.cfg.Now() + pause
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
 		}
+		if late := l.cfg.Now() - due; late > maxRenewalLateness {
+			l.cfg.Log.Log(event.MembershipRenewedLate, "late_ms", late.Milliseconds(), "member", member)
+		}
 	}
 	l.leaveGroup(context.WithoutCancel(ctx), "the process stops")
 }
 
+// maxRenewalLateness is the lateness of a renewal from which it is logged.
+const maxRenewalLateness = 200 * time.Millisecond
+
 // canRunCheckInterval is the time between two calls of CanRun while this entry is not a
 // member.
 const canRunCheckInterval = 50 * time.Millisecond
@@ -68,13 +83,13 @@
 	}
 }
 
-// renew renews the membership and acquires or releases partitions accordingly. failures is the
-// number of preceding failed attempts.
-func (l *Ledger) renew(ctx context.Context, failures int) error {
+// renew renews the membership and acquires or releases partitions accordingly. attempt selects
+// the timeout of the call.
+func (l *Ledger) renew(ctx context.Context, attempt int) error {
 	// The lease starts when the call is sent, since the response may be read long after
 	// the store sent it.
 	sent := l.cfg.Now()
-	callCtx, cancel := context.WithTimeout(ctx, l.cfg.Timing.attemptTimeout(failures))
+	callCtx, cancel := context.WithTimeout(ctx, l.cfg.Timing.attemptTimeout(attempt))
 	m, err := l.cfg.Store.Join(callCtx, l.cfg.Member, l.generation, l.cfg.Timing.TTL)
 	cancel()
 	l.mu.Lock()
@@ -104,6 +119,13 @@
 // leaseValid is HoldsLease with l.mu held.
 func (l *Ledger) leaseValid() bool { return l.cfg.Now() < l.leaseExpiry }
 
+// leaseLeft returns the remaining time of the lease, which is negative after its expiry.
+func (l *Ledger) leaseLeft() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaseExpiry - l.cfg.Now()
+}
+
 // HoldsLease reports whether the lease of this process is valid, so that it may order tasks
 // of stored jobs.
 func (l *Ledger) HoldsLease() bool {
@@ -132,10 +154,12 @@
 	p.dirty = make(map[string]job.Progress)
 	l.cfg.Log.Log(event.PartitionAcquired, "partition", p.index, "epoch", epoch)
 	p.wakeFollower()
-	takeoverEnd := l.cfg.Now() + l.cfg.Timing.TakeoverDelay
+	acquired := l.cfg.Now()
+	takeoverEnd := acquired + l.cfg.Timing.TakeoverDelay
 	go func() {
-		for n := 0; ; n++ {
-			err := l.fence(ctx, p, epoch, n)
+		fenceAttempts, reads := 1, 1
+		for ; ; fenceAttempts++ {
+			err := l.fence(ctx, p, epoch, fenceAttempts-1)
 			if err == nil {
 				break
 			}
@@ -159,13 +183,16 @@
 		}
 		// Read what the former owner recorded before it was fenced.
 		err := l.catchUp(ctx, p, false, 0, false)
-		for ; err != nil && ctx.Err() == nil; err = l.catchUp(ctx, p, false, 0, false) {
+		for ; err != nil && ctx.Err() == nil; reads++ {
 			time.Sleep(l.cfg.Timing.RetryDelay)
+			err = l.catchUp(ctx, p, false, 0, false)
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if p.owned && p.epoch == epoch {
 			p.takenOver = true
+			l.cfg.Log.Log(event.PartitionTakenOver, "partition", p.index, "epoch", epoch, "jobs", len(p.jobs),
+				"took_ms", (l.cfg.Now() - acquired).Milliseconds(), "fence_attempts", fenceAttempts, "reads", reads)
 			l.startJobs(p)
 			p.wakeFollower()
 		}
