executor: ignore messages and the end of a replaced connection to an entry

Callers could see a task run twice. The agent told the connections of an entry apart by the entry's incarnation only. Found by reading, not traced in a run of a system:

- Orders that the agent handles after the Claim of a newer connection were accepted, although the entry may have removed their job since and counts none of its runs.
- A late Disconnected of an old connection removed the sender of the new one.
The agent then heard the entry and ran its tasks on, while the entry heard nothing and ran them elsewhere after its orphan timeout.

Connections now have a number, as in the coordinator. It is counted over all entries, so that an entry that was removed and connects again does not get the number of a connection that is still being closed.

The packages relay and emulator pass but for the two known entries of TestResubmissionAfterResetDuringPlacement.

--- a/emulator/system.go
+++ b/emulator/system.go
@@ -269,7 +269,7 @@
 	}
 	incarnation := e.incarnation()
 	toAgent, toEntry := newLink(s.ctx), newLink(s.ctx)
-	a.Executor.Connected(incarnation, func(m wire.Message) error {
+	entryConnection := a.Executor.Connected(incarnation, func(m wire.Message) error {
 		toEntry.send(m)
 		return nil
 	})
@@ -281,7 +281,7 @@
 	number := s.timeline.newConnection()
 	go toAgent.deliver(isConnected, func(m wire.Message) {
 		s.timeline.addMessage(number, incarnation, a.name, m)
-		a.Executor.Handle(incarnation, m)
+		a.Executor.Handle(incarnation, entryConnection, m)
 	})
 	go toEntry.deliver(isConnected, func(m wire.Message) {
 		s.timeline.addMessage(number, a.name, incarnation, m)
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -16,6 +16,7 @@
 // entry is an entry that is or was connected.
 type entry struct {
 	incarnation  string
+	connection   uint64 // number of the connection; calls for an older one are ignored
 	send         Sender // nil while not connected
 	lastReceived time.Time
 	lastSent     time.Time
@@ -30,14 +31,17 @@
 	reports      []wire.Report
 }
 
-// Connected registers a new connection to the entry with the given incarnation.
-func (x *Executor) Connected(incarnation string, send Sender) {
+// Connected registers a new connection to the entry with the given incarnation. The returned
+// number identifies the connection.
+func (x *Executor) Connected(incarnation string, send Sender) (connection uint64) {
 	x.loop.Do(func() {
 		e := x.entries[incarnation]
 		if e == nil {
 			e = &entry{incarnation: incarnation}
 			x.entries[incarnation] = e
 		}
+		x.lastConnection++
+		e.connection, connection = x.lastConnection, x.lastConnection
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
 		e.suspect = false
 		e.reports = nil // the entry's Claim makes the agent report them again
@@ -45,12 +49,13 @@
 		x.statusDirty = true
 		x.statusSentAt = time.Time{}
 	})
+	return connection
 }
 
-// Disconnected records that the connection to an entry has ended.
-func (x *Executor) Disconnected(incarnation string) {
+// Disconnected records that a connection to an entry has ended.
+func (x *Executor) Disconnected(incarnation string, connection uint64) {
 	x.loop.Post(func() {
-		if e := x.entries[incarnation]; e != nil {
+		if e := x.entries[incarnation]; e != nil && e.connection == connection {
 			e.send = nil
 		}
 	})
@@ -100,12 +105,13 @@
 	return suspect
 }
 
-// Handle processes a message from an entry.
-func (x *Executor) Handle(incarnation string, m wire.Message) {
+// Handle processes a message that an entry has sent over the given connection. Messages of an
+// older connection are ignored: the entry's Claim on the new one accounts for all its runs.
+func (x *Executor) Handle(incarnation string, connection uint64, m wire.Message) {
 	x.loop.Post(func() {
 		now := time.Now()
 		e := x.entries[incarnation]
-		if e == nil {
+		if e == nil || e.connection != connection {
 			return
 		}
 		e.lastReceived, e.suspect = now, false
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -72,7 +72,9 @@
 	runs    map[string]*run // by task
 	used    wire.Resources
 	entries map[string]*entry // by incarnation
-	recent  recentOutcomes
+	// lastConnection is the number of the newest connection to an entry.
+	lastConnection uint64
+	recent         recentOutcomes
 	// statusDirty is set while the newest status has not been sent to the entries.
 	statusDirty  bool
 	statusSentAt time.Time
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -125,7 +125,7 @@
 }
 
 func sendOrder(x *Executor, stored bool, runs ...wire.Run) {
-	x.Handle("entry.1", &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{{
+	x.Handle("entry.1", 1, &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{{
 		Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: runs, Stored: stored,
 	}}})
 }
@@ -133,7 +133,7 @@
 // sendHeartbeats keeps the entry's runs from being stopped for d.
 func sendHeartbeats(x *Executor, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		x.Handle("entry.1", &wire.Heartbeat{})
+		x.Handle("entry.1", 1, &wire.Heartbeat{})
 		time.Sleep(50 * time.Millisecond)
 	}
 }
@@ -156,7 +156,7 @@
 		x.Connected("entry.2", second.send)
 		sendHeartbeats(x, time.Second)
 		c.Check(second.state(stored), quicktest.Equals, wire.RunDone)
-		x.Handle("entry.1", &wire.Confirm{Runs: []wire.Run{stored}})
+		x.Handle("entry.1", 1, &wire.Confirm{Runs: []wire.Run{stored}})
 		sendHeartbeats(x, time.Second)
 		c.Check(e.ackedSequence(), quicktest.Equals, uint64(2))
 	})
@@ -177,7 +177,7 @@
 			sendOrder(x, false, last)
 			time.Sleep(12 * time.Millisecond)
 			e.end(last, endpointapi.EndDone)
-			x.Handle("entry.1", &wire.Heartbeat{})
+			x.Handle("entry.1", 1, &wire.Heartbeat{})
 			time.Sleep(12 * time.Millisecond) // the runs are over before maxUnconfirmedAge
 		}
 		sendHeartbeats(x, time.Second)
@@ -241,7 +241,7 @@
 		echo := x.clockMillis()
 		fresh, stale := wire.Run{Task: "t.0.0.0", Number: 1}, wire.Run{Task: "t.0.0.1", Number: 1}
 		send := func(run wire.Run) {
-			x.Handle("entry.1", &wire.Orders{StatusClockMillis: echo, Groups: []wire.OrderGroup{{
+			x.Handle("entry.1", 1, &wire.Orders{StatusClockMillis: echo, Groups: []wire.OrderGroup{{
 				Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run},
 			}}})
 		}
@@ -305,7 +305,7 @@
 		time.Sleep(time.Second)
 		c.Check(e.runs(), quicktest.HasLen, 0) // stopped after EntryTimeout
 		c.Check(x.IsSuspect("entry.1", timeout), quicktest.IsTrue)
-		x.Handle("entry.1", &wire.Heartbeat{})
+		x.Handle("entry.1", 1, &wire.Heartbeat{})
 		c.Check(x.IsSuspect("entry.1", timeout), quicktest.IsFalse)
 	})
 }
@@ -320,17 +320,17 @@
 		other := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 		x.Connected("entry.2", other.send)
 		run := func(n uint32) wire.Run { return wire.Run{Task: "t.0.0.0", Number: n} }
-		x.Handle("entry.2", &wire.Evacuated{Version: 7, DataCentres: []string{"south"}})
+		x.Handle("entry.2", 2, &wire.Evacuated{Version: 7, DataCentres: []string{"south"}})
 		sendOrder(x, false, run(1))
 		sendHeartbeats(x, 50*time.Millisecond)
 		c.Check(e.runs()[run(1)], quicktest.IsTrue)
-		x.Handle("entry.2", &wire.Evacuated{Version: 9, DataCentres: []string{"north", "south"}})
-		x.Handle("entry.2", &wire.Evacuated{Version: 8})
+		x.Handle("entry.2", 2, &wire.Evacuated{Version: 9, DataCentres: []string{"north", "south"}})
+		x.Handle("entry.2", 2, &wire.Evacuated{Version: 8})
 		sendOrder(x, false, wire.Run{Task: "t.0.0.1", Number: 1})
 		sendHeartbeats(x, 50*time.Millisecond)
 		c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{run(1): true}) // the current run continues
 		c.Check(entry.state(wire.Run{Task: "t.0.0.1", Number: 1}), quicktest.Equals, wire.RunRejected)
-		x.Handle("entry.2", &wire.Evacuated{Version: 10})
+		x.Handle("entry.2", 2, &wire.Evacuated{Version: 10})
 		sendOrder(x, false, wire.Run{Task: "t.0.0.1", Number: 2})
 		sendHeartbeats(x, 50*time.Millisecond)
 		c.Check(e.runs()[wire.Run{Task: "t.0.0.1", Number: 2}], quicktest.IsTrue)
--- a/executor/start_test.go
+++ b/executor/start_test.go
@@ -145,7 +145,7 @@
 		for i := range runs {
 			group.Runs = append(group.Runs, wire.Run{Task: taskName(i), Number: 1})
 		}
-		x.Handle("entry.1", &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{group}})
+		x.Handle("entry.1", 1, &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{group}})
 		sendHeartbeats(x, 200*time.Millisecond)
 		c.Check(e.runs(), quicktest.HasLen, runs)
 		e.callsMu.Lock()
@@ -191,7 +191,7 @@
 		for i := range 3 * startWorkers {
 			group.Runs = append(group.Runs, wire.Run{Task: taskName(i), Number: 1})
 		}
-		x.Handle("entry.1", &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{group}})
+		x.Handle("entry.1", 1, &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{group}})
 		sendHeartbeats(x, 300*time.Millisecond)
 		for _, run := range group.Runs {
 			c.Check(entry.state(run), quicktest.Equals, wire.RunLost)
--- a/relay/agent_conns.go
+++ b/relay/agent_conns.go
@@ -50,7 +50,7 @@
 // newHandler implements connOwner.
 func (ac *agentConns) newHandler(c *transport.Conn) transport.Handler {
 	h := &entryMessageHandler{owner: ac, incarnation: c.PeerHello.Node.String()}
-	ac.executor.Connected(h.incarnation, newSender(c))
+	h.connection = ac.executor.Connected(h.incarnation, newSender(c))
 	return h
 }
 
@@ -86,6 +86,7 @@
 type entryMessageHandler struct {
 	owner       *agentConns
 	incarnation string
+	connection  uint64
 }
 
 // Handle implements transport.Handler.
@@ -94,11 +95,11 @@
 		h.owner.conns.markDraining(c.PeerHello.Node)
 		return
 	}
-	h.owner.executor.Handle(h.incarnation, f.Body)
+	h.owner.executor.Handle(h.incarnation, h.connection, f.Body)
 }
 
 // Closed implements transport.Handler.
 func (h *entryMessageHandler) Closed(_ *transport.Conn, err error) {
 	h.owner.process.log.Log(event.EntryLost, "entry", h.incarnation, "error", err)
-	h.owner.executor.Disconnected(h.incarnation)
+	h.owner.executor.Disconnected(h.incarnation, h.connection)
 }
