--- a/executor/entry.go
+++ b/executor/entry.go
@@ -32,6 +32,7 @@
 	retired bool
 	// pendingClaim is a Claim that arrived before the endpoint was known.
 	pendingClaim *wire.Claim
+	pendingStops []wire.Run // stop orders since that Claim
 	reports      []wire.Report
 }
 
@@ -47,7 +48,7 @@
 		x.lastConnection++
 		e.connection, connection = x.lastConnection, x.lastConnection
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
-		e.suspect, e.echoedClock = false, x.clockMillis()
+		e.pendingStops, e.suspect, e.echoedClock = nil, false, x.clockMillis()
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
 		x.statusDirty = true
@@ -174,6 +175,10 @@
 
 // stopOrdered stops a run on behalf of the entry that ordered it.
 func (x *Executor) stopOrdered(e *entry, id wire.Run, now time.Time) {
+	if e.pendingClaim != nil {
+		e.pendingStops = append(e.pendingStops, id) // the endpoint may execute the run
+		return
+	}
 	r := x.runs[id.Task]
 	if r == nil || r.id != id || r.entry != e.incarnation {
 		x.report(e.incarnation, x.recent.find(id))
@@ -232,7 +237,10 @@
 	}
 	// An earlier process of this agent may have sent the start. The stop ends the run, or makes
 	// the endpoint reject a start that arrives later, before the loss is reported.
-	r = &run{id: id, entry: e.incarnation, size: g.Size, orderedAt: now, state: runStopping, stored: g.Stored}
+	r = &run{
+		id: id, entry: e.incarnation, payload: g.Payload, size: g.Size, orderedAt: now, state: runStopping, stored: g.Stored,
+		declaredRunTime: time.Duration(g.EstimateMillis) * time.Millisecond,
+	}
 	x.runs[id.Task] = r
 	x.used = x.used.Plus(r.size)
 	if !x.adoptDeadline.IsZero() {
@@ -245,13 +253,14 @@
 	x.sendStop(r, now)
 }
 
-// handleUnknownRun handles a run at the endpoint that this process did not start.
-func (x *Executor) handleUnknownRun(id wire.Run, now time.Time) {
+// handleUnknownRun handles a run that this process did not start or has given up, and that the
+// reply to an observation sent at the given time lists as running.
+func (x *Executor) handleUnknownRun(id wire.Run, sent, now time.Time) {
 	if x.runs[id.Task] != nil {
 		return // another run of the task is known; this one is handled once that has ended
 	}
-	if _, ended := x.recent.byRun[id]; ended {
-		return // this observation is older than the one that listed the end
+	if o, over := x.recent.byRun[id]; over && !sent.After(o.recordedAt) {
+		return // this observation may be older than the end
 	}
 	// The run may belong to a stored job, so its end is kept until it is confirmed.
 	r := &run{id: id, state: runRunning, seenAtEndpoint: true, stored: true, orderedAt: now, startedAt: now, percentRoseAt: now}
@@ -269,8 +278,12 @@
 	}
 	for _, e := range x.entries {
 		if c := e.pendingClaim; c != nil {
-			e.pendingClaim = nil
+			stops := e.pendingStops
+			e.pendingClaim, e.pendingStops = nil, nil
 			x.reconcileClaim(e, c, now)
+			for _, id := range stops {
+				x.stopOrdered(e, id, now)
+			}
 		}
 	}
 }
@@ -415,18 +428,23 @@
 
 // recentOutcomes holds the final states of the most recent runs.
 type recentOutcomes struct {
-	byRun map[wire.Run]wire.Report
+	byRun map[wire.Run]recentOutcome
 	order []wire.Run
 }
 
-func (c *recentOutcomes) add(r wire.Report) {
+type recentOutcome struct {
+	report     wire.Report
+	recordedAt time.Time
+}
+
+func (c *recentOutcomes) add(r wire.Report, now time.Time) {
 	if c.byRun == nil {
-		c.byRun = make(map[wire.Run]wire.Report)
+		c.byRun = make(map[wire.Run]recentOutcome)
 	}
 	if _, ok := c.byRun[r.Run]; !ok {
 		c.order = append(c.order, r.Run)
 	}
-	c.byRun[r.Run] = r
+	c.byRun[r.Run] = recentOutcome{r, now}
 	if len(c.order) > recentOutcomesCapacity {
 		delete(c.byRun, c.order[0])
 		c.order = c.order[1:]
@@ -435,8 +453,8 @@
 
 // find returns the final state of a run, or RunLost if it is not known.
 func (c *recentOutcomes) find(id wire.Run) wire.Report {
-	if r, ok := c.byRun[id]; ok {
-		return r
+	if o, ok := c.byRun[id]; ok {
+		return o.report
 	}
 	return wire.Report{Run: id, State: wire.RunLost}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -44,18 +45,26 @@
 	ctx         context.Context
 	startedAt   time.Time // of this process
 
-	profile             *wire.Profile // nil until the endpoint has announced itself
+	profile *wire.Profile // nil until the endpoint has announced itself
+	// otherProfile is the profile in the newest announcement if that differs from profile.
+	otherProfile        *wire.Profile
 	endpointStartMillis int64
-	sequence            uint64 // of the newest announcement
+	incarnationSince    time.Time // when this incarnation became the known one
+	sequence            uint64    // of the newest announcement
+	lower               lowerSequences
 	endpointDraining    bool
 	evacuated           wire.Evacuated // evacuated data centres
 	persisted           persistedState // of the last announcement that was saved
-	shuttingDown        bool           // of this process
+	// unverified is set while the profile was restored and the endpoint has not answered. The
+	// runs that entries claim then may be those of a later incarnation, which was not saved.
+	unverified   bool
+	shuttingDown bool // of this process
 	// adoptDeadline is when inherited runs that no entry has claimed are stopped; zero once
 	// that is done.
 	adoptDeadline time.Time
 
 	clock           endpointClock
+	fence           fence
 	leaseEnd        time.Duration // latest one sent, on the endpoint's clock
 	ackedSequence   uint64        // of the last end that the endpoint was told to forget
 	lastEndSequence uint64        // of the last end that was read
@@ -88,7 +97,7 @@
 	if created := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
-	return &Executor{
+	x := &Executor{
 		cfg:         cfg,
 		loop:        loop.New(),
 		startQueue:  make(chan *startCall, startQueueSize),
@@ -97,6 +106,8 @@
 		unconfirmed: make(map[wire.Run]unconfirmedEnd),
 		entries:     make(map[string]*entry),
 	}
+	x.fence.init(time.Now())
+	return x
 }
 
 // Run executes the loop of the executor until ctx is done.
@@ -110,27 +121,64 @@
 }
 
 // Announce processes an announcement of the endpoint and reports whether it was accepted. An
-// announcement of an older incarnation, or one that is older than an accepted one, is
-// ignored.
+// announcement that is older than an accepted one is ignored. One that names another
+// incarnation is accepted once the endpoint has confirmed that this incarnation runs there:
+// announcements may be delayed or come from other software.
 func (x *Executor) Announce(a endpointapi.Announcement) (accepted bool) {
-	x.loop.Do(func() { accepted = x.handleAnnouncement(a, time.Now()) })
+	var ctx context.Context
+	var known time.Time
+	verify := false
+	x.loop.Do(func() {
+		accepted, verify = x.handleAnnouncement(a, time.Now())
+		ctx, known = x.ctx, x.incarnationSince
+	})
+	if !verify {
+		return accepted
+	}
+	obs, err := x.queryIncarnation(ctx, a.Profile.Instance)
+	x.loop.Do(func() {
+		if x.incarnationSince == known { // otherwise another announcement was confirmed meanwhile
+			accepted = x.handleIncarnationReply(a, obs, err, time.Now())
+		}
+	})
 	return accepted
 }
 
-func (x *Executor) handleAnnouncement(a endpointapi.Announcement, now time.Time) bool {
+// handleAnnouncement processes a if it announces the known incarnation. verify is set if it
+// announces another one, which the endpoint must confirm.
+func (x *Executor) handleAnnouncement(a endpointapi.Announcement, now time.Time) (accepted, verify bool) {
 	p := x.profile
 	switch {
-	case p == nil || a.Profile.Instance != p.Instance && a.StartMillis >= x.endpointStartMillis || a.StartMillis > x.endpointStartMillis:
-		x.newIncarnation(a, now)
-	case a.Profile.Instance != p.Instance || a.StartMillis < x.endpointStartMillis || a.Sequence < x.sequence:
-		x.cfg.Log.Log(event.AnnouncementStale, "instance", a.Profile.Instance, "born", a.StartMillis,
-			"sequence", a.Sequence, "known_instance", p.Instance, "known_born", x.endpointStartMillis, "known_sequence", x.sequence)
-		return false
-	}
-	x.sequence = a.Sequence
-	if !x.clock.known() {
-		x.setClock(a.Clock, now, "announcement")
+	case p == nil:
+		return false, true
+	case a.Profile.Instance == p.Instance && a.StartMillis == x.endpointStartMillis:
+		// An endpoint that drains does not become ready again, so also a delayed announcement of a
+		// drain is true.
+		if a.Sequence < x.sequence && !a.Draining && !x.lower.replaceKnown(a.Sequence, now) {
+			x.logStale(a)
+			return false, false
+		}
+		x.applyAnnouncement(a)
+		return true, false
+	case a.StartMillis < x.endpointStartMillis && !x.unreachable:
+		x.logStale(a)
+		// The clock of the host may have been set back before the endpoint started again: the
+		// announcement is verified once the known incarnation turns out to have ended.
+		x.observeNow(now)
+		return false, false
 	}
+	return false, true
+}
+
+func (x *Executor) logStale(a endpointapi.Announcement) {
+	x.cfg.Log.Log(event.AnnouncementStale, "instance", a.Profile.Instance, "born", a.StartMillis,
+		"sequence", a.Sequence, "known_instance", x.profile.Instance, "known_born", x.endpointStartMillis, "known_sequence", x.sequence)
+}
+
+// applyAnnouncement applies an announcement of the known incarnation.
+func (x *Executor) applyAnnouncement(a endpointapi.Announcement) {
+	x.sequence, x.lower = a.Sequence, lowerSequences{}
+	x.checkProfile(a)
 	if a.Draining != x.endpointDraining {
 		x.endpointDraining = a.Draining
 		x.statusDirty = true
@@ -138,7 +186,90 @@
 			x.cfg.Log.Log(event.EndpointDraining, "instance", a.Profile.Instance, "runs", len(x.runs), "sequence", a.Sequence)
 		}
 	}
+	a.Profile = *x.profile
 	x.save(a)
+}
+
+// checkProfile replaces the profile of the known incarnation once two consecutive announcements
+// state the same other one. A profile does not change, so that the first one was false.
+func (x *Executor) checkProfile(a endpointapi.Announcement) {
+	p := a.Profile
+	switch {
+	case reflect.DeepEqual(p, *x.profile):
+		x.otherProfile = nil
+	case x.otherProfile == nil || !reflect.DeepEqual(p, *x.otherProfile):
+		x.otherProfile = &p
+	default:
+		x.cfg.Log.Log(event.EndpointAnnounced, "instance", p.Instance, "born", a.StartMillis, "service", p.Service,
+			"millicores", p.Capacity.MilliCores, "runs", len(x.runs), "replaced_service", x.profile.Service)
+		x.profile, x.otherProfile, x.statusDirty = &p, nil, true
+		x.persisted = persistedState{} // the new profile is saved
+		for _, e := range x.entries {
+			e.profileSent = false
+		}
+	}
+}
+
+// lowerSequences counts the consecutive announcements with rising sequence numbers below the known
+// one. The known one is false if they go on, since the endpoint sends newer announcements at
+// intervals, while delayed ones arrive together.
+type lowerSequences struct {
+	count int
+	last  uint64
+	since time.Time
+}
+
+const (
+	minLowerSequences      = 3
+	minLowerSequencePeriod = 1500 * time.Millisecond
+)
+
+// replaceKnown adds the sequence number of an announcement, and reports whether it replaces the
+// known one.
+func (l *lowerSequences) replaceKnown(sequence uint64, now time.Time) bool {
+	if l.count == 0 || sequence <= l.last {
+		l.count, l.since = 0, now
+	}
+	l.count++
+	l.last = sequence
+	return l.count >= minLowerSequences && now.Sub(l.since) >= minLowerSequencePeriod
+}
+
+// incarnationQueryAttempts is the number of calls after which a query about an incarnation is
+// given up until the next announcement.
+const incarnationQueryAttempts = 3
+
+// queryIncarnation asks the endpoint whether it is the given incarnation.
+func (x *Executor) queryIncarnation(ctx context.Context, instance string) (obs endpointapi.Observation, err error) {
+	for range incarnationQueryAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, x.cfg.Timing.CallTimeout)
+		req := endpointapi.ObserveRequest{Instance: instance, FencingToken: x.fence.token()}
+		obs, err = x.cfg.Endpoint.Observe(callCtx, req)
+		cancel()
+		x.cfg.Metrics.observations.Inc()
+		x.loop.Do(func() { x.recordReply(req.FencingToken, 0, time.Time{}, err) })
+		if err == nil || isEndpointDown(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return obs, err
+}
+
+// handleIncarnationReply processes the reply of the endpoint to a query about the incarnation
+// that a names.
+func (x *Executor) handleIncarnationReply(a endpointapi.Announcement, obs endpointapi.Observation, err error, now time.Time) (accepted bool) {
+	if err == nil && obs.StartMillis > 0 && obs.StartMillis != a.StartMillis {
+		err = &endpointapi.OtherInstanceError{Instance: a.Profile.Instance + ", started at another time"}
+	}
+	if err != nil && (x.profile != nil || isEndpointDown(err)) {
+		x.cfg.Log.Log(event.AnnouncementRefused, "instance", a.Profile.Instance, "born", a.StartMillis, "why", err)
+		return false
+	}
+	a.Clock = obs.Clock // that of the announcement cannot be checked
+	x.newIncarnation(a, now)
+	if err == nil {
+		x.save(a)
+	}
 	return true
 }
 
@@ -152,10 +283,32 @@
 		}
 		a.Sequence, a.Clock = 0, 0
 		x.persisted = persistedStateOf(a)
-		x.handleAnnouncement(a, time.Now())
+		x.newIncarnation(a, time.Now())
+		x.unverified = true
 	})
 }
 
+// forgetRestored discards the restored profile of an incarnation that has ended.
+func (x *Executor) forgetRestored(err error) {
+	x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
+	x.profile, x.endpointStartMillis, x.unverified, x.statusDirty = nil, 0, false, true
+}
+
+// loseRuns reports all runs as lost.
+func (x *Executor) loseRuns(why string) {
+	for _, r := range x.runs {
+		x.finish(r, wire.RunLost, 0, why)
+	}
+}
+
+// loseClaimedRuns reports the runs as lost that entries have claimed if the endpoint is still
+// unknown, or has not answered, when the lease of an earlier process has expired.
+func (x *Executor) loseClaimedRuns(now time.Time) {
+	if !x.clock.known() && now.Sub(x.startedAt) >= x.cfg.Timing.maxInheritedLease() {
+		x.loseRuns("endpoint is unknown")
+	}
+}
+
 // persistedState is the part of an announcement that is saved whenever it changes.
 type persistedState struct {
 	instance    string
@@ -177,21 +330,25 @@
 	}
 }
 
-// newIncarnation discards the state of an earlier incarnation of the endpoint.
+// newIncarnation discards the state of an earlier incarnation of the endpoint. Runs that were
+// claimed before the endpoint was known are kept.
 func (x *Executor) newIncarnation(a endpointapi.Announcement, now time.Time) {
 	x.cfg.Log.Log(event.EndpointAnnounced, "instance", a.Profile.Instance, "born", a.StartMillis,
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
-	first := x.profile == nil
+	first := x.profile == nil || x.unverified
+	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
+	x.incarnationSince, x.lower, x.otherProfile = now, lowerSequences{}, nil
 	x.clock = endpointClock{}
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
 	x.setClock(a.Clock, now, "first announcement")
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
-	for _, r := range x.runs {
-		x.finish(r, wire.RunLost, 0, "endpoint incarnation ended")
+	if !first {
+		x.loseRuns("endpoint incarnation ended")
 	}
+	x.fence.startIncarnation()
 	if first {
 		x.adoptDeadline = now.Add(x.cfg.Timing.AdoptWindow)
 	}
@@ -203,17 +360,17 @@
 	x.wakeObserver()
 }
 
-// Deregister handles the deregistration of the given endpoint instance.
+// Deregister handles the deregistration of the given endpoint instance. Its runs count as lost
+// once a call shows that the endpoint has ended: the message may have been delayed until the
+// endpoint has started again under the same id, or come from other software.
 func (x *Executor) Deregister(instance string) {
 	x.loop.Do(func() {
 		if x.profile == nil || x.profile.Instance != instance {
 			return
 		}
 		x.cfg.Log.Log(event.EndpointWithdrawn, "instance", instance, "runs", len(x.runs))
-		for _, r := range x.runs {
-			x.finish(r, wire.RunLost, 0, "endpoint deregistered")
-		}
 		x.endpointDraining, x.statusDirty = true, true
+		x.observeNow(time.Now())
 	})
 }
 
@@ -251,6 +408,7 @@
 // Tick implements loop.Controller.
 func (x *Executor) Tick(now time.Time) {
 	x.expireLease(now)
+	x.loseClaimedRuns(now)
 	x.verifyUnansweredStarts(now)
 	x.expireEntries(now)
 	x.applyPendingClaims(now)
--- a/executor/start.go
+++ b/executor/start.go
@@ -107,6 +107,9 @@
 	for {
 		select {
 		case call := <-x.startQueue:
+			// The token is read first: a call that is not seen as cancelled has a lower token than
+			// the calls made after its cancellation.
+			call.request.FencingToken = x.fence.token()
 			if call.cancelled.Load() {
 				continue
 			}
@@ -129,6 +132,14 @@
 	if x.profile != nil && call.request.Instance == x.profile.Instance {
 		x.setClock(reply.Clock, now, "start")
 	}
+	switch reply.Result {
+	case endpointapi.StartUnknown:
+		x.fence.recordLostGrant(call.request.FencingToken, *call.sentAt.Load())
+	case endpointapi.StartAccepted:
+		x.fence.recordAnswer(call.request.FencingToken)
+	case endpointapi.StartFenced:
+		x.fence.recordRefusal(call.request.FencingToken)
+	}
 	if reply.Result != endpointapi.StartUnknown {
 		r.starts.unresolved--
 	}
@@ -158,6 +169,12 @@
 		x.rejectStart(r, wire.RejectUnreachable, "endpoint rejected the start", now)
 	case endpointapi.StartOtherInstance, endpointapi.StartEndpointDown:
 		x.handleEndpointDown(reply.Err)
+	case endpointapi.StartFenced:
+		if r.state == runStarting && r.starts.attempts < maxStartAttempts {
+			x.sendStart(r, now)
+			return
+		}
+		x.rejectStart(r, wire.RejectStartUnanswered, "endpoint ignored the start", now)
 	case endpointapi.StartUnknown:
 		x.cfg.Metrics.unansweredStarts.Inc()
 		x.verifyStart(r, now)
@@ -182,13 +199,15 @@
 		return
 	}
 	x.cfg.Log.Log(event.RunOrphaned, "task", id.Task, "run", id.Number, "why", "start was executed after the run was given up")
-	instance := x.profile.Instance
+	req := endpointapi.StopRequest{Instance: x.profile.Instance, Run: id, FencingToken: x.fence.token()}
 	go func() {
 		ctx, cancel := context.WithTimeout(x.ctx, x.cfg.Timing.CallTimeout)
 		defer cancel()
-		if err := x.cfg.Endpoint.Stop(ctx, instance, id); err != nil {
+		err := x.cfg.Endpoint.Stop(ctx, req)
+		if err != nil {
 			x.cfg.Log.Log(event.StopUnanswered, "task", id.Task, "run", id.Number, "error", err)
 		}
+		x.loop.Post(func() { x.recordReply(req.FencingToken, 0, time.Time{}, err) })
 	}()
 }
 
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -103,6 +103,10 @@
 		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.InvalidRequest, "decode the job: %w", err)})
 		return
 	}
+	if err := s.Validate(); err != nil {
+		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.InvalidRequest, "%w", err)})
+		return
+	}
 	if r.closed {
 		r.sendOutcome(f, m.Number, outcome{err: errkind.New(errkind.Draining, "the entry has stopped placing jobs")})
 		return
@@ -132,7 +136,7 @@
 
 // sendOutcome sends the outcome of a job to f. r.mu must be held.
 func (r *Router) sendOutcome(f *forwarder, number uint64, o outcome) {
-	m := &wire.PlaceResult{Number: number, State: string(o.state)}
+	m := &wire.PlaceResult{Number: number, State: string(o.state), ClockMillis: r.clockMillis()}
 	if o.err != nil {
 		m.Kind, m.Detail, m.RetryAfterMillis = string(o.err.Kind), o.err.Detail, uint32(o.err.RetryAfter.Milliseconds())
 	}
