--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -18,7 +18,7 @@
 	connection      uint64 // number of the connection; calls for an older one are ignored
 	send            Sender // nil while not connected
 	lastReceived    time.Time
-	lastSent        time.Time
+	lastEchoed      time.Time // when its clock was last returned to it
 	profile         *wire.Profile
 	status          wire.Status
 	orderCount      uint64 // runs ordered on this connection
@@ -46,24 +46,34 @@
 		a.send, a.lastReceived, a.orderCount, a.pendingStops = send, now, 0, nil
 		a.status = wire.Status{ClosedReason: wire.RejectUnreachable} // until its first status
 		c.cfg.Log.Log(event.AgentConnected, "agent", name, "connection", connection, "runs", len(a.tasks))
-		c.sendTo(a, a.expectedRuns(), now)
-		c.sendEvacuated(a, now)
+		c.sendTo(a, c.expectedRuns(a))
+		c.sendEvacuated(a)
 		if c.draining {
-			c.sendTo(a, &wire.EntryDraining{}, now)
+			c.sendTo(a, &wire.EntryDraining{})
 		}
 	})
 	return connection
 }
 
-// expectedRuns returns a claim that lists the runs which this entry believes to be at a.
-func (a *agent) expectedRuns() *wire.Claim {
+// expectedRuns returns a claim that lists the runs which this entry believes to be at a. Those
+// that are being stopped are listed as well, so that a reports their ends, and are stopped again.
+func (c *Coordinator) expectedRuns(a *agent) *wire.Claim {
 	m := &wire.Claim{}
-	for _, t := range a.tasks {
-		t.orderSequence = 0
+	add := func(t *task) {
 		group := t.orderGroup()
 		group.Runs = []wire.Run{t.runID()}
 		m.Groups = append(m.Groups, group)
 	}
+	for _, t := range a.tasks {
+		t.orderSequence = 0
+		add(t)
+	}
+	for _, s := range c.stopping {
+		if s.agent == a {
+			add(s.task)
+			a.pendingStops = append(a.pendingStops, s.task.runID())
+		}
+	}
 	return m
 }
 
@@ -135,6 +145,7 @@
 func (c *Coordinator) handleReport(a *agent, r wire.Report, now time.Time) {
 	t := a.tasks[r.Run.Task]
 	if t == nil || t.runNumber != r.Run.Number {
+		c.runStopped(a, r)
 		c.handleUnclaimedEnd(a, r)
 		return
 	}
@@ -223,13 +234,15 @@
 		}
 		if sinceReceived > c.cfg.Timing.OrphanTimeout {
 			c.requeueLostRuns(a)
+			c.forgetStoppingRuns(a)
 			if a.send == nil {
 				delete(c.agents, name)
 			}
 			continue
 		}
-		if a.send != nil && len(a.tasks) > 0 && now.Sub(a.lastSent) > c.cfg.Timing.HeartbeatInterval {
-			c.sendTo(a, &wire.Heartbeat{}, now)
+		if a.send != nil && len(a.tasks) > 0 && now.Sub(a.lastEchoed) > c.cfg.Timing.HeartbeatInterval {
+			a.lastEchoed = now
+			c.sendTo(a, &wire.Heartbeat{StatusClockMillis: a.status.ClockMillis})
 		}
 	}
 }
@@ -249,11 +262,10 @@
 	}
 }
 
-func (c *Coordinator) sendTo(a *agent, m wire.Message, now time.Time) {
+func (c *Coordinator) sendTo(a *agent, m wire.Message) {
 	if a.send == nil {
 		return
 	}
-	a.lastSent = now
 	if err := a.send(m); err != nil {
 		c.cfg.Log.Log(event.AgentDisconnected, "agent", a.name, "connection", a.connection, "error", err)
 		a.send = nil
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -99,14 +99,14 @@
 			v = c.newServiceView(&j.spec.Queue, now)
 			views[j.spec.Queue.Service] = v
 		}
-		if !j.started {
-			if j.allCallersDisconnected() {
+		if j.allCallersDisconnected() {
+			if !j.started {
 				c.dropAbandoned(j, now)
-				continue
-			}
-			if c.refuseIfOverdue(j, v, now) {
-				continue
 			}
+			continue // a started job is abandoned when its last caller is
+		}
+		if !j.started && c.refuseIfOverdue(j, v, now) {
+			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
 		v.coresAhead += float64(j.waitingMilliCores()) / 1000
@@ -133,7 +133,7 @@
 	c.cfg.Log.Log(event.CallerDisconnected, "job", j.spec.ID, "queue", j.spec.Queue.Name, "waited_ms", now.Sub(j.arrived).Milliseconds())
 	c.cfg.Metrics.abandoned.Inc()
 	c.remove(j)
-	j.answer(outcome{err: errkind.New(errkind.CancelledRunning, "the caller disconnected")})
+	j.answer(outcome{err: errkind.New(errkind.QueueFull, "the caller disconnected before the job was started")})
 }
 
 // refuseIfOverdue refuses a job that has not started and has waited too long. It reports
@@ -218,7 +218,7 @@
 	}
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
-			if t.state != taskWaiting || now.Before(t.holdUntil) {
+			if t.state != taskWaiting || now.Before(t.holdUntil) || c.stopping[t.name] != nil {
 				continue
 			}
 			p := c.policyTask(t, agents, now)
@@ -276,15 +276,16 @@
 func (c *Coordinator) sendPending(now time.Time) {
 	for a, groups := range c.pendingOrders {
 		delete(c.pendingOrders, a)
-		c.sendTo(a, &wire.Orders{Groups: groups, OrderedRuns: a.orderCount, StatusClockMillis: a.status.ClockMillis}, now)
+		a.lastEchoed = now
+		c.sendTo(a, &wire.Orders{Groups: groups, OrderedRuns: a.orderCount, StatusClockMillis: a.status.ClockMillis})
 	}
 	for _, a := range c.agents {
 		if len(a.pendingStops) > 0 {
-			c.sendTo(a, &wire.Stop{Runs: a.pendingStops}, now)
+			c.sendTo(a, &wire.Stop{Runs: a.pendingStops})
 			a.pendingStops = nil
 		}
 		if len(a.pendingConfirms) > 0 {
-			c.sendTo(a, &wire.Confirm{Runs: a.pendingConfirms}, now)
+			c.sendTo(a, &wire.Confirm{Runs: a.pendingConfirms})
 			a.pendingConfirms = nil
 		}
 	}
--- a/executor/announcement_test.go
+++ b/executor/announcement_test.go
@@ -62,11 +62,11 @@
 	return e.fakeEndpoint.Start(ctx, o)
 }
 
-func (e *incarnationEndpoint) Stop(ctx context.Context, instance string, run wire.Run) error {
-	if err := e.check(instance); err != nil {
+func (e *incarnationEndpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
+	if err := e.check(o.Instance); err != nil {
 		return err
 	}
-	return e.fakeEndpoint.Stop(ctx, instance, run)
+	return e.fakeEndpoint.Stop(ctx, o)
 }
 
 func (e *incarnationEndpoint) Observe(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"reflect"
 	"time"
 
@@ -61,6 +62,7 @@
 	adoptDeadline time.Time
 
 	clock           endpointClock
+	fence           fence
 	leaseEnd        time.Duration // latest one sent, on the endpoint's clock
 	ackedSequence   uint64        // of the last end that the endpoint was told to forget
 	lastEndSequence uint64        // of the last end that was read
@@ -91,7 +93,7 @@
 	if created := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
-	return &Executor{
+	x := &Executor{
 		cfg:         cfg,
 		loop:        loop.New(),
 		startQueue:  make(chan *startCall, startQueueSize),
@@ -100,6 +102,8 @@
 		unconfirmed: make(map[wire.Run]unconfirmedEnd),
 		entries:     make(map[string]*entry),
 	}
+	x.fence.init(time.Now())
+	return x
 }
 
 // Run executes the loop of the executor until ctx is done.
@@ -127,8 +131,13 @@
 	if !verify {
 		return accepted
 	}
-	obs, err := x.queryIncarnation(ctx, a.Profile.Instance)
+	req := endpointapi.ObserveRequest{Instance: a.Profile.Instance, FencingToken: x.fence.token()}
+	obs, err := x.queryIncarnation(ctx, req)
 	x.loop.Do(func() {
+		var fenced *endpointapi.FencedError
+		if errors.As(err, &fenced) {
+			x.fence.recordRefusal(req.FencingToken)
+		}
 		if x.incarnationSince == known { // otherwise another announcement was confirmed meanwhile
 			accepted = x.handleIncarnationReply(a, obs, err, time.Now())
 		}
@@ -231,11 +240,11 @@
 // given up until the next announcement.
 const incarnationQueryAttempts = 3
 
-// queryIncarnation asks the endpoint whether it is the given incarnation.
-func (x *Executor) queryIncarnation(ctx context.Context, instance string) (obs endpointapi.Observation, err error) {
+// queryIncarnation asks the endpoint whether it is the instance that req names.
+func (x *Executor) queryIncarnation(ctx context.Context, req endpointapi.ObserveRequest) (obs endpointapi.Observation, err error) {
 	for range incarnationQueryAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, x.cfg.Timing.CallTimeout)
-		obs, err = x.cfg.Endpoint.Observe(callCtx, endpointapi.ObserveRequest{Instance: instance})
+		obs, err = x.cfg.Endpoint.Observe(callCtx, req)
 		cancel()
 		x.cfg.Metrics.observations.Inc()
 		if err == nil || isEndpointDown(err) || ctx.Err() != nil {
@@ -307,14 +316,14 @@
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
 	x.incarnationSince, x.lower, x.otherProfile = now, lowerSequences{}, nil
 	x.clock = endpointClock{}
-	x.clock.set(a.Clock, now)
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
-	x.assumeInheritedLease(now)
+	x.setClock(a.Clock, now, "first announcement")
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
 	for _, r := range x.runs {
 		x.finish(r, wire.RunLost, 0, "endpoint incarnation ended")
 	}
+	x.fence.startIncarnation()
 	if first {
 		x.adoptDeadline = now.Add(x.cfg.Timing.AdoptWindow)
 	}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -71,7 +71,7 @@
 		return
 	}
 	x.observingNow = true
-	req := endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence()}
+	req := endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: x.fence.token()}
 	if !x.unreachable {
 		req.LeaseEnd = x.extendLease(now)
 	}
@@ -86,9 +86,9 @@
 	if x.profile == nil {
 		return req, false
 	}
-	req = endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence()}
+	req = endpointapi.ObserveRequest{Instance: x.profile.Instance, AckedSequence: x.ackableSequence(), FencingToken: x.fence.token()}
 	if len(x.runs) == 0 && x.adoptDeadline.IsZero() && !x.unreachable && x.clock.known() &&
-		x.ackableSequence() == x.ackedSequence {
+		x.ackableSequence() == x.ackedSequence && !x.fence.isPending() {
 		return req, false
 	}
 	// The lease of an unreachable endpoint is left to expire: whether it has executed the calls
@@ -102,6 +102,22 @@
 	return req, true
 }
 
+// recordReply records the outcome of a stop or an observation for the fence. leaseEnd is the
+// lease end that the call sent, if any.
+func (x *Executor) recordReply(token endpointapi.FencingToken, leaseEnd time.Duration, sent time.Time, err error) {
+	var fenced *endpointapi.FencedError
+	switch {
+	case err == nil:
+		x.fence.recordAnswer(token)
+	case errors.As(err, &fenced):
+		x.fence.recordRefusal(token)
+	case leaseEnd > 0:
+		x.fence.recordLostGrant(token, sent)
+	default:
+		x.fence.recordNoReply(token)
+	}
+}
+
 // handleObservation processes the reply to an observation that was sent at the given time.
 func (x *Executor) handleObservation(req endpointapi.ObserveRequest, sent time.Time, obs endpointapi.Observation, err error) {
 	now := time.Now()
@@ -109,12 +125,16 @@
 		return
 	}
 	if err != nil {
-		x.handleObserveError(req, err)
+		x.handleObserveError(req, sent, err)
 		return
 	}
+	x.recordReply(req.FencingToken, req.LeaseEnd, sent, nil)
 	if obs.StartMillis > 0 && x.endpointStartMillis > 0 && obs.StartMillis != x.endpointStartMillis {
 		if !sent.Before(x.incarnationSince) { // otherwise the reply may be that of an earlier incarnation
 			x.handleEndpointDown(&endpointapi.OtherInstanceError{Instance: req.Instance + ", started at another time"})
+			for _, r := range obs.Running {
+				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
+			}
 		}
 		return
 	}
@@ -125,28 +145,24 @@
 		x.unreachable, x.statusDirty = false, true
 	}
 	x.failedObservations = 0
-	if !x.clock.known() {
-		x.statusDirty = true // runs are accepted from now on
-		x.clock.set(obs.Clock, now)
-		x.assumeInheritedLease(now)
-	}
-	x.clock.set(obs.Clock, now)
+	x.setClock(obs.Clock, now, "observation")
 	for _, e := range obs.Ended {
 		x.handleEndedRun(e, now)
 	}
 	listed := make(map[wire.Run]bool, len(obs.Running))
 	for _, r := range obs.Running {
 		listed[r.Run] = true
-		x.handleRunningRun(r, now)
+		x.handleRunningRun(r, sent, now)
 	}
 	x.handleUnlistedRuns(listed, sent, now)
 }
 
-func (x *Executor) handleObserveError(req endpointapi.ObserveRequest, err error) {
+func (x *Executor) handleObserveError(req endpointapi.ObserveRequest, sent time.Time, err error) {
 	if isEndpointDown(err) {
 		x.handleEndpointDown(err)
 		return
 	}
+	x.recordReply(req.FencingToken, req.LeaseEnd, sent, err)
 	x.failedObservations++
 	if x.failedObservations == unreachableAfterFailures {
 		x.cfg.Log.Log(event.EndpointNotAnswering, "instance", req.Instance, "error", err, "runs", len(x.runs))
@@ -164,7 +180,8 @@
 // handleEndpointDown records that the incarnation of the endpoint has ended, and all its runs
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
-	if !x.unreachable {
+	reachable := !x.unreachable
+	if reachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
 	}
@@ -172,21 +189,36 @@
 	for _, r := range x.runs {
 		x.finish(r, wire.RunLost, 0, "endpoint is down")
 	}
+	if reachable {
+		x.fence.raise() // the next incarnation may get calls that were made to this one
+	}
 }
 
-// assumeInheritedLease assumes that an earlier process of this agent extended the lease just
-// now.
-func (x *Executor) assumeInheritedLease(now time.Time) {
-	if x.clock.known() {
-		x.leaseEnd = max(x.leaseEnd, x.clock.endpointTime(now, x.cfg.Timing.maxInheritedLease()))
+// setClock stores a reading of the endpoint's clock. With the first one it assumes that an earlier
+// process of this agent extended the lease just now; until then no lease end is known.
+func (x *Executor) setClock(reading time.Duration, now time.Time, source string) {
+	first := !x.clock.known()
+	x.clock.set(reading, now)
+	if !first || !x.clock.known() {
+		return
 	}
+	x.statusDirty = true // runs are accepted from now on
+	x.leaseEnd = max(x.leaseEnd, x.clock.endpointTime(now, x.cfg.Timing.maxInheritedLease()))
+	x.cfg.Log.Log(event.EndpointClockKnown, "source", source, "clock_ms", reading.Milliseconds(),
+		"lease_end_ms", x.leaseEnd.Milliseconds(), "runs", len(x.runs))
 }
 
 // expireLease reports the runs as lost once their lease has certainly expired.
 func (x *Executor) expireLease(now time.Time) {
-	if len(x.runs) == 0 || !x.clock.known() || !now.After(x.clock.latestLocalTime(x.leaseEnd)) {
+	if len(x.runs) == 0 || !x.clock.known() {
+		return
+	}
+	end := x.clock.latestLocalTime(x.leaseEnd)
+	if !now.After(x.fence.latestLeaseEnd(end, x.cfg.Timing.maxInheritedLease())) {
 		return
 	}
+	x.cfg.Log.Log(event.LeaseExpired, "lease_end_ms", x.leaseEnd.Milliseconds(), "clock_ms", x.clock.reading.Milliseconds(),
+		"clock_age_ms", now.Sub(x.clock.readAt).Milliseconds(), "failed_observations", x.failedObservations, "runs", len(x.runs))
 	for _, r := range x.runs {
 		x.finish(r, wire.RunLost, 0, "lease expired")
 	}
@@ -201,7 +233,7 @@
 	r := x.runs[e.Run.Task]
 	if r == nil || r.id != e.Run {
 		// An earlier process of this agent started the run, which may be a stored one.
-		x.recent.add(wire.Report{Run: e.Run, State: endState(e.End)})
+		x.recent.add(wire.Report{Run: e.Run, State: endState(e.End)}, now)
 		x.retainEnd(e, now)
 		return
 	}
@@ -231,10 +263,10 @@
 }
 
 // handleRunningRun processes a run that the endpoint lists as running.
-func (x *Executor) handleRunningRun(running endpointapi.RunningRun, now time.Time) {
+func (x *Executor) handleRunningRun(running endpointapi.RunningRun, sent, now time.Time) {
 	r := x.runs[running.Run.Task]
 	if r == nil || r.id != running.Run {
-		x.handleUnknownRun(running.Run, now)
+		x.handleUnknownRun(running.Run, sent, now)
 		return
 	}
 	x.markRunning(r, now)
@@ -310,7 +342,9 @@
 			continue
 		}
 		switch {
-		case r.state == runStopping && r.stopAccepted && r.stopSentAt.Before(sent):
+		case r.state == runStopping && r.stopAccepted && !sent.Before(r.stopAcceptedAt):
+			// An observation sent before the reply to the stop may have been executed before the
+			// start, and the run may still be stopping.
 			x.finish(r, stoppedState(r), r.rejectReason, "stopped")
 		case r.state == runStarting && started.IsZero(): // its start is queued
 		case r.state == runStarting && r.verifyRequested && now.Sub(started) > x.startTimeout():
--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,9 @@
 	Policy  policy.Policy
 	Log     *event.Logger
 	Metrics *Metrics
+	// Now returns a clock that also advances while the host is suspended; nil selects the
+	// process's own clock.
+	Now func() time.Duration
 }
 
 // Router forwards the jobs of callers to placement entries, and runs the jobs that other
@@ -90,7 +93,8 @@
 	otherRegion  bool
 	send         Sender
 	lastReceived time.Time
-	lastSent     time.Time
+	clockMillis  uint64    // newest that it has sent
+	lastEchoed   time.Time // when its clock was last returned to it
 	// retired is set when the connection is no longer used for new jobs.
 	retired    bool
 	loads      wire.PlacementStatus
@@ -113,6 +117,9 @@
 
 // New returns a Router that forwards nothing until it is enabled.
 func New(cfg Config) *Router {
+	if created := time.Now(); cfg.Now == nil {
+		cfg.Now = func() time.Duration { return time.Since(created) }
+	}
 	return &Router{
 		cfg: cfg, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), local: &placementEntry{incarnation: "local"},
 		placementEntries: make(map[uint64]*placementEntry), forwarders: make(map[uint64]*forwarder), changed: make(chan struct{}),
@@ -201,11 +208,13 @@
 	switch m := m.(type) {
 	case *wire.PlacementStatus:
 		p.loads = *m
+		p.clockMillis = max(p.clockMillis, m.ClockMillis)
 		if m.Labels != nil {
 			p.labels = m.Labels
 		}
 		r.notify()
 	case *wire.PlaceResult:
+		p.clockMillis = max(p.clockMillis, m.ClockMillis)
 		f := p.forwarded[m.Number]
 		if f != nil { // otherwise its caller has disconnected
 			delete(p.forwarded, m.Number)
@@ -227,7 +236,6 @@
 // sendTo sends m to p, and drops p if that fails. It reports whether m was sent. r.mu must be
 // held.
 func (r *Router) sendTo(p *placementEntry, m wire.Message) bool {
-	p.lastSent = time.Now()
 	if err := p.send(m); err != nil {
 		r.dropPlacementEntry(p, fmt.Sprintf("sending to it failed: %v", err))
 		return false
@@ -296,8 +304,9 @@
 		case len(p.forwarded) == 0:
 		case now.Sub(p.lastReceived) > peerTimeout:
 			r.dropPlacementEntry(p, "no message was received from it in time")
-		case now.Sub(p.lastSent) > heartbeatInterval:
-			r.sendTo(p, &wire.Heartbeat{})
+		case now.Sub(p.lastEchoed) > heartbeatInterval:
+			p.lastEchoed = now
+			r.sendTo(p, &wire.Heartbeat{StatusClockMillis: p.clockMillis})
 		}
 	}
 }
