--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -185,7 +185,7 @@
 			run := wire.Run{Task: taskName(phase), Number: 1}
 			sendOrder(x, false, run)
 			time.Sleep(time.Millisecond)
-			x.Handle("entry.1", &wire.Stop{Runs: []wire.Run{run}})
+			x.Handle("entry.1", 1, &wire.Stop{Runs: []wire.Run{run}})
 			sendHeartbeats(x, 300*time.Millisecond)
 			c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{other: true})
 		}
@@ -211,13 +211,13 @@
 func TestQueuedStartsAreCancelledBeforeFenceRises(t *testing.T) {
 	for name, lose := range map[string]func(x *Executor){
 		"endpoint down":   func(x *Executor) { x.handleEndpointDown(errors.New("connection refused")) },
-		"new incarnation": func(x *Executor) { x.newIncarnation(announcementOfLife(2), time.Now()) },
+		"new incarnation": func(x *Executor) { confirmIncarnation(x, announcementOfLife(2)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			out := &logHook{}
 			x := New(Config{Log: event.NewLogger(out, "agent-1"), Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
-			x.newIncarnation(announcementOfLife(1), time.Now())
+			confirmIncarnation(x, announcementOfLife(1))
 			var calls []*startCall
 			for i := range 3 {
 				r := &run{id: wire.Run{Task: taskName(i), Number: 1}}
@@ -240,6 +240,11 @@
 	}
 }
 
+// confirmIncarnation makes x process a as confirmed by the endpoint.
+func confirmIncarnation(x *Executor, a endpointapi.Announcement) {
+	x.handleIncarnationReply(a, endpointapi.Observation{Clock: a.Clock, StartMillis: a.StartMillis}, nil, time.Now())
+}
+
 // logHook calls check at each log line.
 type logHook struct{ check func() }
 
@@ -262,8 +267,8 @@
 		go x.Run(ctx)
 		entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 		x.Connected("entry.1", entry.send)
-		x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
-		x.Handle("entry.1", &wire.Stop{Runs: []wire.Run{run}})
+		x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+		x.Handle("entry.1", 1, &wire.Stop{Runs: []wire.Run{run}})
 		sendHeartbeats(x, 200*time.Millisecond)
 		c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
 		x.Announce(announcementOfLife(1))
@@ -416,7 +421,7 @@
 				x.Restore(announcementOfLife(1))
 				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 				x.Connected("entry.1", entry.send)
-				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000, Runs: []wire.Run{run}}}})
+				x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000, Runs: []wire.Run{run}}}})
 				sendHeartbeats(x, tc.announce)
 				c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
 				a := announcementOfLife(9)
@@ -473,7 +478,7 @@
 				x.Restore(announcementOfLife(1))
 				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 				x.Connected("entry.1", entry.send)
-				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+				x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
 				sendHeartbeats(x, 700*time.Millisecond) // the lease of the earlier process
 				c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
 				sendHeartbeats(x, 300*time.Millisecond)
