--- a/emulator/play_system_test.go
+++ b/emulator/play_system_test.go
@@ -172,11 +172,11 @@
 	return r
 }
 
-func (g *gatedEndpoint) Stop(ctx context.Context, instance string, run wire.Run) error {
+func (g *gatedEndpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
 	if _, ok := g.pass(ctx); !ok {
 		return errNotSent
 	}
-	err := g.Endpoint.Stop(ctx, instance, run)
+	err := g.Endpoint.Stop(ctx, o)
 	g.gate.wait()
 	return err
 }
--- a/emulator/play_test.go
+++ b/emulator/play_test.go
@@ -293,11 +293,16 @@
 		late := time.Duration(10+random.IntN(2500)) * time.Millisecond
 		rate := 0.1 + 0.6*random.Float64()
 		s.timeline.addFault("%s loses %.1f of its calls for %v, late by %v", endpoint.Name, rate, d, late)
-		endpoint.SetFaults(Faults{LossRate: rate, Delay: late})
+		endpoint.SetFaults(Faults{LossRate: rate, Delay: late, LateGrants: random.IntN(2) == 0})
 		time.AfterFunc(d, func() { endpoint.SetFaults(Faults{}) })
 	case 11:
-		s.timeline.addFault("%s crashes", endpoint.Name)
-		endpoint.Crash()
+		if random.IntN(2) == 0 {
+			s.timeline.addFault("%s crashes", endpoint.Name)
+			endpoint.Crash()
+			return
+		}
+		s.timeline.addFault("%s crashes and starts again under the same id", endpoint.Name)
+		endpoint.CrashKeepingID()
 	case 12:
 		s.timeline.addFault("%s does not respond for %v", endpoint.Name, d)
 		endpoint.SetFaults(Faults{Unresponsive: true})
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -322,7 +322,7 @@
 		x.Restore(a)
 		entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 		x.Connected("entry.1", entry.send)
-		x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, Runs: []wire.Run{run}}}})
+		x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, Runs: []wire.Run{run}}}})
 		time.Sleep(10 * time.Millisecond) // an observation without a lease is under way
 		a.Sequence, a.Clock = 7, time.Hour
 		x.Announce(a)
--- a/executor/heartbeat_test.go
+++ b/executor/heartbeat_test.go
@@ -12,7 +12,7 @@
 // heartbeats makes the entry send heartbeats for d. clock returns the clock that they return.
 func heartbeats(x *Executor, d time.Duration, clock func() uint64) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		x.Handle("entry.1", &wire.Heartbeat{StatusClockMillis: clock()})
+		x.Handle("entry.1", 1, &wire.Heartbeat{StatusClockMillis: clock()})
 	}
 }
 
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -185,7 +185,7 @@
 			run := wire.Run{Task: taskName(phase), Number: 1}
 			sendOrder(x, false, run)
 			time.Sleep(time.Millisecond)
-			x.Handle("entry.1", &wire.Stop{Runs: []wire.Run{run}})
+			x.Handle("entry.1", 1, &wire.Stop{Runs: []wire.Run{run}})
 			sendHeartbeats(x, 300*time.Millisecond)
 			c.Check(e.runs(), quicktest.DeepEquals, map[wire.Run]bool{other: true})
 		}
@@ -262,8 +262,8 @@
 		go x.Run(ctx)
 		entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 		x.Connected("entry.1", entry.send)
-		x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
-		x.Handle("entry.1", &wire.Stop{Runs: []wire.Run{run}})
+		x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+		x.Handle("entry.1", 1, &wire.Stop{Runs: []wire.Run{run}})
 		sendHeartbeats(x, 200*time.Millisecond)
 		c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
 		x.Announce(announcementOfLife(1))
@@ -416,7 +416,7 @@
 				x.Restore(announcementOfLife(1))
 				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 				x.Connected("entry.1", entry.send)
-				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000, Runs: []wire.Run{run}}}})
+				x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 10000, Runs: []wire.Run{run}}}})
 				sendHeartbeats(x, tc.announce)
 				c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
 				a := announcementOfLife(9)
@@ -473,7 +473,7 @@
 				x.Restore(announcementOfLife(1))
 				entry := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
 				x.Connected("entry.1", entry.send)
-				x.Handle("entry.1", &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+				x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
 				sendHeartbeats(x, 700*time.Millisecond) // the lease of the earlier process
 				c.Check(entry.state(run), quicktest.Equals, wire.RunState(0))
 				sendHeartbeats(x, 300*time.Millisecond)
