emulator: failing test of a run that an unnoticed incarnation has started

Callers see a task run twice. An idle endpoint crashes and starts again under the same id. The agent does not observe an idle endpoint, so that it has not noticed when it sends the next start, which the new incarnation accepts. The next reply (or announcement) shows another time of start; the agent then reports all runs as lost at once, this one included, and stops it afterwards. The entry orders the task elsewhere 0.5 ms after the report, while the first run ends 20 ms later.

--- a/emulator/late_calls_test.go
+++ b/emulator/late_calls_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"oriolerelay/job"
 )
 
 func twoEndpoints() []*Endpoint { return Fleet(capacity, taskSize, 1, 1) }
@@ -121,3 +123,15 @@
 		return []Answer{a}
 	})
 }
+
+// Guards against two concurrent runs of a task: an idle endpoint starts again under the same id, and
+// the agent, which has not noticed, reports a run as lost that the new incarnation has started.
+func TestRunStartedByUnnoticedIncarnation(t *testing.T) {
+	withSystem(t, 1, twoEndpoints, func(c *quicktest.C, s *System) []Answer {
+		time.Sleep(200 * time.Millisecond) // no announcement for a while
+		s.Endpoints[0].CrashKeepingID()
+		a := submit(s, 0, testJob("00000000000000bf", 8, 300*time.Millisecond))
+		c.Check(a.State, quicktest.Equals, job.Completed)
+		return []Answer{a}
+	})
+}
