executor: a run counts as lost after a restart under the same id only once it is stopped

Callers saw a task run twice for about 20 ms. An endpoint that nobody uses is not observed. When it starts again under the same id, the agent goes on to send starts, which the new incarnation accepts. When the next reply or announcement showed the restart, the agent reported all its runs as lost, also those that the new incarnation was running, and the entry ordered their tasks elsewhere before the stops had ended them.

After a restart under the same id the agent now stops its runs and reports each as lost when an observation that was sent after the stop lacks it. A run whose only start is still queued, and is cancelled, is reported at once, as are all runs if the id has changed, since the endpoint refuses calls for another id.

TestRunStartedByUnnoticedIncarnation failed before in each run and passes; the tests of executor pass.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -294,6 +294,29 @@
 	x.profile, x.endpointStartMillis, x.unverified, x.statusDirty = nil, 0, false, true
 }
 
+// cancelQueuedStarts prevents starts that are queued from being sent with a newer fencing token.
+func (x *Executor) cancelQueuedStarts() {
+	for _, r := range x.runs {
+		r.starts.cancelQueued()
+	}
+}
+
+// stopRunsOfEndedIncarnation stops all runs and reports each as lost once its stop is confirmed: the
+// next incarnation, which has the same id, may have accepted starts that were meant for the one
+// that has ended.
+func (x *Executor) stopRunsOfEndedIncarnation(now time.Time) {
+	for _, r := range x.runs {
+		if r.starts.attempts == 1 && r.sentAt().IsZero() {
+			x.finish(r, wire.RunLost, 0, "endpoint incarnation ended") // its only start was not sent
+			continue
+		}
+		r.incarnationEnded = true
+		if r.state != runStopping {
+			x.stop(r, 0, now)
+		}
+	}
+}
+
 // loseRuns reports all runs as lost.
 func (x *Executor) loseRuns(why string) {
 	for _, r := range x.runs {
@@ -336,6 +359,7 @@
 	x.cfg.Log.Log(event.EndpointAnnounced, "instance", a.Profile.Instance, "born", a.StartMillis,
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
 	first := x.profile == nil || x.unverified
+	sameID := !first && a.Profile.Instance == x.profile.Instance
 	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
@@ -345,10 +369,14 @@
 	x.setClock(a.Clock, now, "first announcement")
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
-	if !first {
+	if !first && !sameID {
 		x.loseRuns("endpoint incarnation ended")
 	}
+	x.cancelQueuedStarts()
 	x.fence.startIncarnation()
+	if sameID {
+		x.stopRunsOfEndedIncarnation(now)
+	}
 	if first {
 		x.adoptDeadline = now.Add(x.cfg.Timing.AdoptWindow)
 	}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -135,10 +135,16 @@
 		case x.unverified:
 			x.forgetRestored(err)
 		case !sent.Before(x.incarnationSince): // otherwise the reply may be that of an earlier incarnation
-			x.handleEndpointDown(err)
+			x.markEndpointDown(err)
+			x.stopRunsOfEndedIncarnation(now)
+			listed := make(map[wire.Run]bool, len(obs.Running))
 			for _, r := range obs.Running {
-				x.stopOrphan(r.Run) // its start was meant for the earlier incarnation
+				listed[r.Run] = true
+				if known := x.runs[r.Run.Task]; known == nil || known.id != r.Run {
+					x.stopOrphan(r.Run)
+				}
 			}
+			x.handleUnlistedRuns(listed, sent, now)
 		}
 		return
 	}
@@ -190,16 +196,19 @@
 		x.forgetRestored(err)
 		return
 	}
-	reachable := !x.unreachable
-	if reachable {
+	x.markEndpointDown(err)
+	x.loseRuns("endpoint is down")
+}
+
+// markEndpointDown rejects new runs until another incarnation is known.
+func (x *Executor) markEndpointDown(err error) {
+	if !x.unreachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
-	}
-	x.failedObservations = unreachableAfterFailures
-	x.loseRuns("endpoint is down")
-	if reachable {
+		x.cancelQueuedStarts()
 		x.fence.raise() // the next incarnation may get calls that were made to this one
 	}
+	x.failedObservations = unreachableAfterFailures
 }
 
 // setClock stores a reading of the endpoint's clock. With the first one it assumes that an earlier
@@ -369,6 +378,8 @@
 
 func stoppedState(r *run) wire.RunState {
 	switch {
+	case r.incarnationEnded:
+		return wire.RunLost
 	case r.rejectReason != 0:
 		return wire.RunRejected
 	case r.seenAtEndpoint:
