emulator: a crash of an endpoint ends only the runs whose lease has not ended

An emulated endpoint that does not respond did not end its runs at their lease end, and a crash then recorded the time of the crash as their end. By its contract the endpoint ends its runs with the lease.

TestCrashAfterLeaseEnd failed before (2 s in place of 700 ms) and passes.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -133,6 +133,7 @@
 }
 
 func (e *Endpoint) crashLocked() {
+	e.expireLeaseLocked()
 	for _, r := range e.running {
 		r.timer.Stop()
 		r.record.End, r.record.EndReason = time.Now(), endpointapi.EndLeaseExpired
--- a/emulator/endpoint_test.go
+++ b/emulator/endpoint_test.go
@@ -103,3 +103,22 @@
 		c.Check(e.History()[0].End.Sub(e.History()[0].Start).Round(time.Millisecond), quicktest.Equals, 760*time.Millisecond)
 	})
 }
+
+// Guards against an emulated endpoint whose runs end with a later crash rather than with their lease.
+func TestCrashAfterLeaseEnd(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		e := NewEndpoint("endpoint", wire.Resources{MilliCores: 4000}, 1)
+		e.Work = func(string, string) (time.Duration, wire.Resources) {
+			return time.Hour, wire.Resources{MilliCores: 1000}
+		}
+		reply := e.Start(t.Context(), endpointapi.StartRequest{
+			Instance: "endpoint-1", Run: wire.Run{Task: "t.0.0.0", Number: 1}, LeaseEnd: e.clockLocked() + 700*time.Millisecond,
+		})
+		c.Assert(reply.Result, quicktest.Equals, endpointapi.StartAccepted)
+		time.Sleep(2 * time.Second)
+		e.Crash()
+		r := e.History()[0]
+		c.Check(r.End.Sub(r.Start), quicktest.Equals, 700*time.Millisecond)
+	})
+}
