coordinator: do not reuse the number of a connection to an agent

The number was counted for each agent and began again at 1 when the agent had been removed as lost. A late Disconnected of its first connection then ended the new one: the entry sent nothing on it, and stops to the agent were lost. Found by reading, the same cause as the connections of the executor. The number is now counted over all agents.

TestConnectionNumbersAreNotReused failed before and passes.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -41,8 +41,8 @@
 			a = &agent{name: name, tasks: make(map[string]*task)}
 			c.agents[name] = a
 		}
-		a.connection++
-		connection = a.connection
+		c.lastConnection++
+		a.connection, connection = c.lastConnection, c.lastConnection
 		a.send, a.lastReceived, a.orderCount, a.pendingStops = send, now, 0, nil
 		a.status = wire.Status{ClosedReason: wire.RejectUnreachable} // until its first status
 		c.cfg.Log.Log(event.AgentConnected, "agent", name, "connection", connection, "runs", len(a.tasks))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -65,9 +65,11 @@
 	started time.Time
 	loop    *loop.Loop
 	random  *rand.Rand
-	agents  map[string]*agent     // by host name
-	jobs    map[string]*activeJob // by job id
-	queued  []*activeJob          // jobs with tasks that wait for capacity, in placement order
+	agents  map[string]*agent // by host name
+	// lastConnection is the number of the newest connection to an agent.
+	lastConnection uint64
+	jobs           map[string]*activeJob // by job id
+	queued         []*activeJob          // jobs with tasks that wait for capacity, in placement order
 	// replan is set when capacity, endpoints or waiting tasks have changed.
 	replan    bool
 	evacuated wire.Evacuated
--- a/coordinator/disconnect_test.go
+++ b/coordinator/disconnect_test.go
@@ -28,3 +28,17 @@
 		c.Check(a.orders, quicktest.HasLen, 1)
 	})
 }
+
+// Guards against a late disconnect that ends the first connection to an agent after it was removed as lost and has connected again.
+func TestConnectionNumbersAreNotReused(t *testing.T) {
+	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		first := a.connection
+		co.Disconnected(a.name, first)
+		time.Sleep(2 * co.cfg.Timing.OrphanTimeout)
+		removed := false
+		co.loop.Do(func() { removed = co.agents[a.name] == nil })
+		c.Assert(removed, quicktest.IsTrue)
+		a.connect()
+		c.Check(a.connection, quicktest.Not(quicktest.Equals), first)
+	})
+}
