--- a/executor/executor.go
+++ b/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"reflect"
 	"time"
 
@@ -135,8 +136,13 @@
 	if !verify {
 		return accepted
 	}
-	obs, err := x.queryIncarnation(ctx, a.Profile.Instance)
+	req := endpointapi.ObserveRequest{Instance: a.Profile.Instance, FencingToken: x.fence.token()}
+	obs, err := x.queryIncarnation(ctx, req)
 	x.loop.Do(func() {
+		var fenced *endpointapi.FencedError
+		if errors.As(err, &fenced) {
+			x.fence.recordRefusal(req.FencingToken)
+		}
 		if x.incarnationSince == known { // otherwise another announcement was confirmed meanwhile
 			accepted = x.handleIncarnationReply(a, obs, err, time.Now())
 		}
@@ -239,15 +245,13 @@
 // given up until the next announcement.
 const incarnationQueryAttempts = 3
 
-// queryIncarnation asks the endpoint whether it is the given incarnation.
-func (x *Executor) queryIncarnation(ctx context.Context, instance string) (obs endpointapi.Observation, err error) {
+// queryIncarnation asks the endpoint whether it is the instance that req names.
+func (x *Executor) queryIncarnation(ctx context.Context, req endpointapi.ObserveRequest) (obs endpointapi.Observation, err error) {
 	for range incarnationQueryAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, x.cfg.Timing.CallTimeout)
-		req := endpointapi.ObserveRequest{Instance: instance, FencingToken: x.fence.token()}
 		obs, err = x.cfg.Endpoint.Observe(callCtx, req)
 		cancel()
 		x.cfg.Metrics.observations.Inc()
-		x.loop.Do(func() { x.recordReply(req.FencingToken, 0, time.Time{}, err) })
 		if err == nil || isEndpointDown(err) || ctx.Err() != nil {
 			break
 		}
--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -211,13 +211,13 @@
 func TestQueuedStartsAreCancelledBeforeFenceRises(t *testing.T) {
 	for name, lose := range map[string]func(x *Executor){
 		"endpoint down":   func(x *Executor) { x.handleEndpointDown(errors.New("connection refused")) },
-		"new incarnation": func(x *Executor) { x.newIncarnation(announcementOfLife(2), time.Now()) },
+		"new incarnation": func(x *Executor) { confirmIncarnation(x, announcementOfLife(2)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			out := &logHook{}
 			x := New(Config{Log: event.NewLogger(out, "agent-1"), Timing: DefaultTiming(time.Second), Metrics: NewMetrics(prometheus.NewRegistry())})
-			x.newIncarnation(announcementOfLife(1), time.Now())
+			confirmIncarnation(x, announcementOfLife(1))
 			var calls []*startCall
 			for i := range 3 {
 				r := &run{id: wire.Run{Task: taskName(i), Number: 1}}
@@ -240,6 +240,11 @@
 	}
 }
 
+// confirmIncarnation makes x process a as confirmed by the endpoint.
+func confirmIncarnation(x *Executor, a endpointapi.Announcement) {
+	x.handleIncarnationReply(a, endpointapi.Observation{Clock: a.Clock, StartMillis: a.StartMillis}, nil, time.Now())
+}
+
 // logHook calls check at each log line.
 type logHook struct{ check func() }
 
