executor: a late error of an earlier incarnation does not lose runs

Callers would see a task run twice. A call that is refused before an endpoint restarts under its id, and whose error the agent handles after it has confirmed the new incarnation, was taken for the end of the new one: its runs were reported as lost and started elsewhere while they went on. Cause: replies are compared with the time at which the incarnation became known, errors that say that it has ended weren't. Change: such an error counts only if the call was sent after that time. Evidence: TestLateErrorOfEarlierIncarnationDoesNotLoseRuns failed before (lost) and passes, 20 times.

--- a/executor/observe.go
+++ b/executor/observe.go
@@ -164,7 +164,9 @@
 
 func (x *Executor) handleObserveError(req endpointapi.ObserveRequest, sent time.Time, err error) {
 	if isEndpointDown(err) {
-		x.handleEndpointDown(err)
+		if !sent.Before(x.incarnationSince) { // otherwise the call was made to an earlier incarnation
+			x.handleEndpointDown(err)
+		}
 		return
 	}
 	x.recordReply(req.FencingToken, req.LeaseEnd, sent, err)
