executor: an unconfirmed first announcement does not lose claimed runs

Callers would see a task run twice. An agent that has restarted, has no stored announcement and gets no answer from its endpoint takes the first announcement as it is. If that is a delayed one of an earlier incarnation, the first answer of the endpoint names another instance. The agent then reported the claimed runs as lost, although they executed, and entries started the tasks elsewhere. Cause: only a restored announcement counted as unverified. Change: an announcement that the endpoint has not confirmed counts as well, so the answer discards it and keeps the runs.

--- a/executor/announcement_test.go
+++ b/executor/announcement_test.go
@@ -373,3 +373,27 @@
 		})
 	}
 }
+
+// Guards against two concurrent runs of a task: claimed runs that execute were reported as lost
+// because a delayed first announcement, accepted while the endpoint did not answer, named an
+// earlier incarnation.
+func TestUnconfirmedFirstAnnouncementKeepsClaimedRuns(t *testing.T) {
+	withIncarnations(t, func(c *quicktest.C, x *Executor, e *incarnationEndpoint, entry *fakeEntry, _ *savedAnnouncements) {
+		run := wire.Run{Task: "t.0.0.0", Number: 1}
+		e.mu.Lock()
+		e.running[run], e.silent = true, true
+		e.mu.Unlock()
+		x.Handle("entry.1", 1, &wire.Claim{Groups: []wire.OrderGroup{{Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{run}}}})
+		x.Announce(announcement("i-0", bornMillis-1, 9))
+		sendHeartbeats(x, 100*time.Millisecond)
+		e.mu.Lock()
+		e.silent = false
+		e.mu.Unlock()
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
+		c.Check(x.Announce(announcement("i-1", bornMillis, 1)), quicktest.IsTrue)
+		sendHeartbeats(x, 200*time.Millisecond)
+		c.Check(e.runs()[run], quicktest.IsTrue)
+		c.Check(entry.state(run), quicktest.Not(quicktest.Equals), wire.RunLost)
+	})
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -56,8 +56,8 @@
 	endpointDraining    bool
 	evacuated           wire.Evacuated // evacuated data centres
 	persisted           persistedState // of the last announcement that was saved
-	// unverified is set while the profile was restored and the endpoint has not answered. The
-	// runs that entries claim then may be those of a later incarnation, which was not saved.
+	// unverified is set while the endpoint has not confirmed the profile, which was restored or
+	// announced. The runs that entries claim then may be those of another incarnation.
 	unverified   bool
 	shuttingDown bool // of this process
 	// adoptDeadline is when inherited runs that no entry has claimed are stopped; zero once
@@ -271,6 +271,7 @@
 	}
 	a.Clock = obs.Clock // that of the announcement cannot be checked
 	x.newIncarnation(a, now)
+	x.unverified = err != nil
 	if err == nil {
 		x.save(a)
 	}
