executor: a late refusal of a start does not lose the runs of the next incarnation

What callers would see: a task that runs twice. A start that was sent before an endpoint restarted under its id, and is refused or read late, was taken for the end of the new incarnation, whose runs were reported as lost. Its clock was taken over as well. Cause: observations are compared with the time at which the incarnation became known, replies to starts were not. Change: a reply to a call from before that time is verified by an observation.

--- a/executor/lost_runs_test.go
+++ b/executor/lost_runs_test.go
@@ -41,9 +41,18 @@
 	return e.fakeEndpoint.Observe(ctx, o)
 }
 
+func (e *hookedEndpoint) setStop(f func(ctx context.Context, o endpointapi.StopRequest) error) {
+	e.hooksMu.Lock()
+	defer e.hooksMu.Unlock()
+	e.stop = f
+}
+
 func (e *hookedEndpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
-	if e.stop != nil {
-		return e.stop(ctx, o)
+	e.hooksMu.Lock()
+	f := e.stop
+	e.hooksMu.Unlock()
+	if f != nil {
+		return f(ctx, o)
 	}
 	return e.fakeEndpoint.Stop(ctx, o)
 }
--- a/executor/start.go
+++ b/executor/start.go
@@ -129,7 +129,9 @@
 
 func (x *Executor) handleStartReply(call *startCall, reply endpointapi.StartReply, now time.Time) {
 	r := call.run
-	if x.profile != nil && call.request.Instance == x.profile.Instance {
+	// A reply to a call from before the endpoint restarted says nothing of this incarnation.
+	current := x.profile != nil && call.request.Instance == x.profile.Instance && !call.sentAt.Load().Before(x.incarnationSince)
+	if current {
 		x.setClock(reply.Clock, now, "start")
 	}
 	switch reply.Result {
@@ -168,7 +170,11 @@
 		x.health.recordFailure()
 		x.rejectStart(r, wire.RejectUnreachable, "endpoint rejected the start", now)
 	case endpointapi.StartOtherInstance, endpointapi.StartEndpointDown:
-		x.handleEndpointDown(reply.Err)
+		if current {
+			x.handleEndpointDown(reply.Err)
+			return
+		}
+		x.verifyStart(r, now)
 	case endpointapi.StartFenced:
 		if r.state == runStarting && r.starts.attempts < maxStartAttempts {
 			x.sendStart(r, now)
