coordinator: no heartbeat to a suspect agent, for agents of older versions

Cause: found by review. Change: a suspect agent gets no heartbeat, and TestTasksOfUnheardAgentAreStoppedBeforeTheyRunAgain is back, with the cut in the middle of the run.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -240,7 +240,8 @@
 			}
 			continue
 		}
-		if a.send != nil && len(a.tasks) > 0 && now.Sub(a.lastEchoed) > c.cfg.Timing.HeartbeatInterval {
+		// Agents of versions that do not look at the clock count any message as a sign of life.
+		if a.send != nil && !a.suspect && len(a.tasks) > 0 && now.Sub(a.lastEchoed) > c.cfg.Timing.HeartbeatInterval {
 			a.lastEchoed = now
 			c.sendTo(a, &wire.Heartbeat{StatusClockMillis: a.status.ClockMillis})
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,7 +24,8 @@
 	// must be well below the entry timeout of the agents, after which they stop the runs of an
 	// entry.
 	HeartbeatInterval time.Duration
-	// SuspectTimeout is the time without a message from an agent after which it gets no new task.
+	// SuspectTimeout is the time without a message from an agent after which it gets no new task
+	// and no heartbeat.
 	SuspectTimeout time.Duration
 	// OrphanTimeout is the time without a message from an agent after which its runs must have
 	// ended.
--- a/emulator/one_way_test.go
+++ b/emulator/one_way_test.go
@@ -13,6 +13,18 @@
 	"oriolerelay/job"
 )
 
+// Guards against overlapping runs of a task whose agent is no longer heard while it runs.
+func TestTasksOfUnheardAgentAreStoppedBeforeTheyRunAgain(t *testing.T) {
+	withSystem(t, 1, fiveEndpoints, func(c *quicktest.C, s *System) []Answer {
+		done := submitAsync(s, 0, testJob("00000000000000b0", 6, 3*time.Second))
+		time.Sleep(300 * time.Millisecond)
+		s.CutFromAgent(0, 0, true)
+		a := <-done
+		c.Check(a.State, quicktest.Equals, job.Completed)
+		return []Answer{a}
+	})
+}
+
 // Guards against overlapping runs of a task whose entry no longer hears the agent, while the agent still hears the entry.
 func TestAgentCutOffOneWayStopsRunsBeforeTheyAreRepeated(t *testing.T) {
 	for _, idle := range []time.Duration{0, 250 * time.Millisecond} {
--- a/executor/fence.go
+++ b/executor/fence.go
@@ -38,8 +38,9 @@
 	sentAt time.Time
 }
 
-// init chooses a token above those of earlier processes of this agent. They started at earlier
-// times, and raised their tokens less than once a millisecond.
+// init chooses a token above those of earlier processes of this agent, which raised their tokens
+// less than once a millisecond. If the time of day was set back since, the endpoint refuses the
+// token until recordRefusal has raised it far enough.
 func (f *fence) init(now time.Time) {
 	f.current.Store(uint64(now.UnixMilli()))
 	f.first, f.step = f.token(), minFenceStep
