--- a/emulator/play_link_test.go
+++ b/emulator/play_link_test.go
@@ -206,9 +206,9 @@
 		case <-c.ctx.Done():
 			return
 		}
-		open, delay := c.network.state(from, e.host)
+		_, delay := c.network.state(from, e.host)
 		time.Sleep(time.Until(m.sentAt.Add(delay)))
-		if open, _ = c.network.state(from, e.host); !open {
+		if open, _ := c.network.state(from, e.host); !open {
 			for !open && !c.isClosed(end) {
 				time.Sleep(5 * time.Millisecond)
 				open, _ = c.network.state(from, e.host)
