emulator: tasks that crash the endpoints that start them

The emulator could crash an endpoint only at a moment that the test chose, so no test could tell how often such a task is started again.

Endpoint.CrashOf says which tasks crash their endpoint, after which time, for how long the endpoint is down, and whether it comes back under the same id. All runs of the endpoint are lost, and a call that waits at the endpoint ends at the crash, as its connection is reset.

A check at the end of every emulator test counts the starts of each task after the third crash under it; the third such start is a violation.

--- a/emulator/check.go
+++ b/emulator/check.go
@@ -31,7 +31,8 @@
 // Check returns a line for each violation of a guarantee in the runs of the endpoints and the
 // answers to the callers. Overlapping runs are followed by the timeline of their task.
 func (s *System) Check(answers []Answer) []string {
-	return append(s.checkOverlap(), checkAnswers(s.Endpoints, answers)...)
+	violations := append(s.checkOverlap(), s.checkCrashBudget()...)
+	return append(violations, checkAnswers(s.Endpoints, answers)...)
 }
 
 // checkOverlap finds tasks with two runs at the same time and adds their timelines.
@@ -54,12 +55,14 @@
 }
 
 // Check returns a line for each violation of a guarantee in the runs of the endpoints and the
-// answers to the callers: overlapping runs of a task, runs of refused jobs, completed jobs that
-// did not run, and endpoints used beyond their capacity.
+// answers to the callers: overlapping runs of a task, starts of a task that has crashed endpoints,
+// runs of refused jobs, completed jobs that did not run, and endpoints used beyond their capacity.
 func Check(endpoints []*Endpoint, answers []Answer) (violations []string) {
 	for _, o := range overlaps(allRuns(endpoints)) {
 		violations = append(violations, o.String())
 	}
+	_, overBudget := checkCrashBudget(allRuns(endpoints))
+	violations = append(violations, overBudget...)
 	return append(violations, checkAnswers(endpoints, answers)...)
 }
 
@@ -125,7 +128,7 @@
 			}
 		}
 	}
-	violations := s.checkOverlap()
+	violations := append(s.checkOverlap(), s.checkCrashBudget()...)
 	for _, r := range runs {
 		if at, ok := done[r.ID.Task]; ok && r.Start.After(at) {
 			violations = append(violations, fmt.Sprintf("task %s was started on %s at %v, after its completion at %v", r.ID.Task, r.Endpoint, r.Start, at))
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -55,6 +55,8 @@
 	Size       wire.Resources
 	Start, End time.Time // End is zero during the run
 	EndReason  endpointapi.End
+	// CrashedEndpoint is set if the endpoint ended because of this run.
+	CrashedEndpoint bool
 	// Acknowledged is set if the agent acknowledged the end before the lease of the endpoint
 	// expired. After an end that is not acknowledged, the task may run again.
 	Acknowledged bool
@@ -70,6 +72,9 @@
 	Service string
 	// Work returns the work and the size of the task with the given payload.
 	Work func(task, payload string) (time.Duration, wire.Resources)
+	// CrashOf returns the crash that a task causes, and whether it causes one. If it is nil, no
+	// task does.
+	CrashOf func(task, payload string) (Crash, bool)
 
 	mu             sync.Mutex
 	faults         Faults
@@ -77,6 +82,8 @@
 	instance       int
 	startedAt      time.Time
 	leaseEnd       time.Time
+	crashed        chan struct{} // closed when the incarnation ends
+	down           bool          // until the endpoint is back after a crash that a task caused
 	running        map[string]*activeRun
 	ended          []endpointapi.EndedRun
 	unacknowledged map[uint64]*Run // ends that can still be acknowledged, by sequence
@@ -95,6 +102,7 @@
 	workDone  time.Duration // work done until updatedAt
 	updatedAt time.Time
 	timer     *time.Timer
+	crash     *time.Timer // nil if the task crashes no endpoint
 }
 
 // NewEndpoint returns a running endpoint without faults.
@@ -110,6 +118,7 @@
 
 func (e *Endpoint) restartLocked() {
 	e.startedAt = time.Now()
+	e.crashed = make(chan struct{})
 	e.fencingToken = 0
 	e.running, e.highestRun = make(map[string]*activeRun), make(map[string]uint32)
 	e.ended, e.sequence, e.ackedSequence, e.announcements = nil, 0, 0, 0
@@ -134,8 +143,9 @@
 
 func (e *Endpoint) crashLocked() {
 	e.expireLeaseLocked()
+	close(e.crashed)
 	for _, r := range e.running {
-		r.timer.Stop()
+		r.stopTimers()
 		r.record.End, r.record.EndReason = time.Now(), endpointapi.EndLeaseExpired
 	}
 	e.restartLocked()
@@ -207,7 +217,7 @@
 // applyFaultsLocked applies the faults that affect every call.
 func (e *Endpoint) applyFaultsLocked(ctx context.Context, instance string) error {
 	switch {
-	case e.faults.Down:
+	case e.faults.Down || e.down:
 		return &endpointapi.DownError{Err: errors.New("connection refused")}
 	case e.faults.Unresponsive:
 		e.mu.Unlock()
@@ -348,6 +358,7 @@
 	e.history = append(e.history, r.record)
 	e.running[o.Run.Task] = r
 	e.resumeLocked(o.Run.Task, r)
+	e.scheduleCrashLocked(r, o.Payload)
 	return endpointapi.StartAccepted
 }
 
@@ -384,7 +395,7 @@
 }
 
 func (e *Endpoint) endLocked(task string, r *activeRun, reason endpointapi.End, at time.Time) {
-	r.timer.Stop()
+	r.stopTimers()
 	delete(e.running, task)
 	r.record.End, r.record.EndReason = at, reason
 	e.highestRun[task] = max(e.highestRun[task], r.record.ID.Number)
@@ -473,16 +484,19 @@
 		return endpointapi.Observation{}, errNoReply
 	}
 	if o.MaxWait > 0 && len(e.ended) == 0 {
-		changed, timer := e.changed, time.NewTimer(o.MaxWait)
+		changed, crashed, timer := e.changed, e.crashed, time.NewTimer(o.MaxWait)
+		isReset := false
 		e.mu.Unlock()
 		select {
 		case <-changed:
 		case <-timer.C:
+		case <-crashed:
+			isReset = true
 		case <-ctx.Done():
 		}
 		timer.Stop()
 		e.mu.Lock()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || isReset {
 			return endpointapi.Observation{}, errNoReply
 		}
 		e.expireLeaseLocked()
--- a/emulator/system.go
+++ b/emulator/system.go
@@ -145,7 +145,7 @@
 func (e *Endpoint) heartbeatStopped() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.Down || e.faults.Unresponsive
+	return e.faults.Down || e.down || e.faults.Unresponsive
 }
 
 func (s *System) newEntry(i, incarnationNumber int) *Entry {
