coordinator: a task that crashes its endpoints is given up, and its queue confined

Cause: a run that is lost with its endpoint was queued again and counted nowhere. One task that crashes each endpoint that starts it was started on six of eleven endpoints within half a second, and each crash took the ten runs beside it along.

Change: agents report to all their entries which runs an endpoint executed when it crashed, with their queue and the time since their start, and keep this for 30 s for entries that connect later. An entry gives up a task after two crashes that came equally long after its start, if no other task fits as well, and after a third one in any case; its job is shown as failed. What it knows is recorded with the progress of a stored job, and holds for a job that is submitted again. A suspect is placed apart from other suspects. Once two jobs of a queue were given up within 10 s, the queue is confined to a quarter of the service's endpoints until these have been in service without a crash for 2.5 s; others use them only if no other endpoint has capacity.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -78,7 +78,9 @@
 		c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "resent", true, "callers", len(old.waiters))
 		return
 	}
-	c.admit(newActiveJob(s, now, w), now)
+	j := newActiveJob(s, now, w)
+	c.admit(j, now)
+	c.failIfGivenUp(j, now)
 }
 
 // newActiveJob returns an active job for s of which no task is ordered.
@@ -100,7 +102,7 @@
 // admit adds j to the jobs in progress.
 func (c *Coordinator) admit(j *activeJob, now time.Time) {
 	s := &j.spec
-	endpoints, _ := c.snapshot(&s.Queue, now)
+	endpoints, _ := c.snapshot(s.Queue.Service, now)
 	typical := policy.MeanSlowness(endpoints)
 	j.expectedRunTime = time.Duration(typical * float64(j.criticalPath()))
 	if s.CallerTimeout > 0 {
--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -132,6 +132,7 @@
 		c.cfg.Log.Log(event.AgentStateChanged, "agent", a.name, "distrusted", a.onProbation, "failed_share", a.failedShare())
 	}
 	c.replan = true
+	c.handleCrashes(a, s.Crashes, time.Now())
 }
 
 // mayRunTrial reports whether an endpoint on probation may get a trial task now.
@@ -188,8 +189,8 @@
 		return // the run is already being stopped
 	}
 	remaining := time.Duration(r.RemainingMillis) * time.Millisecond
-	endpoints, agents := c.snapshot(&t.job.spec.Queue, now)
-	pt := c.policyTask(t, agents, now)
+	endpoints, agents := c.snapshot(t.job.spec.Queue.Service, now)
+	pt := c.policyTask(t, endpoints, agents, now)
 	here := indexOf(agents, t.agent)
 	if here < 0 {
 		return
--- /dev/null
+++ b/coordinator/confinement.go
@@ -0,0 +1,135 @@
+package coordinator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oriolerelay/event"
+	"oriolerelay/policy"
+	"oriolerelay/wire"
+)
+
+// confinement limits the queues whose tasks crash endpoints to a few endpoints of their service
+// (a bulkhead), so that the others keep serving the other queues.
+type confinement struct {
+	service string
+	// crashingJobs holds when a task was given up, within policy.ConfinementWindow, by job.
+	crashingJobs map[string]time.Time
+	active       bool
+	// calm is how long endpoints of the confinement have been in service since the last crash.
+	calm       time.Duration
+	releasedAt time.Time
+	limit      int // number of endpoints, as logged last
+}
+
+// addCrashingJob records that a task was given up, and confines its queue if that was so with
+// several jobs.
+func (c *Coordinator) addCrashingJob(t *taskCrashes, now time.Time) {
+	queue := t.queue
+	if queue == "" || t.service == "" || !c.cfg.Policy.Uses(policy.Confinement) {
+		return
+	}
+	f := c.confined[queue]
+	if f == nil {
+		f = &confinement{service: t.service, crashingJobs: make(map[string]time.Time)}
+		c.confined[queue] = f
+	}
+	f.crashingJobs[t.job] = t.lastAt
+	f.expire(now)
+	again := !f.releasedAt.IsZero() && now.Sub(f.releasedAt) <= policy.ConfinementWindow
+	if !f.active && (again || len(f.crashingJobs) >= policy.ConfinementJobs) {
+		f.active = true
+		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", true, "crashing_jobs", len(f.crashingJobs), "again", again)
+	}
+	f.calm, c.replan = 0, true
+}
+
+// expire removes the crashing jobs that are older than policy.ConfinementWindow.
+func (f *confinement) expire(now time.Time) {
+	maps.DeleteFunc(f.crashingJobs, func(_ string, at time.Time) bool { return now.Sub(at) > policy.ConfinementWindow })
+}
+
+// recordConfinedCrash restarts the calm time of the confined queues that had runs at an endpoint
+// that crashed.
+func (c *Coordinator) recordConfinedCrash(w *wire.Crash) {
+	for _, r := range w.Runs {
+		if f := c.confined[r.Queue]; f != nil && f.active {
+			f.calm = 0
+		}
+	}
+}
+
+// confinedLimit returns the number of endpoints to which a queue is limited; 0 if it is not confined.
+func (c *Coordinator) confinedLimit(queue string, endpoints int) int {
+	if f := c.confined[queue]; f != nil && f.active {
+		return policy.ConfinedEndpoints(endpoints, f.calm)
+	}
+	return 0
+}
+
+// markConfined sets the rank of each endpoint of a service in the choice of those for confined
+// queues, and marks the ones that are in use for them.
+func (c *Coordinator) markConfined(service string, endpoints []policy.Endpoint, agents []*agent) {
+	limit := 0
+	for queue, f := range c.confined {
+		if f.service == service {
+			limit = max(limit, c.confinedLimit(queue, len(endpoints)))
+		}
+	}
+	if limit == 0 {
+		return
+	}
+	for i, rank := range confinementRanks(agents) {
+		endpoints[i].ConfinementRank, endpoints[i].Confined = rank, rank < limit
+	}
+}
+
+// confinementRanks returns the ranks of the agents in the choice of the endpoints for confined
+// queues. All entries that know the same agents choose the same ones.
+func confinementRanks(agents []*agent) []int {
+	order := make([]int, len(agents))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(agents[a].name), xxhash.Sum64String(agents[b].name)), cmp.Compare(agents[a].name, agents[b].name))
+	})
+	ranks := make([]int, len(agents))
+	for rank, i := range order {
+		ranks[i] = rank
+	}
+	return ranks
+}
+
+// updateConfinements adds the time since the last call to the calm time of the confined queues of
+// which an endpoint is in service, and releases those that have been calm for long enough.
+func (c *Coordinator) updateConfinements(now time.Time) {
+	elapsed := now.Sub(c.confinementsAt)
+	c.confinementsAt = now
+	for queue, f := range c.confined {
+		if !f.active {
+			if f.expire(now); len(f.crashingJobs) == 0 && now.Sub(f.releasedAt) > policy.ConfinementWindow {
+				delete(c.confined, queue)
+			}
+			continue
+		}
+		endpoints, _ := c.snapshot(f.service, now)
+		if slices.ContainsFunc(endpoints, func(e policy.Endpoint) bool { return e.Confined && e.Available }) {
+			f.calm += elapsed
+		}
+		limit := policy.ConfinedEndpoints(len(endpoints), f.calm)
+		if limit == f.limit {
+			continue
+		}
+		f.limit, c.replan = limit, true
+		if limit == 0 {
+			f.active, f.releasedAt = false, now
+		}
+		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", f.active, "limit", limit, "endpoints", len(endpoints),
+			"calm_ms", f.calm.Milliseconds())
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -90,6 +90,9 @@
 	serviceLoadsAt     time.Time // when serviceLoads was last updated
 	serviceLabels      atomic.Pointer[[]wire.ServiceLabels]
 	callerTimeouts     map[string]*policy.CallerTimeoutModel // by queue
+	crashes            crashHistory
+	confined           map[string]*confinement // by queue
+	confinementsAt     time.Time               // when confined was last updated
 }
 
 // New returns a Coordinator. It does nothing until Run is called.
@@ -105,6 +108,8 @@
 		pendingOrders:  make(map[*agent][]wire.OrderGroup),
 		stopping:       make(map[string]*stoppingRun),
 		callerTimeouts: make(map[string]*policy.CallerTimeoutModel),
+		crashes:        crashHistory{tasks: make(map[string]*taskCrashes)},
+		confined:       make(map[string]*confinement),
 	}
 	c.agentsUnreachable.Store(true) // until the first message from an agent
 	return c
@@ -168,6 +173,8 @@
 	c.checkAgents(now)
 	c.checkJobs(now)
 	c.expireUnclaimedEnds(now)
+	c.crashes.expire(now)
+	c.updateConfinements(now)
 	c.updateLabels()
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -29,6 +29,7 @@
 	stops      []wire.Run
 	evacuated  []wire.Evacuated
 	count      uint64
+	crashes    int
 }
 
 func (a *fakeAgent) connect() {
@@ -318,9 +319,9 @@
 				t.state = taskWaiting
 			}
 		}
-		c.Check(unplacedCores(j, nil), quicktest.Equals, 9.0)
+		c.Check(co.unplacedCores(j, nil), quicktest.Equals, 9.0)
 		four := policy.Endpoint{Available: true, Free: policy.FreeCapacity{MilliCores: 4000}, Capacity: wire.Resources{MilliCores: 4000}}
-		c.Check(unplacedCores(j, []policy.Endpoint{four}), quicktest.Equals, 4.0)
+		c.Check(co.unplacedCores(j, []policy.Endpoint{four}), quicktest.Equals, 4.0)
 	})
 }
 
--- /dev/null
+++ b/coordinator/crash.go
@@ -0,0 +1,279 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"oriolerelay/event"
+	"oriolerelay/job"
+	"oriolerelay/policy"
+	"oriolerelay/wire"
+)
+
+const (
+	// crashHistoryTTL is how long the crashes of a task are remembered after the last one. The
+	// copies of an ephemeral job that callers submit again, and owners of a stored one, follow one
+	// another within a few seconds.
+	crashHistoryTTL = time.Minute
+	// maxCrashHistory bounds the tasks whose crashes are remembered.
+	maxCrashHistory = 4096
+	// crashRateWindow is the time over which the rate of crashes is measured.
+	crashRateWindow = 3 * time.Second
+	// widespreadCrashes is the number of endpoints that must crash within widespreadPeriod for a
+	// crash to count as widespread.
+	widespreadCrashes = 3
+	widespreadPeriod  = 40 * time.Millisecond
+)
+
+// crashHistory holds the recent crashes of endpoints as reported by their agents. Each entry that
+// an agent serves gets its reports, so that the history outlives the entry that ordered the runs.
+type crashHistory struct {
+	tasks   map[string]*taskCrashes // by task
+	crashes []*endpointCrash        // of the last crashHistoryTTL
+}
+
+// endpointCrash is a crash of an endpoint.
+type endpointCrash struct {
+	agent, instance string
+	startMillis     int64
+	at              time.Time
+	widespread      bool
+}
+
+// taskCrashes holds the crashes of endpoints during runs of one task.
+type taskCrashes struct {
+	job     string
+	queue   string
+	service string // of the endpoints
+	runs    []crashedRun
+	lastAt  time.Time
+	givenUp bool
+}
+
+// crashedRun is a run during which the endpoint crashed. crash is nil if the run was read from the
+// recorded progress of its job.
+type crashedRun struct {
+	job.CrashedRun
+	crash *endpointCrash
+}
+
+// policyCrashes returns the crashes in the form of package policy.
+func (t *taskCrashes) policyCrashes() []policy.TaskCrash {
+	out := make([]policy.TaskCrash, len(t.runs))
+	for i, r := range t.runs {
+		out[i] = policy.TaskCrash{
+			Elapsed: time.Duration(r.ElapsedMillis) * time.Millisecond, Unanswered: r.Unanswered,
+			Widespread: r.crash != nil && r.crash.widespread,
+		}
+	}
+	return out
+}
+
+// elapsedMillis returns the times from the starts of the runs to the crashes.
+func (t *taskCrashes) elapsedMillis() (ms []uint32) {
+	for _, r := range t.runs {
+		ms = append(ms, r.ElapsedMillis)
+	}
+	return ms
+}
+
+// add adds a run unless it is known.
+func (t *taskCrashes) add(r crashedRun) (added bool) {
+	if slices.ContainsFunc(t.runs, func(o crashedRun) bool { return o.Number == r.Number && o.Agent == r.Agent }) {
+		return false
+	}
+	t.runs = append(t.runs, r)
+	return true
+}
+
+func (h *crashHistory) known(agent string, c *wire.Crash) bool {
+	return slices.ContainsFunc(h.crashes, func(o *endpointCrash) bool {
+		return o.agent == agent && o.instance == c.Instance && o.startMillis == c.StartMillis
+	})
+}
+
+// add adds a crash. It marks the crashes within widespreadPeriod as widespread if they are many.
+func (h *crashHistory) add(c *endpointCrash) {
+	h.crashes = append(h.crashes, c)
+	var together []*endpointCrash
+	for _, o := range h.crashes {
+		if c.at.Sub(o.at).Abs() <= widespreadPeriod {
+			together = append(together, o)
+		}
+	}
+	if len(together) >= widespreadCrashes {
+		for _, o := range together {
+			o.widespread = true
+		}
+	}
+}
+
+// rate returns the number of crashes per second in the last crashRateWindow.
+func (h *crashHistory) rate(now time.Time) float64 {
+	n := 0
+	for _, c := range h.crashes {
+		if now.Sub(c.at) <= crashRateWindow {
+			n++
+		}
+	}
+	return float64(n) / crashRateWindow.Seconds()
+}
+
+// ofTask returns the crashes of a task, which may be empty.
+func (h *crashHistory) ofTask(name, job, queue, service string) *taskCrashes {
+	t := h.tasks[name]
+	if t == nil {
+		t = &taskCrashes{job: job, queue: queue, service: service}
+		h.tasks[name] = t
+	}
+	return t
+}
+
+// expire removes what is no longer needed.
+func (h *crashHistory) expire(now time.Time) {
+	h.crashes = slices.DeleteFunc(h.crashes, func(c *endpointCrash) bool { return now.Sub(c.at) > crashHistoryTTL })
+	for name, t := range h.tasks {
+		if now.Sub(t.lastAt) > crashHistoryTTL || len(h.tasks) > maxCrashHistory && !t.givenUp {
+			delete(h.tasks, name)
+		}
+	}
+}
+
+// handleCrashes adds the crashes that an agent reports to the history, and gives up the tasks that
+// caused them.
+func (c *Coordinator) handleCrashes(a *agent, crashes []wire.Crash, now time.Time) {
+	for i := range crashes {
+		w := &crashes[i]
+		if c.crashes.known(a.name, w) {
+			continue
+		}
+		crash := &endpointCrash{
+			agent: a.name, instance: w.Instance, startMillis: w.StartMillis, at: now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
+		}
+		c.crashes.add(crash)
+		c.cfg.Metrics.crashes.Inc()
+		c.cfg.Log.Log(event.CrashReported, "agent", a.name, "instance", w.Instance, "born", w.StartMillis, "runs", len(w.Runs),
+			"age_ms", w.AgeMillis, "widespread", crash.widespread)
+		c.recordConfinedCrash(w)
+		var tasks []string
+		for _, r := range w.Runs {
+			if c.addTaskCrash(r, a, crash, now) {
+				tasks = append(tasks, r.Run.Task)
+			}
+		}
+		c.judgeTasks(tasks, now)
+	}
+}
+
+// addTaskCrash adds a crash during a run to the history of its task, and to the progress of a
+// stored job. It returns false for a run that is known or malformed.
+func (c *Coordinator) addTaskCrash(r wire.CrashedRun, a *agent, crash *endpointCrash, now time.Time) bool {
+	id, err := job.ParseTaskID(r.Run.Task)
+	if err != nil {
+		c.cfg.Log.Log(event.RecordIgnored, "read", "crash", "task", r.Run.Task, "error", err)
+		return false
+	}
+	service := ""
+	if a.profile != nil {
+		service = a.profile.Service
+	}
+	t := c.crashes.ofTask(r.Run.Task, id.Job, r.Queue, service)
+	t.lastAt = crash.at
+	run := job.CrashedRun{Agent: a.name, Number: r.Run.Number, ElapsedMillis: r.ElapsedMillis, Unanswered: r.Unanswered}
+	if !t.add(crashedRun{CrashedRun: run, crash: crash}) {
+		return false
+	}
+	if j := c.jobs[id.Job]; j != nil && j.stored != nil && j.stored.progress.State == "" {
+		j.stored.progress.AddCrash(r.Run.Task, run)
+		j.stored.dirty, j.stored.reportedAt = false, now
+		c.recorder.ReportProgress(id.Job, j.stored.progress.Clone())
+	}
+	return true
+}
+
+// judgeTasks gives up those of the tasks that were at an endpoint when it crashed that count as
+// the cause, and ends their jobs.
+func (c *Coordinator) judgeTasks(names []string, now time.Time) {
+	rate := c.crashes.rate(now) / float64(max(len(c.agents), 1))
+	probable := make(map[string][]string) // tasks by job
+	for _, name := range names {
+		t := c.crashes.tasks[name]
+		switch c.cfg.Policy.JudgeTask(t.policyCrashes(), rate) {
+		case policy.Guilty:
+			c.giveUp(name, t, rate, now)
+		case policy.ProbablyGuilty:
+			probable[t.job] = append(probable[t.job], name)
+		}
+	}
+	if len(probable) != 1 {
+		return // one task caused the crash, and it cannot be told which
+	}
+	for _, names := range probable {
+		c.giveUp(names[0], c.crashes.tasks[names[0]], rate, now)
+	}
+}
+
+// giveUp gives up a task and ends its job if it is in progress here.
+func (c *Coordinator) giveUp(name string, t *taskCrashes, rate float64, now time.Time) {
+	if !t.givenUp {
+		t.givenUp = true
+		c.cfg.Metrics.givenUp.Inc()
+		c.cfg.Log.Log(event.TaskGivenUp, "task", name, "queue", t.queue, "crashes", len(t.runs),
+			"elapsed_ms", fmt.Sprint(t.elapsedMillis()), "crashes_per_endpoint_s", rate)
+		c.addCrashingJob(t, now)
+	}
+	if j := c.jobs[t.job]; j != nil {
+		c.failGivenUpJob(j, name, now)
+	}
+}
+
+// failGivenUpJob ends a job of which a task was given up.
+func (c *Coordinator) failGivenUpJob(j *activeJob, task string, now time.Time) {
+	if j.tasksLeft == 0 {
+		return
+	}
+	c.cfg.Log.Log(event.TaskRetried, "task", task, "why", "given up", "stored", j.stored != nil)
+	if j.stored != nil {
+		c.finishStored(j, job.Failed)
+		return
+	}
+	c.finish(j, outcome{state: job.Failed}, now)
+}
+
+// failIfGivenUp ends j if a task of it was given up.
+func (c *Coordinator) failIfGivenUp(j *activeJob, now time.Time) {
+	if len(c.crashes.tasks) == 0 {
+		return
+	}
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if h := c.crashes.tasks[t.name]; h != nil && h.givenUp && t.state != taskDone {
+				c.failGivenUpJob(j, t.name, now)
+				return
+			}
+		}
+	}
+}
+
+// adoptCrashes adds the recorded crashes of an adopted job to the history.
+func (c *Coordinator) adoptCrashes(j *activeJob, now time.Time) {
+	for name, runs := range j.stored.progress.Crashes {
+		t := c.crashes.ofTask(name, j.spec.ID, j.spec.Queue.Name, j.spec.Queue.Service)
+		t.lastAt = now
+		for _, r := range runs {
+			t.add(crashedRun{CrashedRun: r})
+		}
+		c.judgeTasks([]string{name}, now)
+	}
+	for name, t := range c.crashes.tasks { // those that the former owner did not record
+		if t.job == j.spec.ID {
+			for _, r := range t.runs {
+				j.stored.progress.AddCrash(name, r.CrashedRun)
+			}
+		}
+	}
+}
+
+// isSuspect reports whether an endpoint has crashed during a run of t.
+func (c *Coordinator) isSuspect(t *task) bool { return c.crashes.tasks[t.name] != nil }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -16,6 +16,8 @@
 	ordered   prometheus.Counter
 	repeated  *prometheus.CounterVec
 	moved     prometheus.Counter
+	crashes   prometheus.Counter
+	givenUp   prometheus.Counter
 	inFlight  prometheus.Gauge
 	queued    prometheus.Gauge
 }
@@ -48,6 +50,12 @@
 		moved: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "oriole_runs_moved_total", Help: "Slow runs that were stopped and moved to another endpoint.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oriole_reported_crashes_total", Help: "Crashes of endpoints that agents reported.",
+		}),
+		givenUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oriole_tasks_given_up_total", Help: "Tasks that were given up because endpoints crash while they run.",
+		}),
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "oriole_jobs", Help: "Jobs in progress.",
 		}),
@@ -55,7 +63,7 @@
 			Name: "oriole_jobs_waiting", Help: "Jobs with tasks that wait for capacity.",
 		}),
 	}
-	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved,
+	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued)
 	return m
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -11,18 +11,19 @@
 	"oriolerelay/wire"
 )
 
-// snapshot returns the endpoints of the queue's service in the form of package policy, and
-// their agents in the same order.
-func (c *Coordinator) snapshot(q *job.Queue, now time.Time) ([]policy.Endpoint, []*agent) {
+// snapshot returns the endpoints of a service in the form of package policy, and their agents in
+// the same order.
+func (c *Coordinator) snapshot(service string, now time.Time) ([]policy.Endpoint, []*agent) {
 	var endpoints []policy.Endpoint
 	var agents []*agent
 	for _, a := range c.agents {
-		if a.profile == nil || a.profile.Service != q.Service {
+		if a.profile == nil || a.profile.Service != service {
 			continue
 		}
 		endpoints = append(endpoints, c.policyEndpoint(a, now))
 		agents = append(agents, a)
 	}
+	c.markConfined(service, endpoints, agents)
 	return endpoints, agents
 }
 
@@ -43,6 +44,9 @@
 		if t.orderSequence > a.status.OrderedRuns {
 			e.Free = e.Free.Sub(t.step.Size) // not yet included in the reported use
 		}
+		if c.isSuspect(t) {
+			e.Suspects++
+		}
 	}
 	if a.onProbation && !a.mayRunTrial(now, c.cfg.Timing.TrialInterval) {
 		e.Available = false
@@ -53,13 +57,14 @@
 func indexOf(agents []*agent, a *agent) int { return slices.Index(agents, a) }
 
 // policyTask returns t in the form of package policy.
-func (c *Coordinator) policyTask(t *task, agents []*agent, now time.Time) *policy.Task {
+func (c *Coordinator) policyTask(t *task, endpoints []policy.Endpoint, agents []*agent, now time.Time) *policy.Task {
 	p := &policy.Task{
 		Size: t.step.Size, DeclaredRunTime: max(t.step.Estimate, minDeclaredRunTime),
 		Budget: t.job.objective.Sub(now),
 		Label:  t.step.Label, Stored: t.job.stored != nil, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
-		MaxPerEndpoint: t.step.MaxPerEndpoint,
+		MaxPerEndpoint: t.step.MaxPerEndpoint, Suspect: c.isSuspect(t),
 	}
+	p.Confine(endpoints, c.confinedLimit(t.job.spec.Queue.Name, len(endpoints)))
 	for _, a := range t.avoid {
 		if i := indexOf(agents, a); i >= 0 {
 			p.Avoid = append(p.Avoid, i)
@@ -124,7 +129,7 @@
 
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
 	v := &serviceView{releases: c.expectedReleases(q.Service, now)}
-	v.endpoints, v.agents = c.snapshot(q, now)
+	v.endpoints, v.agents = c.snapshot(q.Service, now)
 	return v
 }
 
@@ -140,7 +145,7 @@
 // whether the job was refused.
 func (c *Coordinator) refuseIfOverdue(j *activeJob, v *serviceView, now time.Time) bool {
 	queued := c.queuedJob(j)
-	queued.UnplacedCores = unplacedCores(j, v.endpoints)
+	queued.UnplacedCores = c.unplacedCores(j, v.endpoints)
 	if !c.cfg.Policy.ShouldRefuse(queued, now) {
 		return false
 	}
@@ -150,7 +155,7 @@
 	c.refuse(j, err, "slack_ms", j.objective.Sub(j.arrived.Add(j.expectedRunTime)).Milliseconds(),
 		"ahead_cores", v.coresAhead, "unplaced_cores", queued.UnplacedCores, "need_millicores", j.waitingMilliCores(),
 		"heard_ms", longestSinceReceived(v.agents, now).Milliseconds(),
-		"free_millicores", policy.FittingTasks(v.endpoints, j.spec.Steps[0].Size)*int(j.spec.Steps[0].Size.MilliCores))
+		"free_millicores", c.fittingTasks(j, 0, v.endpoints)*int(j.spec.Steps[0].Size.MilliCores))
 	return true
 }
 
@@ -167,7 +172,7 @@
 
 // unplacedCores returns the demand of the waiting tasks of j that fit on no endpoint now. All
 // tasks of a step have the size that the step declares.
-func unplacedCores(j *activeJob, endpoints []policy.Endpoint) (cores float64) {
+func (c *Coordinator) unplacedCores(j *activeJob, endpoints []policy.Endpoint) (cores float64) {
 	for si, tasks := range j.steps {
 		waiting := 0
 		for _, t := range tasks {
@@ -176,13 +181,21 @@
 			}
 		}
 		st := &j.spec.Steps[si]
-		if n := waiting - policy.FittingTasks(endpoints, st.Size); n > 0 {
+		if n := waiting - c.fittingTasks(j, si, endpoints); n > 0 {
 			cores += float64(n) * float64(st.Size.MilliCores) / 1000
 		}
 	}
 	return cores
 }
 
+// fittingTasks returns how many tasks of a step the available endpoints can take now.
+func (c *Coordinator) fittingTasks(j *activeJob, step int, endpoints []policy.Endpoint) int {
+	st := &j.spec.Steps[step]
+	t := policy.Task{Size: st.Size}
+	t.Confine(endpoints, c.confinedLimit(j.spec.Queue.Name, len(endpoints)))
+	return policy.FittingTasks(endpoints, &t)
+}
+
 // expectedReleases returns when the runs of this entry at the endpoints of a service are
 // expected to end. Other entries that place tasks there take and release capacity in
 // proportion.
@@ -221,13 +234,16 @@
 			if t.state != taskWaiting || now.Before(t.holdUntil) || c.stopping[t.name] != nil {
 				continue
 			}
-			p := c.policyTask(t, agents, now)
+			p := c.policyTask(t, endpoints, agents, now)
 			choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, p, c.random.Uint64())
 			if !ok {
 				break // the other tasks of the step have the same requirements
 			}
 			e, a := &endpoints[choice.Index], agents[choice.Index]
 			e.Free = e.Free.Sub(t.step.Size)
+			if p.Suspect {
+				e.Suspects++
+			}
 			t.expectedRunTime = choice.RunTime
 			c.orderTask(t, a, now)
 			if a.onProbation {
@@ -269,6 +285,7 @@
 		Payload: t.job.spec.Payload, Size: t.step.Size, EstimateMillis: uint32(t.step.Estimate.Milliseconds()),
 		Stored: t.job.stored != nil,
 		Trace:  t.job.spec.Trace,
+		Queue:  t.job.spec.Queue.Name,
 	}
 }
 
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -86,7 +86,10 @@
 		c.applyUnclaimedEnds(j, time.Now())
 		if j.tasksLeft == 0 {
 			c.finishStored(j, job.Completed)
+			return
 		}
+		c.adoptCrashes(j, time.Now())
+		c.failIfGivenUp(j, time.Now())
 	})
 }
 
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -9,6 +9,7 @@
 	TaskPlaced   = define(604, Info, "task ordered")
 	TaskRetried  = define(605, Info, "task is queued for another run")
 	TaskMoved    = define(606, Info, "slow run is stopped; task is moved to another endpoint")
+	TaskGivenUp  = define(616, Warn, "task is given up because endpoints crash while it runs")
 
 	CallerDisconnected = define(614, Info, "caller disconnected before its job was started")
 
@@ -38,11 +39,14 @@
 	EndpointRestored     = define(634, Info, "endpoint restored from the record of an earlier agent process")
 	EndpointClockKnown   = define(637, Info, "clock of the endpoint known; runs are accepted")
 	LeaseExpired         = define(638, Warn, "lease of the runs at the endpoint expired; they count as lost")
+	EndpointCrashed      = define(639, Warn, "endpoint crashed; its runs are suspects")
 	AnnouncementStale    = define(633, Warn, "stale announcement of an endpoint ignored")
 
 	AgentStateChanged        = define(640, Info, "state of an agent changed as seen by this entry")
 	AgentSuspect             = define(641, Warn, "agent is suspect and gets no new tasks")
 	AgentRunsLost            = define(642, Warn, "suspect agent did not return; its runs count as lost")
+	CrashReported            = define(672, Warn, "agent reported a crash of its endpoint")
+	QueueConfined            = define(673, Warn, "tasks of a queue crash endpoints; the queue is confined to a few of them, or to fewer or more of them")
 	ConfigApplied            = define(643, Info, "configuration from the platform applied")
 	ConfigIgnored            = define(644, Warn, "invalid configuration from the platform ignored")
 	StoreUnavailable         = define(645, Warn, "platform store does not answer")
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -22,7 +22,8 @@
 	lastSent     time.Time
 	orderedRuns  uint64 // on this connection
 	profileSent  bool
-	suspect      bool // see IsSuspect
+	crashesSent  uint64 // number of the newest crash that was sent on this connection
+	suspect      bool   // see IsSuspect
 	// echoedClock is the newest Status.ClockMillis that the entry has returned, or the clock at
 	// the start of the connection. echoesInHeartbeats is false for an entry of an older version.
 	echoedClock        uint64
@@ -48,7 +49,7 @@
 		x.lastConnection++
 		e.connection, connection = x.lastConnection, x.lastConnection
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
-		e.pendingStops, e.suspect, e.echoedClock = nil, false, x.clockMillis()
+		e.pendingStops, e.suspect, e.echoedClock, e.crashesSent = nil, false, x.clockMillis(), 0
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
 		x.statusDirty = true
@@ -298,6 +299,7 @@
 	if !e.profileSent && x.profile != nil {
 		s.Profile, e.profileSent = x.profile, true
 	}
+	s.Crashes = x.unsentCrashes(e)
 	return s
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -83,6 +83,8 @@
 	// lastConnection is the number of the newest connection to an entry.
 	lastConnection uint64
 	recent         recentOutcomes
+	crashes        []crash // the recent ones, oldest first
+	crashCount     uint64  // crashes that were recorded
 	// statusDirty is set while the newest status has not been sent to the entries.
 	statusDirty  bool
 	statusSentAt time.Time
@@ -161,6 +163,7 @@
 	x.retryStops(now)
 	x.expireUnconfirmed(now)
 	x.resendUnconfirmed(now)
+	x.expireCrashes(now)
 }
 
 // AfterBatch implements loop.Controller. It sends queued reports and a changed status.
--- a/executor/incarnation.go
+++ b/executor/incarnation.go
@@ -255,6 +255,9 @@
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
 	first := x.profile == nil || x.unverified
 	sameID := !first && a.Profile.Instance == x.profile.Instance
+	if !first {
+		x.recordCrash(now)
+	}
 	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
--- a/executor/metrics.go
+++ b/executor/metrics.go
@@ -13,6 +13,7 @@
 	observations     prometheus.Counter
 	running          prometheus.Gauge
 	usedMilliCores   prometheus.Gauge
+	crashes          prometheus.Counter
 }
 
 // NewMetrics registers the metrics of an Executor with reg.
@@ -33,8 +34,11 @@
 		usedMilliCores: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "oriole_used_millicores", Help: "Processor capacity in use at the endpoint, in thousandths of a core.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oriole_endpoint_crashes_total", Help: "Crashes of the endpoint while it had runs.",
+		}),
 	}
-	reg.MustRegister(m.runEnds, m.unansweredStarts, m.observations, m.running, m.usedMilliCores)
+	reg.MustRegister(m.runEnds, m.unansweredStarts, m.observations, m.running, m.usedMilliCores, m.crashes)
 	return m
 }
 
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -204,6 +204,7 @@
 
 // markEndpointDown rejects new runs until another incarnation is known.
 func (x *Executor) markEndpointDown(err error) {
+	x.recordCrash(time.Now())
 	if !x.unreachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
--- a/executor/run.go
+++ b/executor/run.go
@@ -45,6 +45,7 @@
 	id              wire.Run
 	entry           string // incarnation of the entry that ordered the run; empty until claimed
 	payload         string
+	queue           string
 	size            wire.Resources
 	declaredRunTime time.Duration
 	state           runState
@@ -61,6 +62,7 @@
 	percentRoseAt           time.Time
 	reportedRemainingMillis uint32
 	incarnationEnded        bool // of the endpoint, after the run was ordered
+	crashRecorded           bool // the crash of its incarnation is in Executor.crashes
 	stopSentAt              time.Time
 	stopInFlight            bool
 	stopAccepted            bool // the endpoint has accepted the stop
@@ -76,7 +78,7 @@
 		return
 	}
 	r := &run{
-		id: id, entry: e.incarnation, payload: g.Payload, size: g.Size, orderedAt: now, stored: g.Stored,
+		id: id, entry: e.incarnation, payload: g.Payload, queue: g.Queue, size: g.Size, orderedAt: now, stored: g.Stored,
 		declaredRunTime: time.Duration(g.EstimateMillis) * time.Millisecond,
 	}
 	r.span = x.startSpan(r, g.Trace)
--- a/job/progress.go
+++ b/job/progress.go
@@ -13,6 +13,31 @@
 	Done []TaskSet `cbor:"2,keyasint,omitempty"`
 	// Failures counts the failed runs, by task.
 	Failures map[string]int `cbor:"3,keyasint,omitempty"`
+	// Crashes holds the runs during which their endpoint crashed, by task.
+	Crashes map[string][]CrashedRun `cbor:"4,keyasint,omitempty"`
+}
+
+// CrashedRun is a run during which its endpoint crashed.
+type CrashedRun struct {
+	Agent         string `cbor:"1,keyasint"`
+	Number        uint32 `cbor:"2,keyasint"`
+	ElapsedMillis uint32 `cbor:"3,keyasint,omitempty"` // from the start of the run to the crash
+	// Unanswered is set if the endpoint had not answered the start.
+	Unanswered bool `cbor:"4,keyasint,omitempty"`
+}
+
+// AddCrash records a crash during a run of a task unless it is recorded. Copies that share the map
+// of p are not changed.
+func (p *Progress) AddCrash(task string, r CrashedRun) {
+	if slices.ContainsFunc(p.Crashes[task], func(o CrashedRun) bool { return o.Agent == r.Agent && o.Number == r.Number }) {
+		return
+	}
+	crashes := maps.Clone(p.Crashes)
+	if crashes == nil {
+		crashes = make(map[string][]CrashedRun)
+	}
+	crashes[task] = append(slices.Clone(crashes[task]), r)
+	p.Crashes = crashes
 }
 
 // TaskSet is a bitmap of task indices.
@@ -45,7 +70,7 @@
 
 // Clone returns a deep copy of p.
 func (p Progress) Clone() Progress {
-	c := Progress{State: p.State, Failures: maps.Clone(p.Failures)}
+	c := Progress{State: p.State, Failures: maps.Clone(p.Failures), Crashes: maps.Clone(p.Crashes)}
 	for _, s := range p.Done {
 		c.Done = append(c.Done, slices.Clone(s))
 	}
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -21,6 +21,12 @@
 	// Local is set for an endpoint in the data centre of this process.
 	Local  bool
 	Labels []string
+	// Suspects counts the tasks there during whose runs other endpoints have crashed.
+	Suspects int
+	// Confined is set for the endpoints that are left to the confined queues of the service; they
+	// are those of the lowest ConfinementRank.
+	Confined        bool
+	ConfinementRank int
 }
 
 // FreeCapacity is the part of a capacity that no task uses. It is negative where more was
@@ -64,11 +70,25 @@
 	// PlacedByEndpoint counts those that are already placed, by endpoint index.
 	MaxPerEndpoint   int
 	PlacedByEndpoint map[int]int
+	// Suspect is set if an endpoint has crashed during a run of the task.
+	Suspect bool
+	// confinedTo is the number of endpoints to which the queue is limited; 0 if it is not.
+	confinedTo int
+}
+
+// Confine limits t to the given number of endpoints, those of the lowest ConfinementRank, unless
+// none of them can run it.
+func (t *Task) Confine(endpoints []Endpoint, limit int) {
+	t.confinedTo = limit
+	if limit > 0 && !slices.ContainsFunc(endpoints, func(e Endpoint) bool { return t.CanRunOn(&e) }) {
+		t.confinedTo = 0
+	}
 }
 
 // CanRunOn reports whether t may run on e, regardless of its current load.
 func (t *Task) CanRunOn(e *Endpoint) bool {
-	return t.Size.Fits(e.Capacity) && !(t.Stored && e.RejectsStored) && (t.Label == "" || slices.Contains(e.Labels, t.Label))
+	return t.Size.Fits(e.Capacity) && !(t.Stored && e.RejectsStored) && (t.Label == "" || slices.Contains(e.Labels, t.Label)) &&
+		(t.confinedTo == 0 || e.ConfinementRank < t.confinedTo)
 }
 
 // RunTime is the expected run time of t on e.
@@ -119,6 +139,15 @@
 const (
 	lateCostMillis  = 1e6 // the task would end after the objective
 	avoidCostMillis = 1e7 // the task has failed or was slow on this endpoint
+	// confinedCostMillis is the cost of an endpoint that is left to confined queues: it crashes
+	// often, but may be the only one with free capacity.
+	confinedCostMillis = 1e8
+	// suspectCostMillis is the cost of an endpoint for a suspect task for each other one there, so
+	// that a second crash tells them apart.
+	suspectCostMillis = 1000.0
+	// suspectSpreadMillis is the cost of a fully used endpoint for a suspect task, so that another
+	// crash ends few other runs.
+	suspectSpreadMillis = 200.0
 	// spreadCostMillis is the cost of a fully used endpoint, in proportion for others, so that
 	// equal endpoints share the load.
 	spreadCostMillis = 10.0
@@ -138,18 +167,27 @@
 	if p.Uses(Spread) && e.Capacity.MilliCores > 0 {
 		cost += spreadCostMillis * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
 	}
+	if e.Confined && t.confinedTo == 0 {
+		cost += confinedCostMillis
+	}
+	if t.Suspect {
+		cost += suspectCostMillis * float64(e.Suspects)
+		if e.Capacity.MilliCores > 0 {
+			cost += suspectSpreadMillis * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
+		}
+	}
 	if p.Uses(Local) && !e.Local {
 		cost += remoteCostMillis
 	}
 	return cost
 }
 
-// FittingTasks returns how many tasks of the given size the available endpoints can take now.
-func FittingTasks(endpoints []Endpoint, size wire.Resources) int {
+// FittingTasks returns how many tasks like t the available endpoints can take now.
+func FittingTasks(endpoints []Endpoint, t *Task) int {
 	n := int64(0)
 	for i := range endpoints {
-		if e := &endpoints[i]; e.Available {
-			n += e.Free.fittingTasks(size)
+		if e := &endpoints[i]; e.Available && t.CanRunOn(e) {
+			n += e.Free.fittingTasks(t.Size)
 		}
 	}
 	return int(n)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,13 +56,16 @@
 	// EarlyLookup queries the runs of an endpoint soon after a start without a reply: for start
 	// calls that are lost, or whose replies are.
 	EarlyLookup Mechanism = "early_lookup"
+	// Confinement limits the queues whose tasks crash endpoints to a few of them: for jobs that
+	// crash each endpoint that runs them.
+	Confinement Mechanism = "confinement"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Moves, Patience, InTimeFirst, BegunFirst, UrgentFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices, ByJob,
-		SecondTry, RepeatedStarts, EarlyLookup,
+		SecondTry, RepeatedStarts, EarlyLookup, Confinement,
 	}
 }
 
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -40,13 +40,15 @@
 	Stored bool `cbor:"6,keyasint,omitempty"`
 	// Trace is the W3C traceparent of the job; empty when it is not traced.
 	Trace string `cbor:"7,keyasint,omitempty"`
+	// Queue is the queue of the job. Agents return it in a CrashedRun.
+	Queue string `cbor:"8,keyasint,omitempty"`
 }
 
 // EqualExceptRuns reports whether g and o are equal in all fields but Runs, so that their
 // runs can share a group.
 func (g *OrderGroup) EqualExceptRuns(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Stored == o.Stored && g.Trace == o.Trace
+		g.Stored == o.Stored && g.Trace == o.Trace && g.Queue == o.Queue
 }
 
 // RunState is the state of a run in a Report.
@@ -126,6 +128,30 @@
 	// RejectsStoredRuns is set while the endpoint accepts no stored runs because too many
 	// ends of such runs are unrecorded.
 	RejectsStoredRuns bool `cbor:"9,keyasint,omitempty"`
+	// Crashes holds the recent crashes of the endpoint that were not sent on this connection yet.
+	Crashes []Crash `cbor:"10,keyasint,omitempty"`
+}
+
+// Crash is an end of an incarnation of the endpoint that was not announced.
+type Crash struct {
+	// Instance and StartMillis name the incarnation.
+	Instance    string `cbor:"1,keyasint"`
+	StartMillis int64  `cbor:"2,keyasint"`
+	// AgeMillis is the time since the agent has noticed the crash.
+	AgeMillis uint32 `cbor:"3,keyasint,omitempty"`
+	// Runs holds the runs that the endpoint may have executed when it crashed, those of other
+	// entries included.
+	Runs []CrashedRun `cbor:"4,keyasint,omitempty"`
+}
+
+// CrashedRun is a run during which the endpoint crashed.
+type CrashedRun struct {
+	Run   Run    `cbor:"1,keyasint"`
+	Queue string `cbor:"2,keyasint,omitempty"`
+	// ElapsedMillis is the time from the start of the run to the crash.
+	ElapsedMillis uint32 `cbor:"3,keyasint,omitempty"`
+	// Unanswered is set if the start call had no reply, so that the run may not have begun.
+	Unanswered bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Stop asks an agent to stop runs, or not to start them.
