coordinator: one task is the cause of a crash, and jobs of a confined queue start one at a time

Change: a crash has one cause. Once a task was given up for it, the others that ran there are cleared of it, and so are those of endpoints that crashed at the same moment without a task in common, and starts without a reply. After two crashes only early ones count as alike (100 ms after the start), after three late ones, and the fifth ends the task in any case, which the users' rules allow. In a confinement the jobs start one at a time on an endpoint, so that a crash names its job; jobs that are identified in this way crash the next endpoint together. The confinement grows while the other queues need less than the rest.

--- a/coordinator/confinement.go
+++ b/coordinator/confinement.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,7 +22,14 @@
 	crashingJobs map[string]time.Time
 	active       bool
 	// calm is how long endpoints of the confinement have been in service since the last crash.
-	calm       time.Duration
+	calm time.Duration
+	// crashDelay is the time from the start to the crash of the tasks that were given up, the longest
+	// of them; agents notice crashes late, so that the shorter one of a task counts.
+	crashDelay time.Duration
+	// retryAt is when the identified tasks of stored jobs run again, all at once.
+	retryAt time.Time
+	// needed is the number of endpoints that the other queues use, the greatest of the last seconds.
+	needed     float64
 	releasedAt time.Time
 	limit      int // number of endpoints, as logged last
 }
@@ -40,9 +48,12 @@
 	}
 	f.crashingJobs[t.job] = t.lastAt
 	f.expire(now)
+	f.crashDelay = max(f.crashDelay, min(time.Duration(slices.Min(t.elapsedMillis()))*time.Millisecond, maxCrashDelay))
 	again := !f.releasedAt.IsZero() && now.Sub(f.releasedAt) <= policy.ConfinementWindow
 	if !f.active && (again || len(f.crashingJobs) >= policy.ConfinementJobs) {
 		f.active = true
+		endpoints, _ := c.snapshot(t.service, now)
+		f.updateNeeded(endpoints, 0)
 		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", true, "crashing_jobs", len(f.crashingJobs), "again", again)
 	}
 	f.calm, c.replan = 0, true
@@ -66,7 +77,7 @@
 // confinedLimit returns the number of endpoints to which a queue is limited; 0 if it is not confined.
 func (c *Coordinator) confinedLimit(queue string, endpoints int) int {
 	if f := c.confined[queue]; f != nil && f.active {
-		return policy.ConfinedEndpoints(endpoints, f.calm)
+		return policy.ConfinedEndpoints(endpoints, f.needed, f.calm)
 	}
 	return 0
 }
@@ -105,6 +116,62 @@
 	return ranks
 }
 
+const (
+	// maxCrashDelay bounds confinement.crashDelay; other tasks wait at their endpoint that long for
+	// one on trial.
+	maxCrashDelay = 200 * time.Millisecond
+	// neededTimeConstant is the time constant with which confinement.needed falls.
+	neededTimeConstant = 2 * time.Second
+	// retryDelay is how long the identified tasks of stored jobs wait for others, so that several
+	// crash one endpoint together. No caller waits for them.
+	retryDelay = 5 * time.Second
+	// trialMargin is the time from an order to the start of its run, and from a crash to its report.
+	trialMargin = 20 * time.Millisecond
+)
+
+// updateNeeded updates the number of endpoints that the other queues use: they run on those outside
+// the confinement. Those that are down count as used.
+func (f *confinement) updateNeeded(endpoints []policy.Endpoint, elapsed time.Duration) {
+	needed := 0.0
+	for i := range endpoints {
+		switch e := &endpoints[i]; {
+		case e.Confined:
+		case e.Available && e.Capacity.MilliCores > 0:
+			needed += 1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores)
+		default:
+			needed++
+		}
+	}
+	f.needed = max(needed, f.needed*math.Exp(-elapsed.Seconds()/neededTimeConstant.Seconds()))
+}
+
+// markTrial sets the trial job of e, the endpoint of a.
+func (c *Coordinator) markTrial(e *policy.Endpoint, a *agent, now time.Time) {
+	if len(c.confined) == 0 {
+		return
+	}
+	for _, t := range a.tasks {
+		f := c.confined[t.job.spec.Queue.Name]
+		if f == nil || !f.active || now.Sub(t.orderedAt) > policy.ClearedAfter(f.crashDelay)+trialMargin {
+			continue
+		}
+		e.TrialJob = t.job.spec.ID
+		_, e.TrialSuspected = c.suspicion(t)
+	}
+}
+
+// holdIdentified delays the next run of an identified task of a stored job until others can join it.
+func (c *Coordinator) holdIdentified(t *task, now time.Time) {
+	f := c.confined[t.job.spec.Queue.Name]
+	if t.job.stored == nil || f == nil || !f.active {
+		return
+	}
+	if f.retryAt.Before(now) {
+		f.retryAt = now.Add(retryDelay)
+	}
+	t.holdUntil = f.retryAt
+}
+
 // updateConfinements adds the time since the last call to the calm time of the confined queues of
 // which an endpoint is in service, and releases those that have been calm for long enough.
 func (c *Coordinator) updateConfinements(now time.Time) {
@@ -118,10 +185,12 @@
 			continue
 		}
 		endpoints, _ := c.snapshot(f.service, now)
+		f.updateNeeded(endpoints, elapsed)
+		c.replan = c.replan || len(c.queued) > 0 // a trial may have ended
 		if slices.ContainsFunc(endpoints, func(e policy.Endpoint) bool { return e.Confined && e.Available }) {
 			f.calm += elapsed
 		}
-		limit := policy.ConfinedEndpoints(len(endpoints), f.calm)
+		limit := policy.ConfinedEndpoints(len(endpoints), f.needed, f.calm)
 		if limit == f.limit {
 			continue
 		}
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -18,12 +18,9 @@
 	crashHistoryTTL = time.Minute
 	// maxCrashHistory bounds the tasks whose crashes are remembered.
 	maxCrashHistory = 4096
-	// crashRateWindow is the time over which the rate of crashes is measured.
-	crashRateWindow = 3 * time.Second
-	// widespreadCrashes is the number of endpoints that must crash within widespreadPeriod for a
-	// crash to count as widespread.
-	widespreadCrashes = 3
-	widespreadPeriod  = 40 * time.Millisecond
+	// widespreadPeriod is the time within which crashes of endpoints that share no task are put down
+	// to a common cause, such as the power of a rack.
+	widespreadPeriod = 20 * time.Millisecond
 )
 
 // crashHistory holds the recent crashes of endpoints as reported by their agents. Each entry that
@@ -38,7 +35,9 @@
 	agent, instance string
 	startMillis     int64
 	at              time.Time
-	widespread      bool
+	tasks           map[string]bool // that the endpoint may have executed
+	widespread      bool            // other endpoints crashed at the same moment
+	culprit         string          // the job of the task that was given up for it; empty if none was
 }
 
 // taskCrashes holds the crashes of endpoints during runs of one task.
@@ -49,22 +48,25 @@
 	runs    []crashedRun
 	lastAt  time.Time
 	givenUp bool
+	// identified is set if only this task's job can have caused one of the crashes.
+	identified bool
 }
 
 // crashedRun is a run during which the endpoint crashed. crash is nil if the run was read from the
 // recorded progress of its job.
 type crashedRun struct {
 	job.CrashedRun
-	crash *endpointCrash
+	crash   *endpointCrash
+	cleared bool // by its elapsed time
 }
 
 // policyCrashes returns the crashes in the form of package policy.
 func (t *taskCrashes) policyCrashes() []policy.TaskCrash {
 	out := make([]policy.TaskCrash, len(t.runs))
 	for i, r := range t.runs {
+		otherCause := r.crash != nil && (r.crash.widespread || r.crash.culprit != "" && r.crash.culprit != t.job)
 		out[i] = policy.TaskCrash{
-			Elapsed: time.Duration(r.ElapsedMillis) * time.Millisecond, Unanswered: r.Unanswered,
-			Widespread: r.crash != nil && r.crash.widespread,
+			Elapsed: time.Duration(r.ElapsedMillis) * time.Millisecond, Cleared: r.cleared || r.Unanswered || otherCause,
 		}
 	}
 	return out
@@ -93,31 +95,24 @@
 	})
 }
 
-// add adds a crash. It marks the crashes within widespreadPeriod as widespread if they are many.
+// add adds a crash. It marks the crashes within widespreadPeriod as widespread unless they share a
+// task, which is then the likelier cause.
 func (h *crashHistory) add(c *endpointCrash) {
-	h.crashes = append(h.crashes, c)
-	var together []*endpointCrash
 	for _, o := range h.crashes {
-		if c.at.Sub(o.at).Abs() <= widespreadPeriod {
-			together = append(together, o)
-		}
-	}
-	if len(together) >= widespreadCrashes {
-		for _, o := range together {
-			o.widespread = true
+		if c.at.Sub(o.at).Abs() <= widespreadPeriod && !o.sharesTask(c) {
+			o.widespread, c.widespread = true, true
 		}
 	}
+	h.crashes = append(h.crashes, c)
 }
 
-// rate returns the number of crashes per second in the last crashRateWindow.
-func (h *crashHistory) rate(now time.Time) float64 {
-	n := 0
-	for _, c := range h.crashes {
-		if now.Sub(c.at) <= crashRateWindow {
-			n++
+func (c *endpointCrash) sharesTask(o *endpointCrash) bool {
+	for task := range c.tasks {
+		if o.tasks[task] {
+			return true
 		}
 	}
-	return float64(n) / crashRateWindow.Seconds()
+	return false
 }
 
 // ofTask returns the crashes of a task, which may be empty.
@@ -150,6 +145,10 @@
 		}
 		crash := &endpointCrash{
 			agent: a.name, instance: w.Instance, startMillis: w.StartMillis, at: now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
+			tasks: make(map[string]bool),
+		}
+		for _, r := range w.Runs {
+			crash.tasks[r.Run.Task] = true
 		}
 		c.crashes.add(crash)
 		c.cfg.Metrics.crashes.Inc()
@@ -181,7 +180,9 @@
 	t := c.crashes.ofTask(r.Run.Task, id.Job, r.Queue, service)
 	t.lastAt = crash.at
 	run := job.CrashedRun{Agent: a.name, Number: r.Run.Number, ElapsedMillis: r.ElapsedMillis, Unanswered: r.Unanswered}
-	if !t.add(crashedRun{CrashedRun: run, crash: crash}) {
+	f := c.confined[r.Queue]
+	cleared := f != nil && f.active && time.Duration(r.ElapsedMillis)*time.Millisecond > policy.ClearedAfter(f.crashDelay)
+	if !t.add(crashedRun{CrashedRun: run, crash: crash, cleared: cleared}) {
 		return false
 	}
 	if j := c.jobs[id.Job]; j != nil && j.stored != nil && j.stored.progress.State == "" {
@@ -195,32 +196,56 @@
 // judgeTasks gives up those of the tasks that were at an endpoint when it crashed that count as
 // the cause, and ends their jobs.
 func (c *Coordinator) judgeTasks(names []string, now time.Time) {
-	rate := c.crashes.rate(now) / float64(max(len(c.agents), 1))
-	probable := make(map[string][]string) // tasks by job
+	probable, suspected := make(map[string][]string), make(map[string][]string) // tasks by job
 	for _, name := range names {
 		t := c.crashes.tasks[name]
-		switch c.cfg.Policy.JudgeTask(t.policyCrashes(), rate) {
+		if !t.runs[len(t.runs)-1].cleared {
+			suspected[t.job] = append(suspected[t.job], name)
+		}
+		switch c.cfg.Policy.JudgeTask(t.policyCrashes()) {
 		case policy.Guilty:
-			c.giveUp(name, t, rate, now)
+			c.giveUp(name, t, now)
 		case policy.ProbablyGuilty:
+			if t.identified {
+				c.giveUp(name, t, now)
+				continue
+			}
 			probable[t.job] = append(probable[t.job], name)
 		}
 	}
+	if len(suspected) == 1 {
+		for _, names := range suspected {
+			for _, name := range names {
+				h := c.crashes.tasks[name]
+				h.identified = true
+				if j := c.jobs[h.job]; j != nil {
+					if id, err := job.ParseTaskID(name); err == nil && j.task(id) != nil {
+						c.holdIdentified(j.task(id), now)
+					}
+				}
+			}
+		}
+	}
 	if len(probable) != 1 {
 		return // one task caused the crash, and it cannot be told which
 	}
 	for _, names := range probable {
-		c.giveUp(names[0], c.crashes.tasks[names[0]], rate, now)
+		c.giveUp(names[0], c.crashes.tasks[names[0]], now)
 	}
 }
 
 // giveUp gives up a task and ends its job if it is in progress here.
-func (c *Coordinator) giveUp(name string, t *taskCrashes, rate float64, now time.Time) {
+func (c *Coordinator) giveUp(name string, t *taskCrashes, now time.Time) {
 	if !t.givenUp {
 		t.givenUp = true
 		c.cfg.Metrics.givenUp.Inc()
 		c.cfg.Log.Log(event.TaskGivenUp, "task", name, "queue", t.queue, "crashes", len(t.runs),
-			"elapsed_ms", fmt.Sprint(t.elapsedMillis()), "crashes_per_endpoint_s", rate)
+			"elapsed_ms", fmt.Sprint(t.elapsedMillis()))
+		for _, r := range t.runs {
+			if r.crash != nil && r.crash.culprit == "" {
+				r.crash.culprit = t.job
+			}
+		}
 		c.addCrashingJob(t, now)
 	}
 	if j := c.jobs[t.job]; j != nil {
@@ -275,5 +300,9 @@
 	}
 }
 
-// isSuspect reports whether an endpoint has crashed during a run of t.
-func (c *Coordinator) isSuspect(t *task) bool { return c.crashes.tasks[t.name] != nil }
+// suspicion reports whether an endpoint has crashed during a run of t, and whether only its job can
+// have caused one of the crashes.
+func (c *Coordinator) suspicion(t *task) (suspect, identified bool) {
+	h := c.crashes.tasks[t.name]
+	return h != nil, h != nil && h.identified
+}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -44,10 +44,11 @@
 		if t.orderSequence > a.status.OrderedRuns {
 			e.Free = e.Free.Sub(t.step.Size) // not yet included in the reported use
 		}
-		if c.isSuspect(t) {
+		if suspect, _ := c.suspicion(t); suspect {
 			e.Suspects++
 		}
 	}
+	c.markTrial(&e, a, now)
 	if a.onProbation && !a.mayRunTrial(now, c.cfg.Timing.TrialInterval) {
 		e.Available = false
 	}
@@ -62,8 +63,9 @@
 		Size: t.step.Size, DeclaredRunTime: max(t.step.Estimate, minDeclaredRunTime),
 		Budget: t.job.objective.Sub(now),
 		Label:  t.step.Label, Stored: t.job.stored != nil, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
-		MaxPerEndpoint: t.step.MaxPerEndpoint, Suspect: c.isSuspect(t),
+		MaxPerEndpoint: t.step.MaxPerEndpoint, Job: t.job.spec.ID,
 	}
+	p.Suspect, p.Identified = c.suspicion(t)
 	p.Confine(endpoints, c.confinedLimit(t.job.spec.Queue.Name, len(endpoints)))
 	for _, a := range t.avoid {
 		if i := indexOf(agents, a); i >= 0 {
@@ -244,6 +246,9 @@
 			if p.Suspect {
 				e.Suspects++
 			}
+			if p.IsConfined() {
+				e.TrialJob, e.TrialSuspected = p.Job, p.Identified
+			}
 			t.expectedRunTime = choice.RunTime
 			c.orderTask(t, a, now)
 			if a.onProbation {
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"math"
+	"slices"
 	"time"
 )
 
@@ -8,22 +10,21 @@
 type TaskCrash struct {
 	// Elapsed is the time from the start of the run to the crash.
 	Elapsed time.Duration
-	// Unanswered is set if the endpoint had not answered the start, so that the run may not have
-	// begun.
-	Unanswered bool
-	// Widespread is set if several endpoints crashed at the same moment, which one task cannot cause.
-	Widespread bool
+	// Cleared is set if the crash has another cause: another task, several endpoints crashed at the
+	// same moment, or the run may not have begun.
+	Cleared bool
 }
 
 const (
-	// maxTaskCrashes is the number of crashes after which a task is given up in any case.
-	maxTaskCrashes = 3
 	// crashDelayTolerance is how much the delay from the start of a task to the crash may vary. An
 	// agent notices a crash up to an observation interval late.
 	crashDelayTolerance = 30 * time.Millisecond
-	// maxChanceOfCoincidence is the probability up to which two crashes with the same delay are not
-	// put down to chance.
-	maxChanceOfCoincidence = 0.05
+	// earlyCrash is the time after the start within which a crash is unlikely to be a coincidence.
+	earlyCrash = 100 * time.Millisecond
+	// Crashes with the same delay after which a task is given up, if they came early and otherwise.
+	maxEarlyCrashes, maxLateCrashes = 2, 3
+	// maxTaskCrashes is the number of crashes after which a task is given up in any case.
+	maxTaskCrashes = 5
 )
 
 // CrashVerdict says whether a task is taken to cause the crashes during its runs.
@@ -36,24 +37,38 @@
 	Guilty
 )
 
-// JudgeTask judges a task by the crashes during its runs. After two of them it is probably guilty if
-// both came equally long after the start, which is unlikely by chance; crashRate is the number of
-// crashes of an endpoint per second, whatever their cause. After a third one it is guilty in any case.
-func (p Policy) JudgeTask(crashes []TaskCrash, crashRate float64) CrashVerdict {
+// JudgeTask judges a task by the crashes during its runs. It is probably guilty if several came
+// equally long after the start and have no other known cause, since endpoints that crash by themselves
+// do so at any time of a run. A job that is given up though it could be done is lost to its caller.
+func (p Policy) JudgeTask(crashes []TaskCrash) CrashVerdict {
 	if len(crashes) >= maxTaskCrashes {
 		return Guilty
 	}
-	if len(crashes) < 2 {
-		return Suspected
+	var delays []time.Duration
+	for _, c := range crashes {
+		if !c.Cleared {
+			delays = append(delays, c.Elapsed)
+		}
 	}
-	a, b := crashes[0], crashes[1]
-	if a.Unanswered || b.Unanswered || a.Widespread || b.Widespread || (a.Elapsed-b.Elapsed).Abs() > crashDelayTolerance ||
-		crashRate*(2*crashDelayTolerance).Seconds() > maxChanceOfCoincidence {
-		return Suspected
+	slices.Sort(delays)
+	for i := range delays {
+		same := 0
+		for _, d := range delays[i:] {
+			if d-delays[i] <= crashDelayTolerance {
+				same++
+			}
+		}
+		if same >= maxLateCrashes || same >= maxEarlyCrashes && delays[i] <= earlyCrash {
+			return ProbablyGuilty
+		}
 	}
-	return ProbablyGuilty
+	return Suspected
 }
 
+// ClearedAfter returns the run time from which a task is not suspected of a crash, if those tasks of its
+// queue that were given up crashed their endpoints within the given time.
+func ClearedAfter(crashDelay time.Duration) time.Duration { return crashDelay + crashDelayTolerance }
+
 const (
 	// ConfinementJobs is the number of jobs of a queue whose tasks must have crashed endpoints within
 	// ConfinementWindow for the queue to be confined. A single one may be a coincidence, and is
@@ -61,8 +76,12 @@
 	ConfinementJobs = 2
 	// ConfinementWindow is also the time after a confinement during which one job is enough.
 	ConfinementWindow = 10 * time.Second
-	// confinedShare is the share of a service's endpoints to which its confined queues are limited.
+	// confinedShare is the share of a service's endpoints to which its confined queues are limited
+	// while the others use the rest, and the least share that is left to the others.
 	confinedShare = 0.25
+	// confinedHeadroom is the ratio of the endpoints that are left to the other queues to those that
+	// they use.
+	confinedHeadroom = 1.5
 	// calmBeforeExpansion is the time in service without a crash after which confined queues get
 	// twice as many endpoints, and calmBeforeRelease the time after which they are released.
 	calmBeforeExpansion = 1500 * time.Millisecond
@@ -70,18 +89,19 @@
 )
 
 // ConfinedEndpoints returns the number of endpoints to which the confined queues of a service with
-// the given number of endpoints are limited, 0 if they are released. calm is how long endpoints of
-// the confinement have been in service since the last crash.
-func ConfinedEndpoints(endpoints int, calm time.Duration) int {
-	n := max(1, int(confinedShare*float64(endpoints)+0.5))
+// the given number of endpoints are limited, 0 if they are released: confinedShare of them, or more
+// if the other queues need fewer than the rest. needed is the number of endpoints that these use;
+// calm is how long endpoints of the confinement have been in service since the last crash.
+func ConfinedEndpoints(endpoints int, needed float64, calm time.Duration) int {
+	share := max(1, int(confinedShare*float64(endpoints)+0.5))
+	n := max(share, endpoints-max(int(math.Ceil(confinedHeadroom*needed)), share))
 	switch {
 	case endpoints < 2 || calm >= calmBeforeRelease:
 		return 0
-	case calm >= calmBeforeExpansion:
-		n *= 2
-	}
-	if n >= endpoints {
+	case calm >= calmBeforeExpansion && 2*n >= endpoints:
 		return 0
+	case calm >= calmBeforeExpansion:
+		return 2 * n
 	}
 	return n
 }
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -23,6 +23,10 @@
 	Labels []string
 	// Suspects counts the tasks there during whose runs other endpoints have crashed.
 	Suspects int
+	// TrialJob is the job of a confined queue whose tasks have run there for too short a time to be
+	// cleared of a crash; empty if there is none. TrialSuspected is set if it is an identified one.
+	TrialJob       string
+	TrialSuspected bool
 	// Confined is set for the endpoints that are left to the confined queues of the service; they
 	// are those of the lowest ConfinementRank.
 	Confined        bool
@@ -72,6 +76,10 @@
 	PlacedByEndpoint map[int]int
 	// Suspect is set if an endpoint has crashed during a run of the task.
 	Suspect bool
+	// Identified is set if a crash can have been caused by this task's job only. It is certain to
+	// crash another endpoint, and several such jobs share one.
+	Identified bool
+	Job        string
 	// confinedTo is the number of endpoints to which the queue is limited; 0 if it is not.
 	confinedTo int
 }
@@ -118,7 +126,7 @@
 	for k := range n {
 		i := int((random + uint64(k)) % uint64(n))
 		e := &endpoints[i]
-		if !e.Available || !t.CanRunOn(e) || !e.Free.Fits(t.Size) || t.atEndpointLimit(i) {
+		if !e.Available || !t.CanRunOn(e) || !e.Free.Fits(t.Size) || t.atEndpointLimit(i) || t.conflictsWithTrial(e) {
 			continue
 		}
 		c := Placement{Index: i, RunTime: t.RunTime(e)}
@@ -131,6 +139,15 @@
 	return best, ok
 }
 
+// conflictsWithTrial reports whether t, of a confined queue, must not run on e yet: a crash would not
+// tell it from the tasks of the trial job there.
+func (t *Task) conflictsWithTrial(e *Endpoint) bool {
+	return t.confinedTo > 0 && e.TrialJob != "" && e.TrialJob != t.Job && !(t.Identified && e.TrialSuspected)
+}
+
+// IsConfined reports whether t is limited to a few endpoints.
+func (t *Task) IsConfined() bool { return t.confinedTo > 0 }
+
 func (t *Task) atEndpointLimit(i int) bool {
 	return t.MaxPerEndpoint > 0 && t.PlacedByEndpoint[i] >= t.MaxPerEndpoint
 }
@@ -145,6 +162,8 @@
 	// suspectCostMillis is the cost of an endpoint for a suspect task for each other one there, so
 	// that a second crash tells them apart.
 	suspectCostMillis = 1000.0
+	// trialCostMillis is the gain of an endpoint where the job, or another identified one, is on trial.
+	trialCostMillis = 1000.0
 	// suspectSpreadMillis is the cost of a fully used endpoint for a suspect task, so that another
 	// crash ends few other runs.
 	suspectSpreadMillis = 200.0
@@ -170,7 +189,13 @@
 	if e.Confined && t.confinedTo == 0 {
 		cost += confinedCostMillis
 	}
-	if t.Suspect {
+	if t.IsConfined() && e.TrialJob == t.Job {
+		cost -= trialCostMillis // the job crashes one endpoint rather than several
+	}
+	if t.Identified && e.TrialSuspected {
+		cost -= trialCostMillis
+	}
+	if t.Suspect && !t.Identified {
 		cost += suspectCostMillis * float64(e.Suspects)
 		if e.Capacity.MilliCores > 0 {
 			cost += suspectSpreadMillis * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
