--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"oriolerelay/endpointapi"
 	"oriolerelay/job"
 )
 
@@ -53,6 +54,9 @@
 	}
 	e.crashLocked()
 	e.down = true
+	if e.OnCrash != nil {
+		go e.OnCrash(r.record.ID.Task)
+	}
 	time.AfterFunc(crash.Outage, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -161,3 +165,28 @@
 	}
 	return violations
 }
+
+// CheckRestarts returns a line for each start of a task of the given stored jobs after a completed run
+// whose end the agent has acknowledged. Unlike CheckStored it allows for ends that are lost with their
+// endpoint.
+func (s *System) CheckRestarts(jobs []job.Submission) (violations []string) {
+	stored := make(map[string]bool)
+	for _, j := range jobs {
+		stored[j.ID] = true
+	}
+	done := make(map[string]time.Time)
+	runs := allRuns(s.Endpoints)
+	for _, r := range runs {
+		id, err := job.ParseTaskID(r.ID.Task)
+		if at, ok := done[r.ID.Task]; err == nil && stored[id.Job] && r.Acknowledged && r.EndReason == endpointapi.EndDone && (!ok || r.End.Before(at)) {
+			done[r.ID.Task] = r.End
+		}
+	}
+	for _, r := range runs {
+		if at, ok := done[r.ID.Task]; ok && r.Start.After(at) {
+			violations = append(violations, fmt.Sprintf("task %s was started on %s at %v, after its acknowledged completion at %v",
+				r.ID.Task, r.Endpoint, r.Start, at))
+		}
+	}
+	return violations
+}
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -75,6 +75,8 @@
 	// CrashOf returns the crash that a task causes, and whether it causes one. If it is nil, no
 	// task does.
 	CrashOf func(task, payload string) (Crash, bool)
+	// OnCrash, if set, is called in a goroutine of its own after a crash that a task caused.
+	OnCrash func(task string)
 
 	mu             sync.Mutex
 	faults         Faults
