soak: tasks that crash their endpoint, and the judge of their starts

One job in ten of the time of the faults has such a task in TestSoakWithCrashingTasks; -soak.crash=N adds them to any run. Half of them are stored. The starts after the third crash and overlapping runs are judged from what the endpoints saw, as in the emulator. A job with such a task may be reported as failed, any other may not.

--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -65,6 +65,13 @@
 	})
 }
 
+// IsDown reports whether the endpoint is down after a crash that a task caused.
+func (e *Endpoint) IsDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
 func (r *activeRun) stopTimers() {
 	r.timer.Stop()
 	if r.crash != nil {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -49,12 +49,17 @@
 			HTTP: &http.Client{}, Address: hostPort(w.hostIP(10+i), callersProxyPort), Host: queueHost, Prefix: queuePrefix,
 		}
 	}
+	faultsEnd := time.Now().Add(w.FaultDuration)
 	for n := 0; ctx.Err() == nil; n++ {
 		ms := []uint32{30, 120, 400, 900}[rng.IntN(4)]
 		j := standin.Job{
 			ID: fmt.Sprintf("%08x%08x", w.Seed, n), Payload: fmt.Sprintf("%d %d", ms, 2000), Tasks: 1 + rng.IntN(4),
 			MilliCores: 2000, MemoryMiB: 64, Estimate: time.Duration(ms) * time.Millisecond, Ephemeral: !w.AllFaults || n%8 != 0,
 		}
+		if w.CrashingJobs > 0 && n%w.CrashingJobs == 0 && time.Now().Before(faultsEnd) {
+			j.Payload += crashingSuffix
+			j.Ephemeral = n/w.CrashingJobs%2 == 0
+		}
 		c := &caller{
 			run: w, clients: clients, kind: callerKind(callerRNG.IntN(int(callerKinds))), first: rng.IntN(len(clients)), again: rng.IntN(len(clients)),
 			patience: 200*time.Millisecond + time.Duration(callerRNG.Int64N(int64(resubmitDelay-200*time.Millisecond))),
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,9 @@
 	// PromptEphemeral lets prompt callers resubmit ephemeral jobs too. The platform's callers
 	// resubmit these resubmitDelay after a broken connection.
 	PromptEphemeral bool
+	// CrashingJobs, if positive, makes one in so many jobs of the time of the faults crash the
+	// endpoints that run its first task. Half of these jobs are stored.
+	CrashingJobs int
 }
 
 // Timing of a run.
@@ -191,7 +194,7 @@
 		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), wire.Resources{MilliCores: 16000, MemoryMiB: 16000}, 1)
 		e.Work = parsePayload
 		w.endpoints = append(w.endpoints, e)
-		if err := serve(ctx, hostPort(ip, endpointPort), standin.NewEndpointHandler(e)); err != nil {
+		if err := w.serveEndpoint(ctx, running, e, hostPort(ip, endpointPort)); err != nil {
 			return err
 		}
 		s := w.commonSettings(fmt.Sprintf("agent-%d", i+1), ip, agentPort)
@@ -249,9 +252,11 @@
 func announce(ctx context.Context, e *emulator.Endpoint, address, agent string) {
 	c := &http.Client{Timeout: announceInterval}
 	for ctx.Err() == nil {
-		a := e.Announcement(false)
-		a.Profile.Address = address
-		_ = standin.Announce(ctx, c, agent, a)
+		if !e.IsDown() {
+			a := e.Announcement(false)
+			a.Profile.Address = address
+			_ = standin.Announce(ctx, c, agent, a)
+		}
 		select {
 		case <-time.After(announceInterval):
 		case <-ctx.Done():
@@ -324,7 +329,8 @@
 }
 
 // checkTasks returns the violations of three guarantees: every task of a completed job is
-// done; a stored job completes unless one of its tasks failed as often as the queue allows;
+// done; a stored job completes unless one of its tasks failed as often as the queue allows or crashes
+// endpoints;
 // and a task of a stored job does not start again after an end that was acknowledged before
 // the lease of its endpoint expired.
 func (w *soakRun) checkTasks() (violations []string) {
@@ -355,10 +361,10 @@
 				violations = append(violations, fmt.Sprintf("job %s is completed but its task %s is not done", h.ID, task))
 			}
 		}
-		if h.failed && !failedTooOften {
+		if h.failed && !failedTooOften && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s is reported as failed although no task used up its attempts", h.ID))
 		}
-		if !h.Ephemeral && h.accepted && !h.completed && !h.failed {
+		if !h.Ephemeral && h.accepted && !h.completed && !h.failed && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s, submitted at %.3f s, is not completed", h.ID, h.sent.Sub(w.startedAt).Seconds()))
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -17,6 +18,7 @@
 	entries = flag.Int("soak.entries", 2, "number of entries; with more than three, only some are placement entries")
 	agents  = flag.Int("soak.agents", 3, "number of agents")
 	prompt  = flag.Bool("soak.prompt", false, "prompt callers resubmit ephemeral jobs at once too, which the platform's callers don't")
+	crashes = flag.Int("soak.crash", 0, "one in so many jobs crashes the endpoints that run its first task; none if zero")
 	length  = flag.Duration("soak.length", 4*time.Second, "time during which faults are injected")
 )
 
@@ -48,14 +50,23 @@
 func TestSoak(t *testing.T) {
 	for i := range *seeds {
 		seed := *first + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *entries, *agents) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *entries, *agents, *crashes) })
 	}
 }
 
 // Guards the same guarantees when a few placement entries place the jobs of all entries.
-func TestSoakWithPlacementEntries(t *testing.T) { runSoak(t, 1001, 5, 6) }
+func TestSoakWithPlacementEntries(t *testing.T) { runSoak(t, 1001, 5, 6, *crashes) }
 
-func runSoak(t *testing.T, seed uint64, entries, agents int) {
+// Guards the same guarantees, and the number of starts of a task that crashes endpoints, when one in
+// ten jobs has such a task.
+func TestSoakWithCrashingTasks(t *testing.T) {
+	for i := range *seeds {
+		seed := 2000 + *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, *entries, 2**agents, cmp.Or(*crashes, 10)) })
+	}
+}
+
+func runSoak(t *testing.T, seed uint64, entries, agents, crashingJobs int) {
 	dir := t.TempDir()
 	if logsDir := os.Getenv("SOAK_LOGS"); logsDir != "" {
 		dir = filepath.Join(logsDir, fmt.Sprint(seed))
@@ -64,7 +75,7 @@
 		}
 	}
 	r, err := Run(t.Context(), Options{
-		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, Binary: binary, Dir: dir,
+		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, CrashingJobs: crashingJobs, Binary: binary, Dir: dir,
 		Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
 	})
 	if err != nil {
