router: with few entries too, the id of a job chooses the entry that places it

Callers of a deployment with up to three entries saw a task run twice at the same time when they sent a job to a second entry as soon as the connection to the first was reset. Every entry placed the jobs of its own callers, so the second one ordered the tasks before the first had stopped its runs, about 20 ms later. Only the wait of 1.3 s of the platform's callers hid it.

Entries of small deployments now connect to each other, and forward a job to the one that its id chooses, over the path of placement entries. The copies meet there: the second joins the first, or waits for the end of its stopped runs.

--- a/emulator/play_system_test.go
+++ b/emulator/play_system_test.go
@@ -98,13 +98,14 @@
 
 func (s *playSystem) startEntry(i, incarnation int) {
 	n := &playEntry{playProcess: s.newProcess(fmt.Sprintf("entry-%d", i)), Entry: s.newEntry(i, incarnation)}
-	n.Router = router.New(router.Config{Local: n.Coordinator, Metrics: router.NewMetrics(prometheus.NewRegistry())})
-	n.Router.SetEnabled(len(s.listed) > policy.SmallDeploymentEntries)
+	n.Router = router.New(router.Config{Local: n.Coordinator, Self: n.incarnation(), Metrics: router.NewMetrics(prometheus.NewRegistry())})
+	n.Router.SetSharedAgents(len(s.listed) <= policy.SmallDeploymentEntries)
+	n.Router.SetEnabled(len(s.listed) > 1)
 	n.runRouter()
 	s.mu.Lock()
 	s.entries[i] = n
 	s.mu.Unlock()
-	if len(s.listed) > policy.SmallDeploymentEntries {
+	if len(s.listed) > 1 {
 		go n.manage(n.chooseEntries, n.connectTo, func(string) bool { return false }, n.retire)
 	}
 }
--- a/emulator/play_test.go
+++ b/emulator/play_test.go
@@ -234,7 +234,7 @@
 	s.mu.Unlock()
 	other := s.entryAt(s.listed[random.IntN(len(s.listed))].Address)
 	peer := agent.host
-	if len(s.listed) > 3 && other != entry && random.IntN(2) == 0 {
+	if other != entry && random.IntN(2) == 0 {
 		peer = other.host
 	}
 	endpoint := s.Endpoints[a]
--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -30,17 +30,12 @@
 	return s
 }
 
-// NewPolicySystem returns a system whose processes follow a policy. With few entries, each places
-// its own jobs; with more than policy.SmallDeploymentEntries, the placement entries that package
-// policy selects place all jobs.
+// NewPolicySystem returns a system whose processes follow a policy. With few entries, all of them
+// place jobs at all endpoints; with more than policy.SmallDeploymentEntries, the placement entries
+// that package policy selects place all jobs.
 func NewPolicySystem(ctx context.Context, endpoints []*Endpoint, milliCores []uint32, p policy.Policy, log io.Writer) *System {
 	s := &System{Endpoints: endpoints, ctx: ctx, Log: log, Policy: p}
-	if len(milliCores) > policy.SmallDeploymentEntries {
-		s.startRouted(milliCores)
-		return s
-	}
-	s.startProcesses(len(milliCores))
-	s.connectAll()
+	s.startRouted(milliCores)
 	return s
 }
 
@@ -54,12 +49,18 @@
 		listed = append(listed, policy.Entry{Address: e.name, MilliCores: milliCores[i]})
 	}
 	placementEntries := policy.PlacementEntries(listed, "", nil)
-	s.connectSelected(placementEntries, 1)
+	shared := len(milliCores) <= policy.SmallDeploymentEntries
+	if shared {
+		s.connectAll()
+	} else {
+		s.connectSelected(placementEntries, 1)
+	}
 	for _, e := range s.entries {
 		e.Router = router.New(router.Config{
 			Local: e.Coordinator, Self: e.incarnation(), Policy: s.Policy, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
 		})
-		e.Router.SetEnabled(len(milliCores) > policy.SmallDeploymentEntries)
+		e.Router.SetSharedAgents(shared)
+		e.Router.SetEnabled(len(milliCores) > 1)
 		go e.Router.Run(ctx)
 	}
 	for _, from := range s.entries {
--- a/policy/placement_entry.go
+++ b/policy/placement_entry.go
@@ -118,14 +118,11 @@
 	return among[0]
 }
 
+// leastLoaded returns the least loaded of among, and of several the first by rank.
 func leastLoaded(candidates []PlacementCandidate, among []int) int {
-	best := among[0]
-	for _, i := range among[1:] {
-		if candidates[i].load() < candidates[best].load() {
-			best = i
-		}
-	}
-	return best
+	return slices.MinFunc(among, func(a, b int) int {
+		return cmp.Or(cmp.Compare(candidates[a].load(), candidates[b].load()), cmp.Compare(candidates[a].rank(), candidates[b].rank()))
+	})
 }
 
 // drawByCapacity draws one of among, with probabilities in proportion to the capacities.
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -33,14 +33,15 @@
 	return pc
 }
 
-// chooseEntries implements connOwner. It returns placement entries of each region if there
-// are many entries or this one is not listed: the agents do not know an unlisted entry, so it
-// has to forward its jobs.
+// chooseEntries implements connOwner. It returns placement entries of each region, which are all
+// entries of a small deployment. An unlisted entry, which the agents do not know, forwards all its
+// jobs; a single one forwards none.
 func (pc *peerConns) chooseEntries(entries []policy.Entry, down map[string]bool) (chosen []string) {
 	isSelf := func(entry policy.Entry) bool { return entry.Address == pc.selfAddress }
-	many := len(entries) > policy.SmallDeploymentEntries || !slices.ContainsFunc(entries, isSelf)
-	pc.router.SetEnabled(many)
-	if !many {
+	forwards := len(entries) > 1 || !slices.ContainsFunc(entries, isSelf)
+	pc.router.SetSharedAgents(len(entries) <= policy.SmallDeploymentEntries)
+	pc.router.SetEnabled(forwards)
+	if !forwards {
 		return nil
 	}
 	for _, region := range regionsOf(entries) {
--- a/relay/peers_test.go
+++ b/relay/peers_test.go
@@ -55,3 +55,16 @@
 	waitFor(t, changed, "connections to the next in rank", func() bool { return countConnected(entries[numPlacement:2*numPlacement]) == numPlacement })
 	qt.Check(t, countConnected(entries[:numPlacement]), qt.Equals, numPlacement) // kept open, so that their jobs are not lost
 }
+
+// Guards against entries of a small deployment that do not know of each other and run copies of a job twice.
+func TestEntriesOfSmallDeploymentConnectToEachOther(t *testing.T) {
+	c := qt.New(t)
+	p := &process{
+		settings: Settings{Node: "front", Address: "127.0.0.1", Region: "r", PortRange: []int{7720, 7721}}, incarnation: ids.NewIncarnation("front"),
+	}
+	e := newPeerConns(p, router.New(router.Config{Local: noAgents{}, Region: "r", Metrics: router.NewMetrics(prometheus.NewRegistry())}))
+	listed := []policy.Entry{{Address: e.selfAddress, Region: "r"}, {Address: "127.0.0.2:7721", Region: "r"}, {Address: "127.0.0.3:7721", Region: "r"}}
+	c.Check(e.chooseEntries(listed[:1], nil), qt.HasLen, 0)
+	c.Check(e.chooseEntries(listed, nil), qt.ContentEquals, []string{listed[1].Address, listed[2].Address})
+	c.Check(e.chooseEntries(listed[1:], nil), qt.ContentEquals, []string{listed[1].Address, listed[2].Address}) // this entry is not listed
+}
--- a/router/router.go
+++ b/router/router.go
@@ -75,6 +75,7 @@
 
 	mu               sync.Mutex
 	enabled          bool
+	sharedAgents     bool // see SetSharedAgents
 	draining         bool // this process is about to stop
 	closed           bool // this process places no more jobs
 	random           *rand.Rand
@@ -128,8 +129,8 @@
 	}
 }
 
-// SetEnabled enables or disables forwarding. If it is disabled, as in a deployment with few
-// entries, this process places all jobs of its callers itself.
+// SetEnabled enables or disables forwarding. If it is disabled, as in a deployment with one
+// entry, this process places all jobs of its callers itself.
 func (r *Router) SetEnabled(enabled bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,6 +142,15 @@
 	r.cfg.Log.Log(event.ForwardingChanged, "enabled", enabled)
 }
 
+// SetSharedAgents sets whether all entries place jobs at the same endpoints, as in a deployment
+// with few entries. Then the id of a job alone decides which of them places it, whatever their
+// loads, and a job that one of them has refused for want of capacity is not tried at another one.
+func (r *Router) SetSharedAgents(shared bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sharedAgents = shared
+}
+
 // SetEvacuated sets the data centres at which no task may start, and sends them to the
 // placement entries, which may be unable to read them from the store.
 func (r *Router) SetEvacuated(m wire.Evacuated) {
--- a/router/submit.go
+++ b/router/submit.go
@@ -34,7 +34,7 @@
 			if !sent {
 				continue
 			}
-			if o.err == nil || o.err.Kind != errkind.QueueFull && o.err.Kind != errkind.Draining || triedIncarnation != "" || !r.cfg.Policy.Uses(policy.SecondTry) {
+			if triedIncarnation != "" || !r.deservesSecondTry(o.err) {
 				return o.state, o.err
 			}
 			// Loads may have changed since they were sent; another entry may have free capacity.
@@ -59,6 +59,16 @@
 	}
 }
 
+// deservesSecondTry reports whether another entry may run a job that one has answered with err.
+func (r *Router) deservesSecondTry(err *errkind.Error) bool {
+	if err == nil || !r.cfg.Policy.Uses(policy.SecondTry) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return err.Kind == errkind.Draining || err.Kind == errkind.QueueFull && !r.sharedAgents
+}
+
 // lacksLabel reports whether connected entries have capacity for the job's service but no
 // endpoint with a label that the job requires.
 func (r *Router) lacksLabel(s *job.Submission) bool {
@@ -83,6 +93,9 @@
 	triedIndex := -1
 	add := func(p *placementEntry, c policy.PlacementCandidate) {
 		c.Draw = policy.JobDraw(s.ID, p.incarnation)
+		if r.sharedAgents && c.Capacity > 0 {
+			c.Capacity, c.Used, c.Waiting, c.Sent = 1, 0, 0, 0
+		}
 		if p.incarnation == triedIncarnation {
 			triedIndex = len(entries)
 		}
