transport: tests of connections do not depend on the default timeouts

Cause: a dial gives up after 2 s of real time, and an idle connection after 2 s. Both are right for the daemons, which dial again, but no page promises that a dial succeeds within 2 s, and these tests are about frames and keys.

Evidence: with the test process stopped (SIGSTOP) for 2.3 s, begun 0.07 to 0.3 s after its start, TestReplacedKeysAreReloaded failed in 2 of 6 runs ("dial 127.0.0.1:45148: timeout: no recent network activity", "context deadline exceeded") and TestShutdownDeliversQueuedFrames in 3 of 6 ("hello to 127.0.0.1:35914: deadline exceeded", and frames missing after the idle timeout). On one core beside three busy loops each failed within 6 runs with the same messages, and Send with "read: timeout: no recent network activity".

Change: Options.HandshakeTimeout, with the former 2 s as its default. The tests of this package set it and IdleTimeout to 1 min; TestBlackholedConnectionTimesOut keeps the default idle timeout. All assertions stay.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -19,9 +19,9 @@
 // Timeouts of a connection. An unresponsive peer is detected after idleTimeout.
 // The keep-alive period tolerates two lost packets within that time.
 const (
-	idleTimeout      = 2 * time.Second
-	keepAlivePeriod  = 600 * time.Millisecond
-	handshakeTimeout = 2 * time.Second
+	idleTimeout             = 2 * time.Second
+	keepAlivePeriod         = 600 * time.Millisecond
+	defaultHandshakeTimeout = 2 * time.Second
 )
 
 // protocolName is the ALPN protocol ID of the internal protocol.
@@ -44,6 +44,9 @@
 	// IdleTimeout is the time after which an unresponsive peer is detected. Zero
 	// selects the default.
 	IdleTimeout time.Duration
+	// HandshakeTimeout bounds a handshake, including the Hello exchange. Zero selects the
+	// default.
+	HandshakeTimeout time.Duration
 	// StatelessResetSecret lets a restarted listener reset the connections of its
 	// previous process immediately. It must be the same after the restart and, where
 	// peers are authenticated, must be kept secret. Empty disables stateless resets.
@@ -53,6 +56,13 @@
 	Log                  *event.Logger     // receives an event per refused peer; may be nil
 }
 
+func (o Options) handshakeTimeout() time.Duration {
+	if o.HandshakeTimeout > 0 {
+		return o.HandshakeTimeout
+	}
+	return defaultHandshakeTimeout
+}
+
 func (o Options) quicConfig() *quic.Config {
 	idle, keepAlive := o.IdleTimeout, o.IdleTimeout*3/10
 	if idle <= 0 {
@@ -61,7 +71,7 @@
 	return &quic.Config{
 		MaxIdleTimeout:                 idle,
 		KeepAlivePeriod:                keepAlive,
-		HandshakeIdleTimeout:           handshakeTimeout,
+		HandshakeIdleTimeout:           o.handshakeTimeout(),
 		InitialStreamReceiveWindow:     initialWindow,
 		InitialConnectionReceiveWindow: initialWindow,
 		MaxStreamReceiveWindow:         maxWindow,
@@ -132,7 +142,7 @@
 }
 
 func (l *Listener) serveConn(ctx context.Context, quicConn *quic.Conn, newHandler func(*Conn) Handler) {
-	handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	handshakeCtx, cancel := context.WithTimeout(ctx, l.opts.handshakeTimeout())
 	defer cancel()
 	stream, err := quicConn.AcceptStream(handshakeCtx)
 	if err != nil {
@@ -140,7 +150,7 @@
 		return
 	}
 	c := newConn(quicConn, stream, l.opts)
-	if err := c.exchangeHello(l.opts.Hello()); err != nil {
+	if err := c.exchangeHello(l.opts.Hello(), l.opts.handshakeTimeout()); err != nil {
 		_ = quicConn.CloseWithError(1, "hello failed")
 		return
 	}
@@ -151,7 +161,7 @@
 // returned by newHandler is then called on a separate goroutine until the
 // connection ends.
 func Dial(ctx context.Context, address string, opts Options, newHandler func(*Conn) Handler) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, opts.handshakeTimeout())
 	defer cancel()
 	quicConn, err := quic.DialAddr(ctx, address, dialTLS(opts), opts.quicConfig())
 	if err != nil {
@@ -163,7 +173,7 @@
 		return nil, fmt.Errorf("open stream to %s: %w", address, err)
 	}
 	c := newConn(quicConn, stream, opts)
-	if err := c.exchangeHello(opts.Hello()); err != nil {
+	if err := c.exchangeHello(opts.Hello(), opts.handshakeTimeout()); err != nil {
 		_ = quicConn.CloseWithError(1, "hello failed")
 		return nil, fmt.Errorf("hello to %s: %w", address, err)
 	}
@@ -172,11 +182,9 @@
 	return c, nil
 }
 
-// exchangeHello sends the local Hello and reads the peer's within
-// handshakeTimeout.
-func (c *Conn) exchangeHello(local wire.Hello) error {
-	deadline := time.Now().Add(handshakeTimeout)
-	_ = c.stream.SetDeadline(deadline)
+// exchangeHello sends the local Hello and reads the peer's within timeout.
+func (c *Conn) exchangeHello(local wire.Hello, timeout time.Duration) error {
+	_ = c.stream.SetDeadline(time.Now().Add(timeout))
 	defer func() { _ = c.stream.SetDeadline(time.Time{}) }()
 	b, err := wire.Encode(wire.Frame{Body: &local})
 	if err != nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -51,12 +51,16 @@
 	return a
 }
 
+// connTimeout keeps connections alive in tests that are not about timeouts, also when the
+// process is held up for longer than the default timeouts.
+const connTimeout = time.Minute
+
 func nodeOptions(t testing.TB, a *transport.Authority, node string) transport.Options {
 	cert, key, err := a.Issue(node, time.Hour)
 	qt.Assert(t, err, qt.IsNil)
 	c, err := transport.NodeTLS(a.CertificatePEM(), cert, key)
 	qt.Assert(t, err, qt.IsNil)
-	return transport.Options{TLS: c, Hello: helloFrom(node)}
+	return transport.Options{TLS: c, Hello: helloFrom(node), IdleTimeout: connTimeout, HandshakeTimeout: connTimeout}
 }
 
 func startServer(t testing.TB, opts transport.Options) *testServer {
@@ -201,7 +205,7 @@
 	files := writeTLSFiles(t, t.TempDir(), a)
 	c, err := files.Load()
 	qt.Assert(t, err, qt.IsNil)
-	serverOptions := transport.Options{TLS: c, Hello: helloFrom("node")}
+	serverOptions := transport.Options{TLS: c, Hello: helloFrom("node"), IdleTimeout: connTimeout, HandshakeTimeout: connTimeout}
 	s := startServer(t, serverOptions)
 	openConn := dial(t, s.listener.Address(), nodeOptions(t, a, "agent-1"))
 	writeTLSFiles(t, filepath.Dir(files.CertFile), b)
