emulator: endpoints of random plays are down for a while after a crash

The random plays restarted a crashed endpoint at once, so that no agent ever saw a refused connection. Half of the crashes that keep the id are now followed by such a time, after which the earlier faults of the calls go on.

--- a/emulator/play_test.go
+++ b/emulator/play_test.go
@@ -301,8 +301,15 @@
 			endpoint.Crash()
 			return
 		}
-		s.timeline.addFault("%s crashes and starts again under the same id", endpoint.Name)
 		endpoint.CrashKeepingID()
+		if random.IntN(2) == 0 {
+			s.timeline.addFault("%s crashes and starts again under the same id", endpoint.Name)
+			return
+		}
+		s.timeline.addFault("%s crashes and starts again under the same id after %v", endpoint.Name, d)
+		faults := endpoint.Faults()
+		endpoint.SetFaults(Faults{Down: true})
+		time.AfterFunc(d, func() { endpoint.SetFaults(faults) })
 	case 12:
 		s.timeline.addFault("%s does not respond for %v", endpoint.Name, d)
 		endpoint.SetFaults(Faults{Unresponsive: true})
