executor: the end of a run tells how many of its starts got no reply

Event 620 said how often a run was started, but not whether a start may still be executed, which is what tells a run that a late start has begun again from one that never ended.

--- a/executor/run.go
+++ b/executor/run.go
@@ -183,7 +183,7 @@
 	x.cfg.Metrics.countEnd(state, reason)
 	x.cfg.Log.Log(event.RunEnded, "task", r.id.Task, "run", r.id.Number, "state", state, "reason", reason,
 		"why", why, "entry", r.entry, "estimate_ms", r.declaredRunTime.Milliseconds(), "percent", r.percent,
-		"took_ms", runMillis(r), "waited_ms", startDelayMillis(r), "starts", r.starts.attempts)
+		"took_ms", runMillis(r), "waited_ms", startDelayMillis(r), "starts", r.starts.attempts, "unresolved_starts", r.starts.unresolved)
 }
 
 func runMillis(r *run) int64 {
