coordinator: a job whose orders were all rejected still counts as queued

Callers saw too few queued jobs: the count of a queue left out stored jobs of which a task had been ordered, also when the agent had rejected every order and no task had started. The job now counts as started with the first report of a run that the endpoint has executed.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -149,6 +149,9 @@
 		c.handleUnclaimedEnd(a, r)
 		return
 	}
+	if t.job.stored != nil && r.State != wire.RunRejected && r.State != wire.RunLost {
+		c.startedJobs.Store(t.job.spec.ID, struct{}{})
+	}
 	switch r.State {
 	case wire.RunStarted:
 		if t.state == taskOrdered {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -77,7 +77,7 @@
 	// draining is set when this process will stop.
 	draining bool
 	// recorder records stored jobs; nil without a ledger. startedJobs holds the ids of the stored
-	// jobs of which a task was ordered; it is read outside the loop.
+	// jobs of which a run has started; it is read outside the loop.
 	recorder           Recorder
 	startedJobs        sync.Map
 	unclaimedEnds      map[string][]unclaimedEnd    // by job id
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -243,9 +243,6 @@
 	t.runNumber++
 	t.state, t.agent, t.orderedAt = taskOrdered, a, now
 	t.job.started = true
-	if t.job.stored != nil {
-		c.startedJobs.Store(t.job.spec.ID, struct{}{})
-	}
 	a.tasks[t.name] = t
 	a.orderCount++
 	t.orderSequence = a.orderCount
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -103,7 +103,7 @@
 	})
 }
 
-// Started reports whether a task of a stored job was ordered.
+// Started reports whether a run of a stored job is known to have started.
 func (c *Coordinator) Started(id string) bool {
 	_, ok := c.startedJobs.Load(id)
 	return ok
