--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// Faults returns the injected faults.
+func (e *Endpoint) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 // SetSlowness changes the slowness, also of the current runs.
 func (e *Endpoint) SetSlowness(s float64) {
 	e.mu.Lock()
--- a/executor/run.go
+++ b/executor/run.go
@@ -61,8 +61,8 @@
 	percentReadAt           time.Time
 	percentRoseAt           time.Time
 	reportedRemainingMillis uint32
-	incarnationEnded        bool // of the endpoint, after the run was ordered
 	crashRecorded           bool // the crash of its incarnation is in Executor.crashes
+	countsAsLost            bool // once it is stopped, since the incarnation of its endpoint has ended
 	stopSentAt              time.Time
 	stopInFlight            bool
 	stopAccepted            bool // the endpoint has accepted the stop
@@ -185,7 +185,7 @@
 	x.cfg.Metrics.countEnd(state, reason)
 	x.cfg.Log.Log(event.RunEnded, "task", r.id.Task, "run", r.id.Number, "state", state, "reason", reason,
 		"why", why, "entry", r.entry, "estimate_ms", r.declaredRunTime.Milliseconds(), "percent", r.percent,
-		"took_ms", runMillis(r), "waited_ms", startDelayMillis(r), "starts", r.starts.attempts)
+		"took_ms", runMillis(r), "waited_ms", startDelayMillis(r), "starts", r.starts.attempts, "unresolved_starts", r.starts.unresolved)
 }
 
 func runMillis(r *run) int64 {
