--- a/emulator/check.go
+++ b/emulator/check.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -189,32 +188,3 @@
 	}
 	return violations
 }
-
-// checkCapacity finds times at which the runs of an endpoint need more than its capacity.
-func checkCapacity(e *Endpoint, runs []Run) (violations []string) {
-	type change struct {
-		at    time.Time
-		cores int64
-	}
-	var changes []change
-	for _, r := range runs {
-		changes = append(changes, change{r.Start, int64(r.Size.MilliCores)})
-		if !r.End.IsZero() {
-			changes = append(changes, change{r.End, -int64(r.Size.MilliCores)})
-		}
-	}
-	sort.Slice(changes, func(i, j int) bool {
-		if !changes[i].at.Equal(changes[j].at) {
-			return changes[i].at.Before(changes[j].at)
-		}
-		return changes[i].cores < changes[j].cores
-	})
-	var used int64
-	for _, c := range changes {
-		used += c.cores
-		if used > int64(e.Capacity.MilliCores) {
-			return []string{fmt.Sprintf("runs at endpoint %s use %d millicores of %d", e.Name, used, e.Capacity.MilliCores)}
-		}
-	}
-	return nil
-}
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -43,6 +43,8 @@
 	// LossRate is the share of calls that get no reply. Start and stop calls among them take
 	// effect after Delay.
 	LossRate float64
+	// LoseAnnouncements is the number of upcoming announcements that do not arrive.
+	LoseAnnouncements int
 	// LateGrants makes observations that get no reply take effect after Delay as well. The
 	// lease end in a late call then counts from its arrival.
 	LateGrants bool
@@ -62,8 +64,11 @@
 
 // Endpoint is an emulated endpoint. It implements endpointapi.Endpoint.
 type Endpoint struct {
-	Name     string
+	Name string
+	// Capacity is the current capacity; SetCapacity changes it.
 	Capacity wire.Resources
+	// Unenforced is set for an endpoint that starts runs beyond its capacity.
+	Unenforced bool
 	// Slowness is the ratio of the run time of a task to its work.
 	Slowness float64
 	// Service is the service of the endpoint. An empty Service means "service".
@@ -85,6 +90,7 @@
 	ackedSequence  uint64
 	changed        chan struct{}
 	history        []*Run
+	pastCapacities []capacityPeriod
 	announcements  uint64
 	fencingToken   endpointapi.FencingToken // highest of the calls to this incarnation
 }
@@ -338,7 +344,7 @@
 	for _, r := range e.running {
 		used = used.Plus(r.record.Size)
 	}
-	if !used.Plus(size).Fits(e.Capacity) {
+	if !e.Unenforced && !used.Plus(size).Fits(e.Capacity) {
 		return endpointapi.StartNoCapacity
 	}
 	r := &activeRun{
--- a/emulator/system.go
+++ b/emulator/system.go
@@ -130,7 +130,7 @@
 			s.mu.Lock()
 			draining := a.draining
 			s.mu.Unlock()
-			if !e.heartbeatStopped() {
+			if !e.announcementLost() {
 				a.Executor.Announce(e.Announcement(draining))
 			}
 			select {
@@ -142,9 +142,14 @@
 	return a
 }
 
-func (e *Endpoint) heartbeatStopped() bool {
+// announcementLost reports whether the next announcement does not arrive at the agent.
+func (e *Endpoint) announcementLost() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.faults.LoseAnnouncements > 0 {
+		e.faults.LoseAnnouncements--
+		return true
+	}
 	return e.faults.Down || e.faults.Unresponsive
 }
 
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// Add returns f plus the given resources.
+func (f FreeCapacity) Add(o wire.Resources) FreeCapacity {
+	return FreeCapacity{
+		f.MilliCores + int64(o.MilliCores), f.MemoryMiB + int64(o.MemoryMiB), f.Accelerators + int64(o.Accelerators),
+	}
+}
+
 // Fits reports whether a task of the given size fits into f.
 func (f FreeCapacity) Fits(size wire.Resources) bool {
 	return int64(size.MilliCores) <= f.MilliCores && int64(size.MemoryMiB) <= f.MemoryMiB &&
