executor: use a capacity that has shrunk at once

Callers' tasks could be started over the capacity of an endpoint that does not enforce it (LIMIT). A profile counted as fixed, so that another one was taken only once two consecutive announcements stated the same one: an endpoint whose capacity changed with each announcement kept the first one for good, and with one lost announcement a shrink counted 4.5 s later or after, when the former capacity no longer counts on the platform.

The agent now uses the lower of the capacities in the last two announcements, for each resource, if the rest of the profile is the known one. A shrink counts at once, since it errs on the safe side. A profile that differs in more than the capacity still needs two announcements, as TestFalseProfileDoesNotStay requires; a repetition of one announcement no longer confirms it.

The path of a task is unchanged.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -45,8 +45,10 @@
 	startedAt   time.Time // of this process
 
 	profile *wire.Profile // nil until the endpoint has announced itself
-	// otherProfile is the profile in the newest announcement if that differs from profile.
+	// otherProfile is the profile in the newest announcement if that differs from profile in more
+	// than the capacity.
 	otherProfile        *wire.Profile
+	statedCapacity      wire.Resources // in the newest announcement with this profile
 	endpointStartMillis int64
 	incarnationSince    time.Time // when this incarnation became the known one
 	sequence            uint64    // of the newest announcement
--- a/executor/incarnation.go
+++ b/executor/incarnation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"reflect"
 	"time"
 
 	"oriolerelay/endpointapi"
@@ -73,8 +72,9 @@
 
 // applyAnnouncement applies an announcement of the known incarnation.
 func (x *Executor) applyAnnouncement(a endpointapi.Announcement) {
+	repeated := a.Sequence == x.sequence
 	x.sequence, x.lower = a.Sequence, lowerSequences{}
-	x.checkProfile(a)
+	x.updateProfile(a, repeated)
 	if a.Draining != x.endpointDraining {
 		x.endpointDraining = a.Draining
 		x.statusDirty = true
@@ -86,26 +86,6 @@
 	x.save(a)
 }
 
-// checkProfile replaces the profile of the known incarnation once two consecutive announcements
-// state the same other one. A profile does not change, so that the first one was false.
-func (x *Executor) checkProfile(a endpointapi.Announcement) {
-	p := a.Profile
-	switch {
-	case reflect.DeepEqual(p, *x.profile):
-		x.otherProfile = nil
-	case x.otherProfile == nil || !reflect.DeepEqual(p, *x.otherProfile):
-		x.otherProfile = &p
-	default:
-		x.cfg.Log.Log(event.EndpointAnnounced, "instance", p.Instance, "born", a.StartMillis, "service", p.Service,
-			"millicores", p.Capacity.MilliCores, "runs", len(x.runs), "replaced_service", x.profile.Service)
-		x.profile, x.otherProfile, x.statusDirty = &p, nil, true
-		x.persisted = persistedState{} // the new profile is saved
-		for _, e := range x.entries {
-			e.profileSent = false
-		}
-	}
-}
-
 // lowerSequences counts the consecutive announcements with rising sequence numbers below the known
 // one. The known one is false if they go on, since the endpoint sends newer announcements at
 // intervals, while delayed ones arrive together.
@@ -258,7 +238,7 @@
 	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
-	x.incarnationSince, x.lower, x.otherProfile = now, lowerSequences{}, nil
+	x.incarnationSince, x.lower, x.otherProfile, x.statedCapacity = now, lowerSequences{}, nil, profile.Capacity
 	x.clock = endpointClock{}
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
 	x.setClock(a.Clock, now, "first announcement")
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -98,7 +98,7 @@
 	Status  *Status  `cbor:"2,keyasint,omitempty"`
 }
 
-// Profile describes an endpoint. It is fixed for one incarnation of the endpoint.
+// Profile describes an endpoint. All but the capacity is fixed for one incarnation of the endpoint.
 type Profile struct {
 	Instance   string    `cbor:"1,keyasint"`
 	Service    string    `cbor:"2,keyasint"`
@@ -187,6 +187,11 @@
 	}
 }
 
+// Min returns the lower of r and o, for each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMiB, o.MemoryMiB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.MilliCores * uint32(n), r.MemoryMiB * uint32(n), r.Accelerators * uint32(n)}
