executor: endpoints that do not enforce their capacity need a recent announcement

Callers' tasks could be started over the capacity of an endpoint that does not enforce it (LIMIT): a capacity that has shrunk counts 4.5 s later, whatever the agent has heard until then. An agent that was down or frozen, or whose endpoint's announcements were lost, went on with a capacity of any age: the one that the process before it had stored, the last one heard, or that of an announcement which had waited in a buffer.

The configuration says whether the endpoints of a service enforce their capacity (admission_control). Queues and orders now carry it, and an agent accepts orders for endpoints that do not only while the newest announcement is at most 3.75 s old; with the 700 ms in which a start is executed this is below 4.5 s, and two announcements in a row may be late. The age is that on the endpoint's clock, so that a delayed announcement does not count as new. The clock is read from a reply, counted from the sending of the call, and read again with each announcement of such an endpoint. Entries are told with the closed reason room_unknown and place tasks elsewhere. A restored announcement has no age, so that a restarted agent waits for the next one, 1.5 s at most.

Endpoints that enforce their capacity reject what exceeds it and are used as before, also after a restart. The order of a task carries one more field, and only for endpoints that do not; no call or message is added to its path.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -268,7 +268,7 @@
 	return wire.OrderGroup{
 		Payload: t.job.spec.Payload, Size: t.step.Size, EstimateMillis: uint32(t.step.Estimate.Milliseconds()),
 		Stored: t.job.stored != nil,
-		Trace:  t.job.spec.Trace,
+		Trace:  t.job.spec.Trace, CapacityUnenforced: t.job.spec.Queue.CapacityUnenforced,
 	}
 }
 
--- a/emulator/capacity_test.go
+++ b/emulator/capacity_test.go
@@ -1,7 +1,11 @@
 package emulator
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -72,3 +76,108 @@
 func start(t *testing.T, e *Endpoint, task string) {
 	e.Start(t.Context(), endpointapi.StartRequest{Run: wire.Run{Task: task, Number: 1}, Payload: "100ms", LeaseEnd: e.clockForTest() + time.Second})
 }
+
+// saturate submits jobs that fill the endpoints of s, which do not enforce their capacity, until the
+// returned function is called.
+func saturate(ctx context.Context, s *System) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	callers.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			j := testJob(fmt.Sprintf("%016x", n), 4, 200*time.Millisecond)
+			j.Queue.CapacityUnenforced = true
+			callers.Go(func() { s.Submit(context.Background(), n%len(s.entries), j) })
+			time.Sleep(25 * time.Millisecond)
+		}
+	})
+	return func() { cancel(); callers.Wait() }
+}
+
+// lastStart returns the begin of the last run at e.
+func lastStart(e *Endpoint) (last time.Time) {
+	for _, r := range e.History() {
+		if r.Start.After(last) {
+			last = r.Start
+		}
+	}
+	return last
+}
+
+// Guards against starts over the capacity of an endpoint that does not enforce it, and against one
+// that gets no runs any more.
+func TestUnenforcedCapacityIsNotExceeded(t *testing.T) {
+	small := taskSize.Times(3)
+	for name, change := range map[string]func(s *System, e *Endpoint){
+		"constant": func(*System, *Endpoint) {},
+		"shrinks":  func(_ *System, e *Endpoint) { e.SetCapacity(small) },
+		"shrinks and grows": func(_ *System, e *Endpoint) {
+			e.SetCapacity(small)
+			time.Sleep(6 * time.Second)
+			e.SetCapacity(capacity)
+		},
+		"shrinks with each announcement": func(_ *System, e *Endpoint) {
+			for n := range 7 {
+				e.SetCapacity(taskSize.Times(9 - n))
+				time.Sleep(heartbeatInterval)
+			}
+		},
+		"shrinks while an announcement is lost": func(_ *System, e *Endpoint) {
+			e.SetFaults(Faults{LoseAnnouncements: 1})
+			e.SetCapacity(small)
+		},
+		"shrinks while many announcements are lost": func(_ *System, e *Endpoint) {
+			e.SetFaults(Faults{LoseAnnouncements: 4})
+			e.SetCapacity(small)
+			time.Sleep(7 * time.Second)
+		},
+		"shrinks while an announcement is delayed": func(s *System, e *Endpoint) {
+			delayed := e.Announcement(false)
+			e.SetFaults(Faults{LoseAnnouncements: 4})
+			e.SetCapacity(small)
+			time.Sleep(5 * time.Second)
+			s.agents[0].Executor.Announce(delayed)
+		},
+		"shrinks while the agent is down": func(s *System, e *Endpoint) {
+			stored := e.Announcement(false)
+			s.agents[0].stop()
+			e.SetCapacity(small)
+			time.Sleep(5 * time.Second)
+			e.SetFaults(Faults{LoseAnnouncements: 1})
+			s.KillAgent(0)
+			s.agents[0].Executor.Restore(stored)
+		},
+		"calls are lost or late": func(_ *System, e *Endpoint) {
+			e.SetFaults(Faults{LossRate: 0.3, Delay: 60 * time.Millisecond})
+			time.Sleep(5 * time.Second)
+			e.SetFaults(Faults{})
+		},
+		"crashes": func(_ *System, e *Endpoint) {
+			e.Crash()
+			time.Sleep(3 * time.Second)
+			e.CrashKeepingID()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, stop := context.WithCancel(t.Context())
+				endpoints := Fleet(capacity, taskSize, 1, 1)
+				for _, e := range endpoints {
+					e.Unenforced = true
+				}
+				s := NewSystem(ctx, endpoints, 2, nil)
+				time.Sleep(2 * time.Second)
+				stopLoad := saturate(ctx, s)
+				time.Sleep(2 * time.Second)
+				change(s, endpoints[0])
+				time.Sleep(6 * time.Second)
+				c.Check(time.Since(lastStart(endpoints[0])) < 500*time.Millisecond, quicktest.IsTrue)
+				stopLoad()
+				c.Check(s.Check(nil), quicktest.HasLen, 0)
+				stop()
+				time.Sleep(time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/executor/capacity.go
+++ b/executor/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"time"
 
 	"oriolerelay/endpointapi"
 	"oriolerelay/event"
@@ -23,7 +24,7 @@
 		stated := p.Capacity
 		p.Capacity = p.Capacity.Min(x.otherProfile.Capacity)
 		x.replaceProfile(p, a.StartMillis)
-		x.statedCapacity = stated
+		x.statedCapacity, x.announcedAt = stated, a.Clock
 	}
 }
 
@@ -40,7 +41,7 @@
 	if repeated {
 		capacity = capacity.Min(x.profile.Capacity)
 	}
-	x.statedCapacity = a.Profile.Capacity
+	x.statedCapacity, x.announcedAt = a.Profile.Capacity, a.Clock
 	if capacity != x.profile.Capacity {
 		p := *x.profile
 		p.Capacity = capacity
@@ -60,3 +61,25 @@
 		e.profileSent = false
 	}
 }
+
+// maxAnnouncementLead is how far the time in an announcement may be ahead of the computed one, which
+// is based on whole milliseconds. With a greater lead it is false.
+const maxAnnouncementLead = 50 * time.Millisecond
+
+// knowsCapacity reports whether the free capacity of the endpoint is known as well as its starts
+// require: always if the endpoint enforces its capacity. Otherwise the newest announcement must
+// be recent.
+func (x *Executor) knowsCapacity(now time.Time) bool {
+	if !x.capacityUnenforced {
+		return true
+	}
+	age := x.clock.latestEndpointTime(now) - x.announcedAt
+	return age >= -maxAnnouncementLead && age <= x.cfg.Timing.MaxCapacityAge
+}
+
+// checkCapacityKnown sends the entries a status when knowsCapacity changes with time.
+func (x *Executor) checkCapacityKnown(now time.Time) {
+	if known := x.knowsCapacity(now); known != x.capacityKnown {
+		x.capacityKnown, x.statusDirty = known, true
+	}
+}
--- a/executor/capacity_test.go
+++ b/executor/capacity_test.go
@@ -179,3 +179,39 @@
 		c.Check(saved.list[len(saved.list)-1].Profile.Capacity.MilliCores, quicktest.Equals, uint32(2000))
 	})
 }
+
+// Guards against starts by an old capacity at an endpoint that does not enforce it, against entries
+// that go on ordering there, and against an endpoint that enforces its capacity and is closed.
+func TestUnenforcedCapacityNeedsRecentAnnouncement(t *testing.T) {
+	for _, unenforced := range []bool{false, true} {
+		withIncarnations(t, func(c *quicktest.C, x *Executor, e *incarnationEndpoint, entry *fakeEntry, _ *savedAnnouncements) {
+			closed := func() (reason wire.RejectReason) {
+				x.loop.Do(func() { reason = x.closedReason() })
+				return reason
+			}
+			order := func(task string) wire.Run {
+				r := wire.Run{Task: task, Number: 1}
+				x.Handle("entry.1", 1, &wire.Orders{StatusClockMillis: x.clockMillis(), Groups: []wire.OrderGroup{{
+					Size: wire.Resources{MilliCores: 1000}, EstimateMillis: 100, Runs: []wire.Run{r}, CapacityUnenforced: unenforced,
+				}}})
+				sendHeartbeats(x, 100*time.Millisecond)
+				return r
+			}
+			x.Announce(announcement("i-1", bornMillis, 1))
+			sendHeartbeats(x, time.Second)
+			first := order("first.0.0.0")
+			c.Check(e.runs()[first], quicktest.IsTrue)
+			e.end(first, endpointapi.EndDone)
+			sendHeartbeats(x, 4*time.Second)
+			late := order("late.0.0.0")
+			c.Check(e.runs()[late], quicktest.Equals, !unenforced)
+			c.Check(entry.state(late) == wire.RunRejected, quicktest.Equals, unenforced)
+			c.Check(closed() == wire.RejectCapacityUnknown, quicktest.Equals, unenforced)
+			x.Announce(announcement("i-1", bornMillis, 2))
+			sendHeartbeats(x, 50*time.Millisecond)
+			c.Check(closed(), quicktest.Equals, wire.RejectReason(0))
+			next := order("next.0.0.0")
+			c.Check(e.runs()[next], quicktest.IsTrue)
+		})
+	}
+}
--- a/executor/claim.go
+++ b/executor/claim.go
@@ -20,6 +20,7 @@
 	claimed := make(map[wire.Run]bool)
 	for i := range c.Groups {
 		g := &c.Groups[i]
+		x.capacityUnenforced = g.CapacityUnenforced
 		for _, id := range g.Runs {
 			claimed[id] = true
 			x.claimRun(e, id, g, now)
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -126,6 +126,7 @@
 			age := x.age(m.StatusClockMillis)
 			for i := range m.Groups {
 				g := &m.Groups[i]
+				x.capacityUnenforced = g.CapacityUnenforced
 				for _, id := range g.Runs {
 					if age > x.cfg.Timing.MaxOrderAge {
 						x.reject(e, id, wire.RejectStale)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -49,6 +49,9 @@
 	// than the capacity.
 	otherProfile        *wire.Profile
 	statedCapacity      wire.Resources // in the newest announcement with this profile
+	announcedAt         time.Duration  // the same one's time on the endpoint's clock; 0 if it was restored
+	capacityUnenforced  bool           // the endpoint starts runs beyond its capacity, as the newest order says
+	capacityKnown       bool           // result of knowsCapacity at the last tick
 	endpointStartMillis int64
 	incarnationSince    time.Time // when this incarnation became the known one
 	sequence            uint64    // of the newest announcement
@@ -148,6 +151,8 @@
 		return wire.RejectDraining
 	case x.evacuated.Has(x.profile.DataCentre):
 		return wire.RejectEvacuated
+	case !x.knowsCapacity(time.Now()):
+		return wire.RejectCapacityUnknown
 	}
 	return 0
 }
@@ -155,6 +160,7 @@
 // Tick implements loop.Controller.
 func (x *Executor) Tick(now time.Time) {
 	x.expireLease(now)
+	x.checkCapacityKnown(now)
 	x.loseClaimedRuns(now)
 	x.verifyUnansweredStarts(now)
 	x.expireEntries(now)
--- a/executor/incarnation.go
+++ b/executor/incarnation.go
@@ -26,6 +26,7 @@
 		return accepted
 	}
 	req := endpointapi.ObserveRequest{Instance: a.Profile.Instance, FencingToken: x.fence.token()}
+	sent := time.Now()
 	obs, err := x.queryIncarnation(ctx, req)
 	x.loop.Do(func() {
 		var fenced *endpointapi.FencedError
@@ -34,6 +35,9 @@
 		}
 		if x.incarnationSince == known { // otherwise another announcement was confirmed meanwhile
 			accepted = x.handleIncarnationReply(a, obs, err, time.Now())
+			if accepted {
+				x.clock.calledAt = sent
+			}
 		}
 	})
 	return accepted
@@ -54,6 +58,9 @@
 			return false, false
 		}
 		x.applyAnnouncement(a)
+		if x.capacityUnenforced {
+			x.observeNow(now) // a reading of the clock shows the age of the announcement
+		}
 		return true, false
 	case a.StartMillis < x.endpointStartMillis && !x.unreachable:
 		x.logStale(a)
@@ -139,8 +146,10 @@
 		x.cfg.Log.Log(event.AnnouncementRefused, "instance", a.Profile.Instance, "born", a.StartMillis, "why", err)
 		return false
 	}
+	announcedAt := a.Clock
 	a.Clock = obs.Clock // that of the announcement cannot be checked
 	x.newIncarnation(a, now)
+	x.announcedAt = announcedAt
 	x.unverified = err != nil
 	if err == nil {
 		x.save(a)
@@ -239,9 +248,9 @@
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
 	x.incarnationSince, x.lower, x.otherProfile, x.statedCapacity = now, lowerSequences{}, nil, profile.Capacity
-	x.clock = endpointClock{}
+	x.clock, x.announcedAt = endpointClock{}, 0
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
-	x.setClock(a.Clock, now, "first announcement")
+	x.setClock(a.Clock, now, now, "first announcement")
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
 	if !first && !sameID {
--- a/executor/lease.go
+++ b/executor/lease.go
@@ -10,6 +10,8 @@
 type endpointClock struct {
 	reading time.Duration
 	readAt  time.Time
+	// calledAt is when the call was sent whose reply had the reading.
+	calledAt time.Time
 }
 
 // set stores a reading that arrived at the given time. The reading was taken earlier, so that
@@ -27,6 +29,12 @@
 	return c.reading + now.Sub(c.readAt) + d
 }
 
+// latestEndpointTime returns a time that the endpoint's clock has not passed, although the reply
+// with the reading may have waited in a buffer.
+func (c *endpointClock) latestEndpointTime(now time.Time) time.Duration {
+	return c.reading + now.Sub(c.calledAt)
+}
+
 // latestLocalTime returns a time by which the endpoint's clock has reached t even if it runs
 // slow.
 func (c *endpointClock) latestLocalTime(t time.Duration) time.Time {
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -156,7 +156,7 @@
 		x.unreachable, x.statusDirty = false, true
 	}
 	x.failedObservations = 0
-	x.setClock(obs.Clock, now, "observation")
+	x.setClock(obs.Clock, sent, now, "observation")
 	for _, e := range obs.Ended {
 		x.handleEndedRun(e, now)
 	}
@@ -213,11 +213,14 @@
 	x.failedObservations = unreachableAfterFailures
 }
 
-// setClock stores a reading of the endpoint's clock. With the first one it assumes that an earlier
+// setClock stores a reading of the endpoint's clock from the reply to a call sent at the given time. With the first one it assumes that an earlier
 // process of this agent extended the lease just now; until then no lease end is known.
-func (x *Executor) setClock(reading time.Duration, now time.Time, source string) {
+func (x *Executor) setClock(reading time.Duration, sent, now time.Time, source string) {
 	first := !x.clock.known()
 	x.clock.set(reading, now)
+	if reading > 0 {
+		x.clock.calledAt = sent
+	}
 	if !first || !x.clock.known() {
 		return
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -132,7 +132,7 @@
 	// A reply to a call from before the endpoint restarted says nothing of this incarnation.
 	current := x.profile != nil && call.request.Instance == x.profile.Instance && !call.sentAt.Load().Before(x.incarnationSince)
 	if current {
-		x.setClock(reply.Clock, now, "start")
+		x.setClock(reply.Clock, *call.sentAt.Load(), now, "start")
 	}
 	switch reply.Result {
 	case endpointapi.StartUnknown:
--- a/executor/timing.go
+++ b/executor/timing.go
@@ -27,6 +27,10 @@
 	// runs the tasks elsewhere OrphanTimeout after the agent's last message; a run that starts
 	// within MaxOrderAge of that message has ended by then.
 	MaxOrderAge time.Duration
+	// MaxCapacityAge is the age of the newest announcement from which an endpoint that does not
+	// enforce its capacity gets no starts. A capacity counts for 4.5 s after it has shrunk, and a
+	// start is executed within the lease.
+	MaxCapacityAge time.Duration
 	// EntryTimeout is the time without a message after which the runs of an entry are stopped.
 	EntryTimeout time.Duration
 	// StatusInterval is the shortest time between two status messages to entries that have no
@@ -59,6 +63,7 @@
 		ObserveWaitMargin:         20 * time.Millisecond,
 		StartTimeout:              15 * time.Millisecond,
 		MaxOrderAge:               600 * time.Millisecond,
+		MaxCapacityAge:            3750 * time.Millisecond,
 		EntryTimeout:              450 * time.Millisecond,
 		StatusInterval:            15 * time.Millisecond,
 		StatusIntervalPerEntry:    6 * time.Millisecond,
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -40,13 +40,15 @@
 	Stored bool `cbor:"6,keyasint,omitempty"`
 	// Trace is the W3C traceparent of the job; empty when it is not traced.
 	Trace string `cbor:"7,keyasint,omitempty"`
+	// CapacityUnenforced is set if the endpoint starts runs beyond its capacity.
+	CapacityUnenforced bool `cbor:"8,keyasint,omitempty"`
 }
 
 // EqualExceptRuns reports whether g and o are equal in all fields but Runs, so that their
 // runs can share a group.
 func (g *OrderGroup) EqualExceptRuns(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Stored == o.Stored && g.Trace == o.Trace
+		g.Stored == o.Stored && g.Trace == o.Trace && g.CapacityUnenforced == o.CapacityUnenforced
 }
 
 // RunState is the state of a run in a Report.
@@ -79,6 +81,7 @@
 	RejectStale           RejectReason = 10 // the order is based on a status that is too old
 	RejectBacklogFull     RejectReason = 11 // too many ends of stored runs are unrecorded
 	RejectEvacuated       RejectReason = 12 // the operator evacuates the data centre
+	RejectCapacityUnknown RejectReason = 13 // the endpoint enforces no capacity, and what is free is not known
 )
 
 // Report is the state of one run.
@@ -214,7 +217,7 @@
 	0: "none", RejectCapacity: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectStartUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectTaskRunning: "busy",
 	RejectRetired: "serves_other_entries", RejectStale: "stale",
-	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied",
+	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied", RejectCapacityUnknown: "room_unknown",
 }
 
 // String returns the name of r for logs and metrics.
