executor: no start beside runs of unknown size where capacity is not enforced

A run that the endpoint lists has no size until its entry claims it, and counted as nothing: when one entry reconnected later than the others, these filled the capacity that its runs still used.

Endpoints that enforce their capacity are used as before.

Failed before the fix, TestUnenforcedCapacityIsNotExceeded: agent restarted while an entry is cut off (34100 of 32000 millicores).

--- a/emulator/capacity_test.go
+++ b/emulator/capacity_test.go
@@ -146,6 +146,12 @@
 			s.KillAgent(0)
 			s.agents[0].Executor.Restore(stored)
 		},
+		"agent restarted while an entry is cut off": func(s *System, _ *Endpoint) {
+			s.Cut(0, 0, true)
+			s.KillAgent(0)
+			time.Sleep(time.Second)
+			s.Cut(0, 0, false)
+		},
 		"calls are lost or late": func(_ *System, e *Endpoint) {
 			e.SetFaults(Faults{LossRate: 0.3, Delay: 60 * time.Millisecond})
 			time.Sleep(5 * time.Second)
--- a/executor/capacity.go
+++ b/executor/capacity.go
@@ -68,13 +68,21 @@
 
 // knowsCapacity reports whether the free capacity of the endpoint is known as well as its starts
 // require: always if the endpoint enforces its capacity. Otherwise the newest announcement must
-// be recent.
+// be recent, and the sizes of all runs at the endpoint known.
 func (x *Executor) knowsCapacity(now time.Time) bool {
 	if !x.capacityUnenforced {
 		return true
 	}
 	age := x.clock.latestEndpointTime(now) - x.announcedAt
-	return age >= -maxAnnouncementLead && age <= x.cfg.Timing.MaxCapacityAge
+	if age < -maxAnnouncementLead || age > x.cfg.Timing.MaxCapacityAge || !x.adoptDeadline.IsZero() {
+		return false
+	}
+	for _, r := range x.runs {
+		if r.entry == "" {
+			return false // no entry has claimed it
+		}
+	}
+	return true
 }
 
 // checkCapacityKnown sends the entries a status when knowsCapacity changes with time.
