emulator: random plays with capacities that change while agents fail

TestRandomFaults had endpoints of one capacity that enforce it, so it could not show a start over a capacity that has shrunk (LIMIT). The load fills the endpoints. An agent of these plays that is frozen now reads an announcement of before late, as from the buffer of a connection, also in TestRandomFaults.

--- a/emulator/capacity_test.go
+++ b/emulator/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -103,6 +104,43 @@
 	return last
 }
 
+// changeCapacity lets the capacity of an endpoint shrink and grow at random times until the system
+// stops, often while its agent fails.
+func (s *playSystem) changeCapacity(random *rand.Rand, endpoint int) {
+	e := s.Endpoints[endpoint]
+	for {
+		for _, n := range []int{1 + random.IntN(4), 10} {
+			select {
+			case <-time.After(time.Second + time.Duration(random.Int64N(int64(5*time.Second)))):
+			case <-s.ctx.Done():
+				return
+			}
+			s.timeline.addFault("capacity of %s: %d tasks", e.Name, n)
+			e.SetCapacity(taskSize.Times(n))
+			d := time.Second + time.Duration(random.Int64N(int64(6*time.Second)))
+			entry := s.listed[random.IntN(len(s.listed))].Address
+			s.mu.Lock()
+			agent := s.agents[endpoint]
+			s.mu.Unlock()
+			kind := random.IntN(6)
+			if !agent.gate.runs() {
+				continue // it fails already
+			}
+			switch kind {
+			case 0:
+				s.killAgent(endpoint, d)
+			case 1:
+				s.freezeAgent(endpoint, d)
+			case 2:
+				s.killAgent(endpoint, 100*time.Millisecond)
+				s.cutLinks(d/4, [2]string{entry, agent.host}, [2]string{agent.host, entry})
+			case 3:
+				e.SetFaults(Faults{LoseAnnouncements: 1 + random.IntN(4)})
+			}
+		}
+	}
+}
+
 // Guards against starts over the capacity of an endpoint that does not enforce it, and against one
 // that gets no runs any more.
 func TestUnenforcedCapacityIsNotExceeded(t *testing.T) {
--- a/emulator/play_system_test.go
+++ b/emulator/play_system_test.go
@@ -133,7 +133,11 @@
 		}
 		for a.ctx.Err() == nil {
 			if !e.announcementLost() {
-				a.executor.Announce(e.Announcement(false))
+				announcement := e.Announcement(false)
+				if !a.gate.wait() { // it waits in a buffer while the agent is frozen
+					return
+				}
+				a.executor.Announce(announcement)
 			}
 			select {
 			case <-time.After(heartbeatInterval):
--- a/emulator/play_test.go
+++ b/emulator/play_test.go
@@ -32,12 +32,23 @@
 	for i := range *playSeeds {
 		seed := *playFirst + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			bubble.Test(t, func(t *testing.T) { playRandomFaults(t, seed) })
+			bubble.Test(t, func(t *testing.T) { playRandomFaults(t, seed, false) })
 		})
 	}
 }
 
-func playRandomFaults(t *testing.T, seed uint64) {
+// Guards against endpoints used beyond a capacity that they do not enforce, and that shrinks while
+// agents are down, frozen or cut off.
+func TestRandomFaultsWithChangingCapacity(t *testing.T) {
+	for i := range *playSeeds {
+		seed := *playFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) { playRandomFaults(t, seed, true) })
+		})
+	}
+}
+
+func playRandomFaults(t *testing.T, seed uint64, changingCapacity bool) {
 	random := rand.New(rand.NewPCG(seed, 27))
 	ctx, stop := context.WithCancel(context.Background())
 	shares := make([]uint32, 2+random.IntN(8))
@@ -49,11 +60,21 @@
 		slowness[i] = 0.7 + 0.6*random.Float64()
 	}
 	s := newPlaySystem(ctx, Fleet(capacity, taskSize, slowness...), shares)
+	if changingCapacity {
+		for i, e := range s.Endpoints {
+			e.Unenforced = true
+			go s.changeCapacity(rand.New(rand.NewPCG(seed, uint64(1000+i))), i)
+		}
+	}
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
 	var answers []Answer
 	var callers, faults sync.WaitGroup
-	faults.Go(func() { s.injectFaults(rand.New(rand.NewPCG(seed, 28)), *playLength) })
+	faults.Go(func() {
+		if !changingCapacity {
+			s.injectFaults(rand.New(rand.NewPCG(seed, 28)), *playLength)
+		}
+	})
 	for start, n := time.Now(), 0; time.Since(start) < *playLength+time.Second; n++ {
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(65*time.Millisecond)))
 		work := time.Duration(50+random.IntN(150)) * time.Millisecond
@@ -61,6 +82,10 @@
 			work = time.Duration(300+random.IntN(3000)) * time.Millisecond
 		}
 		j := testJob(fmt.Sprintf("%08x%08x", seed, n), 1+random.IntN(4), work)
+		if changingCapacity {
+			j.Steps[0].Count *= 3 // so that all capacity is used
+		}
+		j.Queue.CapacityUnenforced = changingCapacity
 		j.CallerTimeout = work + time.Duration(500+random.IntN(4000))*time.Millisecond
 		caller := rand.New(rand.NewPCG(seed, uint64(1000+n)))
 		callers.Go(func() {
@@ -87,7 +112,7 @@
 		t.Error("no job was completed")
 	}
 	stop()
-	time.Sleep(5 * time.Second)
+	time.Sleep(10 * time.Second)
 	synctest.Wait()
 }
 
