coordinator: refuse a job at once whose tasks exceed the capacity of every endpoint

Callers of a job whose tasks fit on no endpoint any more, since capacities had shrunk, waited for half of the job's slack before they were told: a job that cannot be placed waits for free capacity, whatever its size. Nothing changes in that time, since a capacity that grows is used after 3 s at the earliest.

Such a job is now refused as not run, and its caller may come back after those 3 s. It is refused only if it is not stored and has not started, and, within 2 s of the start of the process, waits as before, since larger endpoints may not have connected yet. The kind of the refusal is that for a lack of capacity, so that an entry which had forwarded the job tries another one. Stored jobs wait, and a job that fits on an endpoint which is full or closed is treated as before. The check of a job that fits ends at the first endpoint that it looks at.

TestJobAboveAllCapacitiesIsRefusedAtOnce failed before the fix in the cases too large and too large for both (no answer after 100 ms). TestStoredJobWaitsForCapacity and TestNoOrderWhileUseExceedsCapacity passed before it.

--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -105,7 +105,7 @@
 			}
 			continue // a started job is abandoned when its last caller is
 		}
-		if !j.started && c.refuseIfOverdue(j, v, now) {
+		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
 			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -151,6 +151,23 @@
 	return cost
 }
 
+// FitsWhenIdle reports whether a task fits into the whole capacity of an endpoint that has the label
+// it requires. It is true if no endpoint has that label, so that nothing is known of their capacity.
+func FitsWhenIdle(endpoints []Endpoint, size wire.Resources, label string) bool {
+	hasLabel := false
+	for i := range endpoints {
+		e := &endpoints[i]
+		if label != "" && !slices.Contains(e.Labels, label) {
+			continue
+		}
+		if size.Fits(e.Capacity) {
+			return true
+		}
+		hasLabel = true
+	}
+	return !hasLabel
+}
+
 // FittingTasks returns how many tasks of the given size the available endpoints can take now.
 func FittingTasks(endpoints []Endpoint, size wire.Resources) int {
 	n := int64(0)
