policy: no task counts as placeable where the use exceeds the capacity

Callers could wait for their whole deadline in place of being refused early: at an endpoint whose use exceeds its capacity in a resource, as after a shrink, a task that needs none of that resource is not placed (FreeCapacity.Fits), but counted as placeable (FittingTasks), so that its job had no unplaced demand and was never refused. FittingTasks now counts none there.

--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -185,8 +185,11 @@
 	for _, d := range [][2]int64{
 		{f.MilliCores, int64(size.MilliCores)}, {f.MemoryMiB, int64(size.MemoryMiB)}, {f.Accelerators, int64(size.Accelerators)},
 	} {
-		if d[1] > 0 {
-			n = min(n, max(d[0], 0)/d[1])
+		switch {
+		case d[0] < d[1]:
+			return 0
+		case d[1] > 0:
+			n = min(n, d[0]/d[1])
 		}
 	}
 	return n
