--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -112,7 +112,7 @@
 			}
 			continue // a started job is abandoned when its last caller is
 		}
-		if !j.started && c.refuseIfOverdue(j, v, now) {
+		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
 			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
@@ -286,8 +286,7 @@
 	return wire.OrderGroup{
 		Payload: t.job.spec.Payload, Size: t.step.Size, EstimateMillis: uint32(t.step.Estimate.Milliseconds()),
 		Stored: t.job.stored != nil,
-		Trace:  t.job.spec.Trace,
-		Queue:  t.job.spec.Queue.Name,
+		Trace:  t.job.spec.Trace, Queue: t.job.spec.Queue.Name, CapacityUnenforced: t.job.spec.Queue.CapacityUnenforced,
 	}
 }
 
--- a/emulator/endpoint_calls.go
+++ b/emulator/endpoint_calls.go
@@ -105,7 +105,7 @@
 	for _, r := range e.running {
 		used = used.Plus(r.record.Size)
 	}
-	if !used.Plus(size).Fits(e.Capacity) {
+	if !e.Unenforced && !used.Plus(size).Fits(e.Capacity) {
 		return endpointapi.StartNoCapacity
 	}
 	r := &activeRun{
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -45,8 +45,13 @@
 	startedAt   time.Time // of this process
 
 	profile *wire.Profile // nil until the endpoint has announced itself
-	// otherProfile is the profile in the newest announcement if that differs from profile.
+	// otherProfile is the profile in the newest announcement if that differs from profile in more
+	// than the capacity.
 	otherProfile        *wire.Profile
+	statedCapacity      wire.Resources // in the newest announcement with this profile
+	announcedAt         time.Duration  // the same one's time on the endpoint's clock; 0 if it was restored
+	capacityUnenforced  bool           // the endpoint starts runs beyond its capacity, as the newest order says
+	capacityKnown       bool           // result of knowsCapacity at the last tick
 	endpointStartMillis int64
 	incarnationSince    time.Time // when this incarnation became the known one
 	sequence            uint64    // of the newest announcement
@@ -148,6 +153,8 @@
 		return wire.RejectDraining
 	case x.evacuated.Has(x.profile.DataCentre):
 		return wire.RejectEvacuated
+	case !x.knowsCapacity(time.Now()):
+		return wire.RejectCapacityUnknown
 	}
 	return 0
 }
@@ -155,6 +162,7 @@
 // Tick implements loop.Controller.
 func (x *Executor) Tick(now time.Time) {
 	x.expireLease(now)
+	x.checkCapacityKnown(now)
 	x.loseClaimedRuns(now)
 	x.verifyUnansweredStarts(now)
 	x.expireEntries(now)
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// Add returns f plus the given resources.
+func (f FreeCapacity) Add(o wire.Resources) FreeCapacity {
+	return FreeCapacity{
+		f.MilliCores + int64(o.MilliCores), f.MemoryMiB + int64(o.MemoryMiB), f.Accelerators + int64(o.Accelerators),
+	}
+}
+
 // Fits reports whether a task of the given size fits into f.
 func (f FreeCapacity) Fits(size wire.Resources) bool {
 	return int64(size.MilliCores) <= f.MilliCores && int64(size.MemoryMiB) <= f.MemoryMiB &&
@@ -207,6 +214,23 @@
 	return cost
 }
 
+// FitsWhenIdle reports whether a task fits into the whole capacity of an endpoint that has the label
+// it requires. It is true if no endpoint has that label, so that nothing is known of their capacity.
+func FitsWhenIdle(endpoints []Endpoint, size wire.Resources, label string) bool {
+	hasLabel := false
+	for i := range endpoints {
+		e := &endpoints[i]
+		if label != "" && !slices.Contains(e.Labels, label) {
+			continue
+		}
+		if size.Fits(e.Capacity) {
+			return true
+		}
+		hasLabel = true
+	}
+	return !hasLabel
+}
+
 // FittingTasks returns how many tasks like t the available endpoints can take now.
 func FittingTasks(endpoints []Endpoint, t *Task) int {
 	n := int64(0)
@@ -224,8 +248,11 @@
 	for _, d := range [][2]int64{
 		{f.MilliCores, int64(size.MilliCores)}, {f.MemoryMiB, int64(size.MemoryMiB)}, {f.Accelerators, int64(size.Accelerators)},
 	} {
-		if d[1] > 0 {
-			n = min(n, max(d[0], 0)/d[1])
+		switch {
+		case d[0] < d[1]:
+			return 0
+		case d[1] > 0:
+			n = min(n, d[0]/d[1])
 		}
 	}
 	return n
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -42,13 +42,15 @@
 	Trace string `cbor:"7,keyasint,omitempty"`
 	// Queue is the queue of the job. Agents return it in a CrashedRun.
 	Queue string `cbor:"8,keyasint,omitempty"`
+	// CapacityUnenforced is set if the endpoint starts runs beyond its capacity.
+	CapacityUnenforced bool `cbor:"9,keyasint,omitempty"`
 }
 
 // EqualExceptRuns reports whether g and o are equal in all fields but Runs, so that their
 // runs can share a group.
 func (g *OrderGroup) EqualExceptRuns(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Stored == o.Stored && g.Trace == o.Trace && g.Queue == o.Queue
+		g.Stored == o.Stored && g.Trace == o.Trace && g.Queue == o.Queue && g.CapacityUnenforced == o.CapacityUnenforced
 }
 
 // RunState is the state of a run in a Report.
@@ -81,6 +83,7 @@
 	RejectStale           RejectReason = 10 // the order is based on a status that is too old
 	RejectBacklogFull     RejectReason = 11 // too many ends of stored runs are unrecorded
 	RejectEvacuated       RejectReason = 12 // the operator evacuates the data centre
+	RejectCapacityUnknown RejectReason = 13 // the endpoint enforces no capacity, and what is free is not known
 )
 
 // Report is the state of one run.
@@ -100,7 +103,7 @@
 	Status  *Status  `cbor:"2,keyasint,omitempty"`
 }
 
-// Profile describes an endpoint. It is fixed for one incarnation of the endpoint.
+// Profile describes an endpoint. All but the capacity is fixed for one incarnation of the endpoint.
 type Profile struct {
 	Instance   string    `cbor:"1,keyasint"`
 	Service    string    `cbor:"2,keyasint"`
@@ -213,6 +216,11 @@
 	}
 }
 
+// Min returns the lower of r and o, for each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMiB, o.MemoryMiB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.MilliCores * uint32(n), r.MemoryMiB * uint32(n), r.Accelerators * uint32(n)}
@@ -235,7 +243,7 @@
 	0: "none", RejectCapacity: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectStartUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectTaskRunning: "busy",
 	RejectRetired: "serves_other_entries", RejectStale: "stale",
-	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied",
+	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied", RejectCapacityUnknown: "room_unknown",
 }
 
 // String returns the name of r for logs and metrics.
