coordinator, executor: suspects of different jobs do not start together

Cause, from the emulator's TestCrashingTasksOfOneQueueAreGivenUp and TestCrashingTaskIsGivenUp: an innocent job that had lost its run beside a crashing task was placed with it again, also by another entry, so that the second crash did not tell them apart; up to 5 crashes, and an innocent job given up. TestRackFailuresFailNoJob: racks that fail at a regular interval crash a task three times at the same run time.

Change: suspects order the endpoints by a hash of their name and the agent's; an agent starts jobs on trial one at a time, whichever entries order them (RejectTrial states how long the entry has to wait). Late crashes count as alike from the fourth one on; crashes within 40 ms are widespread.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -26,6 +26,7 @@
 	suspect         bool // no message was received for SuspectTimeout
 	onProbation     bool
 	lastTrial       time.Time // when the last trial task was ordered
+	otherTrialUntil time.Time // end of the trial of another entry's job at its endpoint
 	trialSuccesses  int       // trial tasks that succeeded since the last failure
 	pendingStops    []wire.Run
 	pendingConfirms []wire.Run // runs whose ends are recorded and are to be confirmed
@@ -163,6 +164,9 @@
 	case wire.RunFailed:
 		c.handleFailed(t, now)
 	case wire.RunRejected:
+		if r.Reason == wire.RejectTrial {
+			a.otherTrialUntil = now.Add(time.Duration(r.RemainingMillis) * time.Millisecond)
+		}
 		c.handleRejected(t, r.Reason)
 	case wire.RunStopped:
 		c.requeue(t, "stopped")
--- a/coordinator/confinement.go
+++ b/coordinator/confinement.go
@@ -31,7 +31,7 @@
 	// needed is the number of endpoints that the other queues use, the greatest of the last seconds.
 	needed     float64
 	releasedAt time.Time
-	limit      int // number of endpoints, as logged last
+	limit      int // number of endpoints
 }
 
 // addCrashingJob records that a task was given up, and confines its queue if that was so with
@@ -54,7 +54,8 @@
 		f.active = true
 		endpoints, _ := c.snapshot(t.service, now)
 		f.updateNeeded(endpoints, 0)
-		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", true, "crashing_jobs", len(f.crashingJobs), "again", again)
+		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", true, "crashing_jobs", len(f.crashingJobs), "again", again,
+			"limit", c.confinedLimit(queue, len(endpoints)), "endpoints", len(endpoints), "needed", f.needed, "crash_delay_ms", f.crashDelay.Milliseconds())
 	}
 	f.calm, c.replan = 0, true
 }
@@ -145,14 +146,31 @@
 	f.needed = max(needed, f.needed*math.Exp(-elapsed.Seconds()/neededTimeConstant.Seconds()))
 }
 
+// otherEntrysJob stands for a job of another entry in policy.Endpoint.TrialJob.
+const otherEntrysJob = "other entry's job"
+
+// trialTime returns how long the runs of t are on trial, 0 if it is not suspect and its queue not
+// confined.
+func (c *Coordinator) trialTime(t *task) time.Duration {
+	if f := c.confined[t.job.spec.Queue.Name]; f != nil && f.active {
+		return policy.ClearedAfter(f.crashDelay) + trialMargin
+	}
+	if suspect, _ := c.suspicion(t); suspect {
+		return policy.ClearedAfter(0) + trialMargin
+	}
+	return 0
+}
+
 // markTrial sets the trial job of e, the endpoint of a.
 func (c *Coordinator) markTrial(e *policy.Endpoint, a *agent, now time.Time) {
-	if len(c.confined) == 0 {
+	if len(c.confined) == 0 && len(c.crashes.tasks) == 0 {
 		return
 	}
+	if now.Before(a.otherTrialUntil) {
+		e.TrialJob = otherEntrysJob
+	}
 	for _, t := range a.tasks {
-		f := c.confined[t.job.spec.Queue.Name]
-		if f == nil || !f.active || now.Sub(t.orderedAt) > policy.ClearedAfter(f.crashDelay)+trialMargin {
+		if now.Sub(t.orderedAt) >= c.trialTime(t) {
 			continue
 		}
 		e.TrialJob = t.job.spec.ID
@@ -177,6 +195,7 @@
 func (c *Coordinator) updateConfinements(now time.Time) {
 	elapsed := now.Sub(c.confinementsAt)
 	c.confinementsAt = now
+	c.replan = c.replan || len(c.queued) > 0 && len(c.crashes.tasks) > 0 // a trial may have ended
 	for queue, f := range c.confined {
 		if !f.active {
 			if f.expire(now); len(f.crashingJobs) == 0 && now.Sub(f.releasedAt) > policy.ConfinementWindow {
@@ -186,7 +205,6 @@
 		}
 		endpoints, _ := c.snapshot(f.service, now)
 		f.updateNeeded(endpoints, elapsed)
-		c.replan = c.replan || len(c.queued) > 0 // a trial may have ended
 		if slices.ContainsFunc(endpoints, func(e policy.Endpoint) bool { return e.Confined && e.Available }) {
 			f.calm += elapsed
 		}
@@ -197,8 +215,7 @@
 		f.limit, c.replan = limit, true
 		if limit == 0 {
 			f.active, f.releasedAt = false, now
+			c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", false, "endpoints", len(endpoints), "calm_ms", f.calm.Milliseconds())
 		}
-		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", f.active, "limit", limit, "endpoints", len(endpoints),
-			"calm_ms", f.calm.Milliseconds())
 	}
 }
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oriolerelay/event"
 	"oriolerelay/job"
 	"oriolerelay/policy"
@@ -18,9 +21,10 @@
 	crashHistoryTTL = time.Minute
 	// maxCrashHistory bounds the tasks whose crashes are remembered.
 	maxCrashHistory = 4096
-	// widespreadPeriod is the time within which crashes of endpoints that share no task are put down
-	// to a common cause, such as the power of a rack.
-	widespreadPeriod = 20 * time.Millisecond
+	// widespreadCrashes is the number of endpoints that crash within widespreadPeriod, without a task
+	// in common, if the cause is a common one such as the power of a rack.
+	widespreadCrashes = 3
+	widespreadPeriod  = 40 * time.Millisecond
 )
 
 // crashHistory holds the recent crashes of endpoints as reported by their agents. Each entry that
@@ -95,15 +99,21 @@
 	})
 }
 
-// add adds a crash. It marks the crashes within widespreadPeriod as widespread unless they share a
-// task, which is then the likelier cause.
+// add adds a crash. It marks the crashes within widespreadPeriod as widespread if they are many and
+// share no task, which would be the likelier cause.
 func (h *crashHistory) add(c *endpointCrash) {
+	h.crashes = append(h.crashes, c)
+	var together []*endpointCrash
 	for _, o := range h.crashes {
-		if c.at.Sub(o.at).Abs() <= widespreadPeriod && !o.sharesTask(c) {
-			o.widespread, c.widespread = true, true
+		if c.at.Sub(o.at).Abs() <= widespreadPeriod && (o == c || !o.sharesTask(c)) {
+			together = append(together, o)
+		}
+	}
+	if len(together) >= widespreadCrashes {
+		for _, o := range together {
+			o.widespread = true
 		}
 	}
-	h.crashes = append(h.crashes, c)
 }
 
 func (c *endpointCrash) sharesTask(o *endpointCrash) bool {
@@ -300,9 +310,22 @@
 	}
 }
 
-// suspicion reports whether an endpoint has crashed during a run of t, and whether only its job can
-// have caused one of the crashes.
+// suspicion reports whether t may have caused a crash whose cause is not known, and whether only its job
+// can have caused it.
 func (c *Coordinator) suspicion(t *task) (suspect, identified bool) {
 	h := c.crashes.tasks[t.name]
-	return h != nil, h != nil && h.identified
+	if h == nil {
+		return false, false
+	}
+	suspect = slices.ContainsFunc(h.policyCrashes(), func(c policy.TaskCrash) bool { return !c.Cleared })
+	return suspect, suspect && h.identified
+}
+
+// suspectRanks returns the ranks of the endpoints of the agents for a suspect task.
+func suspectRanks(t *task, agents []*agent) []float64 {
+	ranks := make([]float64, len(agents))
+	for i, a := range agents {
+		ranks[i] = float64(xxhash.Sum64String(t.name+"|"+a.name)) / math.MaxUint64
+	}
+	return ranks
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -65,7 +65,9 @@
 		Label:  t.step.Label, Stored: t.job.stored != nil, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
 		MaxPerEndpoint: t.step.MaxPerEndpoint, Job: t.job.spec.ID,
 	}
-	p.Suspect, p.Identified = c.suspicion(t)
+	if p.Suspect, p.Identified = c.suspicion(t); p.Suspect {
+		p.SuspectRanks = suspectRanks(t, agents)
+	}
 	p.Confine(endpoints, c.confinedLimit(t.job.spec.Queue.Name, len(endpoints)))
 	for _, a := range t.avoid {
 		if i := indexOf(agents, a); i >= 0 {
@@ -246,7 +248,7 @@
 			if p.Suspect {
 				e.Suspects++
 			}
-			if p.IsConfined() {
+			if p.IsConfined() || p.Suspect {
 				e.TrialJob, e.TrialSuspected = p.Job, p.Identified
 			}
 			t.expectedRunTime = choice.RunTime
@@ -268,6 +270,8 @@
 	a.orderCount++
 	t.orderSequence = a.orderCount
 	groups, group := c.pendingOrders[a], t.orderGroup()
+	group.TrialMillis = uint32(c.trialTime(t).Milliseconds())
+	_, group.TrialShared = c.suspicion(t)
 	if last := len(groups) - 1; last >= 0 && groups[last].EqualExceptRuns(&group) {
 		groups[last].Runs = append(groups[last].Runs, t.runID())
 	} else {
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -47,7 +47,7 @@
 	AgentSuspect             = define(641, Warn, "agent is suspect and gets no new tasks")
 	AgentRunsLost            = define(642, Warn, "suspect agent did not return; its runs count as lost")
 	CrashReported            = define(672, Warn, "agent reported a crash of its endpoint")
-	QueueConfined            = define(673, Warn, "tasks of a queue crash endpoints; the queue is confined to a few of them, or to fewer or more of them")
+	QueueConfined            = define(673, Warn, "tasks of a queue crash endpoints and the queue is confined to a few of them, or it is released")
 	ConfigApplied            = define(643, Info, "configuration from the platform applied")
 	ConfigIgnored            = define(644, Warn, "invalid configuration from the platform ignored")
 	StoreUnavailable         = define(645, Warn, "platform store does not answer")
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -130,7 +130,7 @@
 				x.capacityUnenforced = g.CapacityUnenforced
 				for _, id := range g.Runs {
 					if age > x.cfg.Timing.MaxOrderAge {
-						x.reject(e, id, wire.RejectStale)
+						x.reject(e, id, wire.RejectStale, 0)
 						continue
 					}
 					x.acceptOrder(e, id, g, now)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -90,6 +90,7 @@
 	recent         recentOutcomes
 	crashes        []crash // the recent ones, oldest first
 	crashCount     uint64  // crashes that were recorded
+	trial          trial
 	// statusDirty is set while the newest status has not been sent to the entries.
 	statusDirty  bool
 	statusSentAt time.Time
--- a/executor/run.go
+++ b/executor/run.go
@@ -74,9 +74,14 @@
 // acceptOrder starts one run that an entry has ordered, or rejects it.
 func (x *Executor) acceptOrder(e *entry, id wire.Run, g *wire.OrderGroup, now time.Time) {
 	if reason := x.orderRejection(id, g); reason != 0 {
-		x.reject(e, id, reason)
+		x.reject(e, id, reason, 0)
 		return
 	}
+	if left := x.trialLeft(id, g, now); left > 0 {
+		x.reject(e, id, wire.RejectTrial, left)
+		return
+	}
+	x.beginTrial(id, g, now)
 	r := &run{
 		id: id, entry: e.incarnation, payload: g.Payload, queue: g.Queue, size: g.Size, orderedAt: now, stored: g.Stored,
 		declaredRunTime: time.Duration(g.EstimateMillis) * time.Millisecond,
@@ -203,10 +208,12 @@
 	return sent.Sub(r.orderedAt).Milliseconds()
 }
 
-// reject reports that an order is not accepted.
-func (x *Executor) reject(e *entry, id wire.Run, reason wire.RejectReason) {
+// reject reports that an order is not accepted; for how long is known only of some reasons.
+func (x *Executor) reject(e *entry, id wire.Run, reason wire.RejectReason, remaining time.Duration) {
 	x.cfg.Metrics.countEnd(wire.RunRejected, reason)
 	x.cfg.Log.Log(event.RunRejected, "task", id.Task, "run", id.Number, "reason", reason, "entry", e.incarnation,
 		"used_millicores", x.used.MilliCores)
-	x.report(e.incarnation, wire.Report{Run: id, State: wire.RunRejected, Reason: reason})
+	x.report(e.incarnation, wire.Report{
+		Run: id, State: wire.RunRejected, Reason: reason, RemainingMillis: uint32(remaining.Milliseconds()),
+	})
 }
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -22,7 +22,8 @@
 	// earlyCrash is the time after the start within which a crash is unlikely to be a coincidence.
 	earlyCrash = 100 * time.Millisecond
 	// Crashes with the same delay after which a task is given up, if they came early and otherwise.
-	maxEarlyCrashes, maxLateCrashes = 2, 3
+	// Endpoints that crash one after the other at a regular interval crash three times alike.
+	maxEarlyCrashes, maxLateCrashes = 2, 4
 	// maxTaskCrashes is the number of crashes after which a task is given up in any case.
 	maxTaskCrashes = 5
 )
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -23,8 +23,9 @@
 	Labels []string
 	// Suspects counts the tasks there during whose runs other endpoints have crashed.
 	Suspects int
-	// TrialJob is the job of a confined queue whose tasks have run there for too short a time to be
-	// cleared of a crash; empty if there is none. TrialSuspected is set if it is an identified one.
+	// TrialJob is the job, a suspect or of a confined queue, whose tasks have run there for too short a
+	// time to be cleared of a crash; empty if there is none. TrialSuspected is set if it is an
+	// identified one.
 	TrialJob       string
 	TrialSuspected bool
 	// Confined is set for the endpoints that are left to the confined queues of the service; they
@@ -83,6 +84,9 @@
 	PlacedByEndpoint map[int]int
 	// Suspect is set if an endpoint has crashed during a run of the task.
 	Suspect bool
+	// SuspectRanks orders the endpoints for a suspect, from 0 to 1, by endpoint index. Each task has an
+	// order of its own, so that the suspects of several entries do not meet again.
+	SuspectRanks []float64
 	// Identified is set if a crash can have been caused by this task's job only. It is certain to
 	// crash another endpoint, and several such jobs share one.
 	Identified bool
@@ -103,9 +107,12 @@
 // CanRunOn reports whether t may run on e, regardless of its current load.
 func (t *Task) CanRunOn(e *Endpoint) bool {
 	return t.Size.Fits(e.Capacity) && !(t.Stored && e.RejectsStored) && (t.Label == "" || slices.Contains(e.Labels, t.Label)) &&
-		(t.confinedTo == 0 || e.ConfinementRank < t.confinedTo)
+		t.mayUse(e)
 }
 
+// mayUse reports whether the confinement of the queue, if any, includes e.
+func (t *Task) mayUse(e *Endpoint) bool { return t.confinedTo == 0 || e.ConfinementRank < t.confinedTo }
+
 // RunTime is the expected run time of t on e.
 func (t *Task) RunTime(e *Endpoint) time.Duration {
 	d := float64(t.DeclaredRunTime) * e.Slowness
@@ -146,10 +153,10 @@
 	return best, ok
 }
 
-// conflictsWithTrial reports whether t, of a confined queue, must not run on e yet: a crash would not
-// tell it from the tasks of the trial job there.
+// conflictsWithTrial reports whether t, a suspect or of a confined queue, must not run on e yet: a
+// crash would not tell it from the tasks of the trial job there.
 func (t *Task) conflictsWithTrial(e *Endpoint) bool {
-	return t.confinedTo > 0 && e.TrialJob != "" && e.TrialJob != t.Job && !(t.Identified && e.TrialSuspected)
+	return (t.confinedTo > 0 || t.Suspect) && e.TrialJob != "" && e.TrialJob != t.Job && !(t.Identified && e.TrialSuspected)
 }
 
 // IsConfined reports whether t is limited to a few endpoints.
@@ -203,7 +210,7 @@
 		cost -= trialCostMillis
 	}
 	if t.Suspect && !t.Identified {
-		cost += suspectCostMillis * float64(e.Suspects)
+		cost += suspectCostMillis*float64(e.Suspects) + suspectSpreadMillis*t.SuspectRanks[i]
 		if e.Capacity.MilliCores > 0 {
 			cost += suspectSpreadMillis * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
 		}
@@ -235,7 +242,7 @@
 func FittingTasks(endpoints []Endpoint, t *Task) int {
 	n := int64(0)
 	for i := range endpoints {
-		if e := &endpoints[i]; e.Available && t.CanRunOn(e) {
+		if e := &endpoints[i]; e.Available && t.mayUse(e) {
 			n += e.Free.fittingTasks(t.Size)
 		}
 	}
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -44,13 +44,18 @@
 	Queue string `cbor:"8,keyasint,omitempty"`
 	// CapacityUnenforced is set if the endpoint starts runs beyond its capacity.
 	CapacityUnenforced bool `cbor:"9,keyasint,omitempty"`
+	// TrialMillis is the time for which the agent starts no other job on trial after these runs; 0
+	// for a job that is not on trial. Jobs with TrialShared set may start together.
+	TrialMillis uint32 `cbor:"10,keyasint,omitempty"`
+	TrialShared bool   `cbor:"11,keyasint,omitempty"`
 }
 
 // EqualExceptRuns reports whether g and o are equal in all fields but Runs, so that their
 // runs can share a group.
 func (g *OrderGroup) EqualExceptRuns(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Stored == o.Stored && g.Trace == o.Trace && g.Queue == o.Queue && g.CapacityUnenforced == o.CapacityUnenforced
+		g.Stored == o.Stored && g.Trace == o.Trace && g.Queue == o.Queue && g.CapacityUnenforced == o.CapacityUnenforced &&
+		g.TrialMillis == o.TrialMillis && g.TrialShared == o.TrialShared
 }
 
 // RunState is the state of a run in a Report.
@@ -83,6 +88,7 @@
 	RejectStale           RejectReason = 10 // the order is based on a status that is too old
 	RejectBacklogFull     RejectReason = 11 // too many ends of stored runs are unrecorded
 	RejectEvacuated       RejectReason = 12 // the operator evacuates the data centre
+	RejectTrial           RejectReason = 14 // another job is on trial; RemainingMillis says for how long
 	RejectCapacityUnknown RejectReason = 13 // the endpoint enforces no capacity, and what is free is not known
 )
 
@@ -243,7 +249,7 @@
 	0: "none", RejectCapacity: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectStartUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectTaskRunning: "busy",
 	RejectRetired: "serves_other_entries", RejectStale: "stale",
-	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied", RejectCapacityUnknown: "room_unknown",
+	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied", RejectCapacityUnknown: "room_unknown", RejectTrial: "trial",
 }
 
 // String returns the name of r for logs and metrics.
