executor: a start that never reached an endpoint does not count as a crash under it

Change: a run counts if the endpoint has accepted its start, or if the start call got no reply although the endpoint crashed after it was sent. A refused connection does not count.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -38,6 +38,7 @@
 type endpointCrash struct {
 	agent, instance string
 	startMillis     int64
+	number          uint64
 	at              time.Time
 	tasks           map[string]bool // that the endpoint may have executed
 	widespread      bool            // other endpoints crashed at the same moment
@@ -95,7 +96,7 @@
 
 func (h *crashHistory) known(agent string, c *wire.Crash) bool {
 	return slices.ContainsFunc(h.crashes, func(o *endpointCrash) bool {
-		return o.agent == agent && o.instance == c.Instance && o.startMillis == c.StartMillis
+		return o.agent == agent && o.instance == c.Instance && o.startMillis == c.StartMillis && o.number == c.Number
 	})
 }
 
@@ -105,7 +106,7 @@
 	h.crashes = append(h.crashes, c)
 	var together []*endpointCrash
 	for _, o := range h.crashes {
-		if c.at.Sub(o.at).Abs() <= widespreadPeriod && (o == c || !o.sharesTask(c)) {
+		if c.at.Sub(o.at).Abs() <= widespreadPeriod && (o == c || o.agent != c.agent && !o.sharesTask(c)) {
 			together = append(together, o)
 		}
 	}
@@ -154,7 +155,7 @@
 			continue
 		}
 		crash := &endpointCrash{
-			agent: a.name, instance: w.Instance, startMillis: w.StartMillis, at: now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
+			agent: a.name, instance: w.Instance, startMillis: w.StartMillis, number: w.Number, at: now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
 			tasks: make(map[string]bool),
 		}
 		for _, r := range w.Runs {
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -28,31 +28,49 @@
 	if x.endpointDraining {
 		return
 	}
-	c := crash{at: now, Crash: wire.Crash{Instance: x.profile.Instance, StartMillis: x.endpointStartMillis}}
+	x.crashedAt = now
+	var runs []wire.CrashedRun
 	for _, r := range x.runs {
-		sent := r.sentAt()
-		if r.crashRecorded || sent.IsZero() || !r.seenAtEndpoint && r.starts.last == nil {
-			continue // its start was not sent, or an earlier process may have sent it
+		if !r.crashRecorded && (r.seenAtEndpoint || r.startUnanswered) { // others may not have arrived
+			r.crashRecorded = true
+			runs = append(runs, r.crashed(now))
 		}
+	}
+	x.addCrash(runs, now)
+}
+
+// recordUnansweredStart records that a start of r got no reply, perhaps since its task crashed the
+// endpoint. A start that arrives at an endpoint that is down is refused instead.
+func (x *Executor) recordUnansweredStart(r *run, sentAt, now time.Time) {
+	r.startUnanswered = true
+	if !r.crashRecorded && !x.crashedAt.Before(sentAt) && x.profile != nil {
 		r.crashRecorded = true
-		since := sent
-		if !r.startedAt.IsZero() {
-			since = r.startedAt
-		}
-		c.Runs = append(c.Runs, wire.CrashedRun{
-			Run: r.id, Queue: r.queue, ElapsedMillis: uint32(now.Sub(since).Milliseconds()), Unanswered: !r.seenAtEndpoint,
-		})
+		x.addCrash([]wire.CrashedRun{r.crashed(now)}, now)
 	}
-	if len(c.Runs) == 0 {
+}
+
+// crashed returns r as a run during which the endpoint crashed.
+func (r *run) crashed(now time.Time) wire.CrashedRun {
+	since := r.sentAt()
+	if !r.startedAt.IsZero() {
+		since = r.startedAt
+	}
+	return wire.CrashedRun{Run: r.id, Queue: r.queue, ElapsedMillis: uint32(now.Sub(since).Milliseconds()), Unanswered: !r.seenAtEndpoint}
+}
+
+func (x *Executor) addCrash(runs []wire.CrashedRun, now time.Time) {
+	if len(runs) == 0 {
 		return
 	}
 	x.crashCount++
-	c.number = x.crashCount
+	c := crash{at: now, number: x.crashCount, Crash: wire.Crash{
+		Instance: x.profile.Instance, StartMillis: x.endpointStartMillis, Number: x.crashCount, Runs: runs,
+	}}
 	x.crashes = append(x.crashes, c)
 	x.crashes = x.crashes[max(0, len(x.crashes)-maxCrashes):]
 	x.statusDirty = true
 	x.cfg.Metrics.crashes.Inc()
-	x.cfg.Log.Log(event.EndpointCrashed, "instance", c.Instance, "born", c.StartMillis, "crash", c.number, "runs", len(c.Runs))
+	x.cfg.Log.Log(event.EndpointCrashed, "instance", c.Instance, "born", c.StartMillis, "crash", c.number, "runs", len(runs))
 }
 
 // unsentCrashes returns the crashes that were not sent to e on its current connection, and marks
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -88,8 +88,9 @@
 	// lastConnection is the number of the newest connection to an entry.
 	lastConnection uint64
 	recent         recentOutcomes
-	crashes        []crash // the recent ones, oldest first
-	crashCount     uint64  // crashes that were recorded
+	crashes        []crash   // the recent ones, oldest first
+	crashCount     uint64    // crashes that were recorded
+	crashedAt      time.Time // when the last crash was noticed
 	trial          trial
 	// statusDirty is set while the newest status has not been sent to the entries.
 	statusDirty  bool
--- a/executor/run.go
+++ b/executor/run.go
@@ -61,6 +61,7 @@
 	percentReadAt           time.Time
 	percentRoseAt           time.Time
 	reportedRemainingMillis uint32
+	startUnanswered         bool // a start call ended without a reply
 	crashRecorded           bool // the crash of its incarnation is in Executor.crashes
 	countsAsLost            bool // once it is stopped, since the incarnation of its endpoint has ended
 	stopSentAt              time.Time
--- a/executor/start.go
+++ b/executor/start.go
@@ -138,6 +138,7 @@
 	}
 	switch reply.Result {
 	case endpointapi.StartUnknown:
+		x.recordUnansweredStart(r, *call.sentAt.Load(), now)
 		r.starts.unansweredSentAt = *call.sentAt.Load()
 		x.fence.recordLostGrant(call.request.FencingToken, *call.sentAt.Load())
 	case endpointapi.StartAccepted:
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -148,6 +148,8 @@
 	StartMillis int64  `cbor:"2,keyasint"`
 	// AgeMillis is the time since the agent has noticed the crash.
 	AgeMillis uint32 `cbor:"3,keyasint,omitempty"`
+	// Number tells several reports of one crash apart: those of starts that got no reply follow.
+	Number uint64 `cbor:"5,keyasint,omitempty"`
 	// Runs holds the runs that the endpoint may have executed when it crashed, those of other
 	// entries included.
 	Runs []CrashedRun `cbor:"4,keyasint,omitempty"`
