soak: a submission that waits for its answer is not judged as refused

In three of six runs with crashing tasks, runs of jobs were reported that "ran although its job had been refused". Only answered submissions were known to the check.

Submissions without an answer count as such. A run between a refusal and the next submission is still a violation, as TestCheckFindsRunOfRefusedJob requires. The violation now names the time of the run.

--- a/emulator/check.go
+++ b/emulator/check.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		if f, ok := refused[id.Job]; ok && (f.allRefused || r.Start.Before(f.resubmittedAt)) {
-			violations = append(violations, fmt.Sprintf("task %s ran on %s although its job had been refused", r.ID.Task, r.Endpoint))
+			violations = append(violations, fmt.Sprintf("task %s ran on %s from %v although its job had been refused", r.ID.Task, r.Endpoint, r.Start))
 		}
 	}
 	return violations
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,6 +148,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	w, h, sent := c.run, c.job, time.Now()
+	w.mu.Lock()
+	w.unanswered[h.ID] = append(w.unanswered[h.ID], sent)
+	w.mu.Unlock()
 	got, err := c.clients[entry].Submit(ctx, h.Job, callerTimeout)
 	a := emulator.Answer{Job: h.ID, SentAt: sent, ReceivedAt: time.Now(), Disconnected: true}
 	switch {
@@ -163,6 +167,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
+	w.unanswered[h.ID] = slices.DeleteFunc(w.unanswered[h.ID], func(t time.Time) bool { return t.Equal(sent) })
 	h.completed = h.completed || a.State == job.Completed
 	accepted := err == nil && got.Status == http.StatusOK
 	h.accepted = h.accepted || accepted
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -99,6 +99,7 @@
 	events        []string
 	submissions   map[string][]string // lines for each job
 	answers       []emulator.Answer
+	unanswered    map[string][]time.Time // times of the submissions of each job that wait for an answer
 	submittedJobs map[string]*submittedJob
 }
 
@@ -128,6 +129,7 @@
 	w := &soakRun{
 		Options: o, faultRNG: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: time.Now(), store: standin.NewStore(4),
 		submittedJobs: make(map[string]*submittedJob), submissions: make(map[string][]string),
+		unanswered: make(map[string][]time.Time),
 	}
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -301,6 +303,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for id, sent := range w.unanswered {
+		for _, at := range sent {
+			w.answers = append(w.answers, emulator.Answer{Job: id, SentAt: at, Disconnected: true})
+		}
+	}
 	r := Result{Violations: emulator.Check(w.endpoints, w.answers), Events: w.events, Jobs: len(w.submittedJobs)}
 	r.Violations = append(r.Violations, w.checkTasks()...)
 	for id, lines := range w.submissions {
