emulator: failing test of the number of queued jobs after rejected orders

By reading: Ledger.Pending leaves out a job once Coordinator.Started is true, and orderTask sets that when a task is ordered, not when a run begins. While endpoints crash, many orders are rejected (no_room, endpoint is down), and their jobs are neither begun nor counted.

--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -11,6 +11,7 @@
 
 	"oriolerelay/internal/bubble"
 	"oriolerelay/job"
+	"oriolerelay/wire"
 )
 
 // withStoredSystem runs f in a synctest bubble with two entries that share stored jobs, once they
@@ -278,6 +279,29 @@
 	})
 }
 
+// Guards against stored jobs that are missing from the number of queued jobs although none of their
+// tasks has begun: all their orders were rejected.
+func TestJobWithRejectedOrdersIsQueued(t *testing.T) {
+	const jobs = 12
+	withStoredSystem(t, 6, func(ctx context.Context, c *quicktest.C, s *System) {
+		for _, e := range s.Endpoints {
+			e.Work = func(string, string) (time.Duration, wire.Resources) {
+				return time.Second, capacity.Plus(capacity) // no task fits
+			}
+		}
+		for i := range jobs {
+			c.Assert(s.Ledger(i%2).Accept(ctx, storedJob(0x9e1ec7000+i, 1, 200*time.Millisecond)) == nil, quicktest.IsTrue)
+		}
+		time.Sleep(5 * time.Second) // until the entries know each other's counts
+		for _, e := range s.Endpoints {
+			c.Assert(e.History(), quicktest.HasLen, 0)
+		}
+		for e := range 2 {
+			c.Check(s.Ledger(e).Pending("q"), quicktest.Equals, jobs, quicktest.Commentf("entry %d", e))
+		}
+	})
+}
+
 // firstStart returns the time at which the first run of a job started, zero if none has.
 func (s *System) firstStart(id string) (at time.Time) {
 	for _, e := range s.Endpoints {
