executor: no full lease for inherited runs that nobody has claimed

A task could run twice at the same time when its agent was killed, started again and was killed once more before it had connected to an entry. The second process extended the lease of the inherited run by 700 ms with each of its observations, while the entry counts the orphan timeout, 1,318 ms, from the last message of the first process. A search of all orders of two kills in a model of one task found it: kill, restart after 0.6 s, kill, and the entry orders the task elsewhere while the run lasts for another 0.1 s.

While inherited runs wait to be claimed, the lease now ends 120 ms after the deadline at which unclaimed ones are stopped, at the latest. The run has ended 718 + 520 x 1.025 = 1,251 ms after the first process was heard. Runs that are claimed in time lose nothing: the deadline is 400 ms after the endpoint is known, and the margin covers the tick and two observations.

--- a/executor/run.go
+++ b/executor/run.go
@@ -118,11 +118,21 @@
 	if !x.clock.known() {
 		return 0
 	}
-	end := x.clock.endpointTime(now, x.cfg.Timing.Lease)
+	end := x.clock.endpointTime(now, x.leaseExtension(now))
 	x.leaseEnd = max(x.leaseEnd, end)
 	return end
 }
 
+// leaseExtension returns the length of a lease that is extended now. While inherited runs wait to
+// be claimed it ends soon after their deadline: their entry counts from the last message of the
+// earlier process, and does not know that this one has extended the lease.
+func (x *Executor) leaseExtension(now time.Time) time.Duration {
+	if x.adoptDeadline.IsZero() {
+		return x.cfg.Timing.Lease
+	}
+	return min(x.cfg.Timing.Lease, max(x.adoptDeadline.Sub(now), 0)+x.cfg.Timing.AdoptMargin)
+}
+
 // stop stops r; reason is set if its start was rejected or got no reply.
 func (x *Executor) stop(r *run, reason wire.RejectReason, now time.Time) {
 	if r.state != runStopping {
--- a/executor/timing.go
+++ b/executor/timing.go
@@ -41,8 +41,10 @@
 	// IdleKeepaliveInterval to one without.
 	KeepaliveInterval     time.Duration
 	IdleKeepaliveInterval time.Duration
-	// AdoptWindow is how long inherited runs wait for their entry to claim them.
+	// AdoptWindow is how long inherited runs wait for their entry to claim them. The lease does
+	// not end until AdoptMargin later, after the next observation.
 	AdoptWindow       time.Duration
+	AdoptMargin       time.Duration
 	BusyTickInterval  time.Duration
 	IdleTickInterval  time.Duration
 	DrainPollInterval time.Duration
@@ -66,6 +68,7 @@
 		KeepaliveInterval:         150 * time.Millisecond,
 		IdleKeepaliveInterval:     300 * time.Millisecond,
 		AdoptWindow:               400 * time.Millisecond,
+		AdoptMargin:               120 * time.Millisecond,
 		BusyTickInterval:          20 * time.Millisecond,
 		IdleTickInterval:          100 * time.Millisecond,
 		DrainPollInterval:         20 * time.Millisecond,
