executor: runs of an entry that hears nothing end before the orphan timeout

A task could run twice at the same time for up to 20 ms. Where the messages of an agent did not reach the entry, the agent stopped the entry's runs at its first tick after 600 ms, and extended the lease until then. An agent that failed or was suspended just before that tick left a lease that ended 600 + 20 + 700 x 1.025 = 1,338 ms after its last status, and the entry repeats the task after 1,318 ms. The same holds for an order that arrives 600 ms after that status. A search of all orders of two pauses in a model of one task found it: the sum of the bounds left nothing for the time between two ticks.

The agent now refuses orders and stops runs that are based on a status older than 550 ms. With the tick and the lease that is 1,288 ms. Entries order nothing at an agent that they have not heard for 450 ms, so the limit still leaves 100 ms for the transit.

--- a/executor/timing.go
+++ b/executor/timing.go
@@ -24,8 +24,9 @@
 	// StartTimeout is the time after which a start without a reply is verified.
 	StartTimeout time.Duration
 	// MaxOrderAge bounds the age of the agent status that an order is based on. An entry
-	// runs the tasks elsewhere OrphanTimeout after the agent's last message; a run that starts
-	// within MaxOrderAge of that message has ended by then.
+	// runs the tasks elsewhere OrphanTimeout after the agent's last message. A run that starts
+	// within MaxOrderAge of that message has ended by then, even if the agent extends the lease
+	// until the next tick and fails.
 	MaxOrderAge time.Duration
 	// EntryTimeout is the time without a message after which the runs of an entry are stopped.
 	EntryTimeout time.Duration
@@ -60,7 +61,7 @@
 		CallTimeout:               40 * time.Millisecond,
 		ObserveWaitMargin:         20 * time.Millisecond,
 		StartTimeout:              15 * time.Millisecond,
-		MaxOrderAge:               600 * time.Millisecond,
+		MaxOrderAge:               550 * time.Millisecond,
 		EntryTimeout:              450 * time.Millisecond,
 		StatusInterval:            15 * time.Millisecond,
 		StatusIntervalPerEntry:    6 * time.Millisecond,
