executor: no full lease for runs that are due to be stopped

A task could run twice at the same time when its agent was suspended with the run for almost as long as the lease, extended the lease by 700 ms with the first observation after that, and was suspended or killed again before its tick had stopped the run. The run then ended up to 1,418 ms after the agent was last heard; the entry repeats the task after 1,318 ms. The same holds while the endpoint answers observations but not the stops. A search of all orders of two pauses in a model of one task found it.

Each call now extends the lease at most to the time at which it would end if the agent had failed one tick after it had to stop the run: 450 + 20 + 718 ms after the entry was heard, or 550 + 20 + 718 ms after the newest status that it returned. An agent that hears its entries as usual (every 130 ms) is not affected.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -194,6 +194,15 @@
 	return e.echoesInHeartbeats && x.age(e.echoedClock) > x.cfg.Timing.MaxOrderAge
 }
 
+// untilTimeout returns the time until expireEntries stops the runs of e unless e is heard again.
+func (x *Executor) untilTimeout(e *entry, now time.Time) time.Duration {
+	d := x.cfg.Timing.EntryTimeout - now.Sub(e.lastReceived)
+	if e.echoesInHeartbeats {
+		d = min(d, x.cfg.Timing.MaxOrderAge-x.age(e.echoedClock))
+	}
+	return d
+}
+
 // expireEntries stops the runs of entries that have timed out or hear nothing, and removes
 // entries that are disconnected and have no runs left.
 func (x *Executor) expireEntries(now time.Time) {
--- a/executor/run.go
+++ b/executor/run.go
@@ -123,14 +123,21 @@
 	return end
 }
 
-// leaseExtension returns the length of a lease that is extended now. While inherited runs wait to
-// be claimed it ends soon after their deadline: their entry counts from the last message of the
-// earlier process, and does not know that this one has extended the lease.
+// leaseExtension returns the length of a lease that is extended now. Runs of an entry that has not
+// been heard in time keep no more than they would if this process had failed just before it had to
+// stop them: it may fail now, after it was suspended, and the entry counts from its last message.
+// Inherited runs that wait to be claimed have a deadline instead.
 func (x *Executor) leaseExtension(now time.Time) time.Duration {
-	if x.adoptDeadline.IsZero() {
-		return x.cfg.Timing.Lease
+	d := x.cfg.Timing.Lease
+	if !x.adoptDeadline.IsZero() {
+		d = min(d, max(x.adoptDeadline.Sub(now), 0)+x.cfg.Timing.AdoptMargin)
 	}
-	return min(x.cfg.Timing.Lease, max(x.adoptDeadline.Sub(now), 0)+x.cfg.Timing.AdoptMargin)
+	for _, r := range x.runs {
+		if e := x.entries[r.entry]; e != nil {
+			d = min(d, x.untilTimeout(e, now)+x.cfg.Timing.BusyTickInterval+x.cfg.Timing.Lease)
+		}
+	}
+	return max(d, 0)
 }
 
 // stop stops r; reason is set if its start was rejected or got no reply.
