--- a/emulator/system.go
+++ b/emulator/system.go
@@ -192,6 +192,10 @@
 	s.mu.Lock()
 	e := s.entries[entry]
 	s.mu.Unlock()
+	return s.submitTo(ctx, e, j)
+}
+
+func (s *System) submitTo(ctx context.Context, e *Entry, j job.Submission) Answer {
 	submit := e.Coordinator.Submit
 	if e.Router != nil {
 		submit = e.Router.Submit
