--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -67,7 +67,7 @@
 }
 
 // HandleForwarder handles a message of a forwarder. It reports whether the connection is still
-// in use; one that was dropped after peerTimeout is not.
+// in use; one that was dropped after PeerTimeout is not.
 func (r *Router) HandleForwarder(connection uint64, m wire.Message) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,7 +230,7 @@
 	}
 	for _, f := range r.forwarders {
 		switch {
-		case len(f.jobs) > 0 && now.Sub(f.lastReceived) > peerTimeout:
+		case len(f.jobs) > 0 && now.Sub(f.lastReceived) > PeerTimeout:
 			r.dropForwarder(f, "no message was received from it in time")
 		case len(f.jobs) > 0 && r.isStale(f):
 			r.dropForwarder(f, "its messages are out of date")
--- a/router/freshness.go
+++ b/router/freshness.go
@@ -8,11 +8,11 @@
 	"oriolerelay/job"
 )
 
-// maxForwarderAge is the age of the newest status known to a forwarder from which this entry
-// orders no more tasks for it. The forwarder may give its jobs up peerTimeout after that status
+// MaxForwarderAge is the age of the newest status known to a forwarder from which this entry
+// orders no more tasks for it. The forwarder may give its jobs up PeerTimeout after that status
 // or fail just after it, and its callers resubmit them 1,300 ms later. By then runs that were
 // ordered within this time have been stopped.
-const maxForwarderAge = 600 * time.Millisecond
+const MaxForwarderAge = 600 * time.Millisecond
 
 // clockMillis returns the value of PlacementStatus.ClockMillis for a status sent now. It is
 // never 0.
@@ -35,7 +35,7 @@
 
 // isStale reports whether f may have given up its jobs: this entry, or the connection between
 // them, may have been suspended while messages of f were waiting.
-func (r *Router) isStale(f *forwarder) bool { return r.echoAge(f) > maxForwarderAge }
+func (r *Router) isStale(f *forwarder) bool { return r.echoAge(f) > MaxForwarderAge }
 
 // refuseStale answers a job that arrived too late to be run.
 func (r *Router) refuseStale(f *forwarder, number uint64, s *job.Submission) {
--- a/router/freshness_test.go
+++ b/router/freshness_test.go
@@ -55,9 +55,9 @@
 		c.Check(abandoned(), qt.IsFalse)
 		link.hold()
 		// The checks of a frozen process do not run, so only the function is asked.
-		time.Sleep(peerTimeout - heartbeatInterval)
+		time.Sleep(PeerTimeout - heartbeatInterval)
 		c.Check(abandoned(), qt.IsFalse)
-		time.Sleep(maxForwarderAge)
+		time.Sleep(MaxForwarderAge)
 		c.Check(abandoned(), qt.IsTrue)
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -34,11 +34,11 @@
 }
 
 const (
-	// peerTimeout is the time without a message after which both sides of a connection give
+	// PeerTimeout is the time without a message after which both sides of a connection give
 	// up its forwarded jobs. Callers resubmit such a job 1,300 ms later. By then its runs have
 	// ended, since both this timeout and the one after which agents stop the runs of an entry
 	// have passed.
-	peerTimeout = 450 * time.Millisecond
+	PeerTimeout = 450 * time.Millisecond
 	// heartbeatInterval is the longest time between two messages to a peer that has jobs of
 	// this entry.
 	heartbeatInterval = 120 * time.Millisecond
@@ -48,9 +48,9 @@
 	minLoadInterval = 50 * time.Millisecond
 	maxLoadInterval = 80 * time.Millisecond
 	minLoadChange   = 0.05
-	// suspectTimeout is the time without a message after which a placement entry is suspect
+	// SuspectTimeout is the time without a message after which a placement entry is suspect
 	// and gets no more jobs. It has missed two load messages by then.
-	suspectTimeout = 200 * time.Millisecond
+	SuspectTimeout = 200 * time.Millisecond
 	// checkInterval is the time between two checks of the peers.
 	checkInterval = 25 * time.Millisecond
 )
@@ -208,7 +208,7 @@
 }
 
 // Handle handles a message of a placement entry. It reports whether the connection is still
-// in use; one that was dropped after peerTimeout is not.
+// in use; one that was dropped after PeerTimeout is not.
 func (r *Router) Handle(connection uint64, m wire.Message) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -314,7 +314,7 @@
 	for _, p := range r.placementEntries {
 		switch {
 		case len(p.forwarded) == 0:
-		case now.Sub(p.lastReceived) > peerTimeout:
+		case now.Sub(p.lastReceived) > PeerTimeout:
 			r.dropPlacementEntry(p, "no message was received from it in time")
 		case now.Sub(p.lastEchoed) > heartbeatInterval:
 			p.lastEchoed = now
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -272,15 +272,15 @@
 		took := time.Since(begun) - 200*time.Millisecond
 		c.Check(err.Kind, qt.Equals, errkind.HomeLost)
 		c.Check(err.Answer().Status, qt.Equals, 502)
-		c.Check(took >= peerTimeout-maxLoadInterval-2*checkInterval && took <= peerTimeout+2*checkInterval, qt.IsTrue, qt.Commentf("given up after %v", took))
-		time.Sleep(time.Until(begun.Add(200*time.Millisecond + peerTimeout + 2*checkInterval)))
+		c.Check(took >= PeerTimeout-maxLoadInterval-2*checkInterval && took <= PeerTimeout+2*checkInterval, qt.IsTrue, qt.Commentf("given up after %v", took))
+		time.Sleep(time.Until(begun.Add(200*time.Millisecond + PeerTimeout + 2*checkInterval)))
 		synctest.Wait()
 		c.Check(a.runner.cancelled, qt.Equals, 1)
 	})
 }
 
 // Guards against jobs that are forwarded to a failed entry between its last message and
-// peerTimeout.
+// PeerTimeout.
 func TestSuspectEntryGetsNoJobs(t *testing.T) {
 	inBubble(t, func(ctx context.Context, c *qt.C, front *testEntry) {
 		a, b := newTestEntry(ctx, 1000), newTestEntry(ctx, 1000)
@@ -288,7 +288,7 @@
 		connect(ctx, front, b, "b")
 		time.Sleep(time.Second)
 		link.drop()
-		time.Sleep(suspectTimeout + time.Millisecond)
+		time.Sleep(SuspectTimeout + time.Millisecond)
 		for range 20 {
 			_, err := front.Submit(ctx, submission("j", time.Millisecond))
 			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
--- a/router/submit.go
+++ b/router/submit.go
@@ -103,7 +103,7 @@
 	}
 	now := time.Now()
 	for _, p := range r.placementEntries {
-		if !p.loads.Closed && !p.retired && now.Sub(p.lastReceived) <= suspectTimeout {
+		if !p.loads.Closed && !p.retired && now.Sub(p.lastReceived) <= SuspectTimeout {
 			add(p, p.candidate(s))
 		}
 	}
