--- a/executor/run.go
+++ b/executor/run.go
@@ -126,11 +126,28 @@
 	if !x.clock.known() {
 		return 0
 	}
-	end := x.clock.endpointTime(now, x.cfg.Timing.Lease)
+	end := x.clock.endpointTime(now, x.leaseExtension(now))
 	x.leaseEnd = max(x.leaseEnd, end)
 	return end
 }
 
+// leaseExtension returns the length of a lease that is extended now. Runs of an entry that has not
+// been heard in time keep no more than they would if this process had failed just before it had to
+// stop them: it may fail now, after it was suspended, and the entry counts from its last message.
+// Inherited runs that wait to be claimed have a deadline instead.
+func (x *Executor) leaseExtension(now time.Time) time.Duration {
+	d := x.cfg.Timing.Lease
+	if !x.adoptDeadline.IsZero() {
+		d = min(d, max(x.adoptDeadline.Sub(now), 0)+x.cfg.Timing.AdoptMargin)
+	}
+	for _, r := range x.runs {
+		if e := x.entries[r.entry]; e != nil {
+			d = min(d, x.untilTimeout(e, now)+x.cfg.Timing.BusyTickInterval+x.cfg.Timing.Lease)
+		}
+	}
+	return max(d, 0)
+}
+
 // stop stops r; reason is set if its start was rejected or got no reply.
 func (x *Executor) stop(r *run, reason wire.RejectReason, now time.Time) {
 	if r.state != runStopping {
