load: no data race when a plan is cancelled

In a run of TestRollingUpgradeUnderLoad that failed early, the race detector reported a write of a variable in RunPlan against reads of the submissions in flight.

Cause: when its context ends, RunPlan shortens the slice of outcomes while the goroutines of the submissions still index the same variable.

Change: the slice stays as it is until they have ended, and the sent ones are returned. TestCancelledPlanReturnsSentSubmissions failed before with "race detected during execution of test"; it passes 20 times under the race detector.

--- a/load/run.go
+++ b/load/run.go
@@ -150,11 +150,12 @@
 	outcomes := make([]Outcome, len(schedule))
 	start := time.Now()
 	var wg sync.WaitGroup
+	sent := 0
 	for i, s := range schedule {
 		if !sleepUntil(ctx, start.Add(s.At)) {
-			outcomes = outcomes[:i]
 			break
 		}
+		sent++
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -162,7 +163,7 @@
 		}()
 	}
 	wg.Wait()
-	return outcomes
+	return outcomes[:sent]
 }
 
 func (t Target) send(ctx context.Context, client *http.Client, p Plan, number int, s Submission) Outcome {
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -92,3 +94,23 @@
 	c.Check(res.Traffic.Messages["refused"], qt.Equals, 10.0)
 	c.Check(res.OverheadPerTask, qt.Equals, 10.0/3)
 }
+
+// A run that is cancelled must return the outcomes of the sent submissions, without a data
+// race between them and the end of the schedule.
+func TestCancelledPlanReturnsSentSubmissions(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var once sync.Once
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		once.Do(cancel)
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	plan := load.Plan{Workload: load.Veils(), Seed: 1, Rate: 100, Duration: time.Minute}
+	outcomes := load.Target{Entries: []string{srv.URL}}.RunPlan(ctx, plan)
+	qt.Assert(t, len(outcomes) > 0 && len(outcomes) < len(plan.Schedule()), qt.IsTrue, qt.Commentf("%d outcomes", len(outcomes)))
+	for _, o := range outcomes {
+		qt.Check(t, o.Verdict, qt.Equals, load.NoAnswer)
+	}
+}
