ledger: a former owner does not confirm ends of runs that a later owner ordered

An entry was suspended for 2.5 s, and its partition went to another one, which accepted the job and ran it while the store was down. The ends could not be recorded, so agents reported them to all entries. The former owner had woken 5 ms before and had not noticed its loss (655 follows 0.15 s later). It did not know the job, took it for one that is not stored, and confirmed the ends (636, entry=edge-bc-coast-a-1). The endpoints forgot them, and the next owner ran both tasks again 3.2 s later.

An owner knows each job whose runs were ordered in its own epoch or before: it has read the partition up to its own record. For runs of later epochs, which the run number tells, it no longer concludes anything from a job that it does not know. A check of its lease would not do: a partition can be given away while the lease of its former owner is valid.

TestFormerOwnerKeepsEndsOfLaterOwner fails without the new condition (epoch 17 at the owner of epoch 16: JobFinished = true).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -82,7 +82,7 @@
 	r.ends = append(r.ends, run)
 	return true
 }
-func (r *fakeRecorder) JobFinished(string) bool { return false }
+func (r *fakeRecorder) JobFinished(string, uint64) bool { return false }
 
 // withCoordinator runs f with a coordinator, an agent and a recorder in a synctest bubble.
 func withCoordinator(t *testing.T, f func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder)) {
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -19,8 +19,9 @@
 	// RecordEnd records, for the owner of its job, that a run has completed its task. It reports
 	// whether the record is being written.
 	RecordEnd(agent string, run wire.Run) bool
-	// JobFinished reports whether a job that this process would own has ended or is unknown.
-	JobFinished(id string) bool
+	// JobFinished reports whether a job that this process would own has ended or is unknown. epoch
+	// is that of the owner that ordered the runs.
+	JobFinished(id string, epoch uint64) bool
 }
 
 // progressInterval is the time between two records of a job's progress. The end of a job is
@@ -183,7 +184,7 @@
 	}
 	j := c.jobs[id.Job]
 	switch {
-	case j == nil && c.recorder.JobFinished(id.Job):
+	case j == nil && c.recorder.JobFinished(id.Job, uint64(r.Run.Number)/runNumbersPerEpoch):
 		c.confirm(a.name, r.Run)
 		return
 	case j == nil:
--- a/ledger/ownership_test.go
+++ b/ledger/ownership_test.go
@@ -170,16 +170,28 @@
 	p.owned, p.takenOver, p.writable = false, false, false
 	p.jobs["done"] = &storedJob{progress: job.Progress{State: job.Completed}}
 	for id, want := range map[string]bool{"j": false, "done": true, "unknown": false} {
-		if got := l.JobFinished(id); got != want {
+		if got := l.JobFinished(id, p.epoch); got != want {
 			t.Errorf("job %s: JobFinished = %v, want %v", id, got, want)
 		}
 	}
 	p.takenOver = true
-	if !l.JobFinished("unknown") {
+	if !l.JobFinished("unknown", p.epoch) {
 		t.Error("JobFinished at the owner is false for a job that is not stored")
 	}
 }
 
+// Guards against a stored task that runs again after its end was confirmed: a former owner that had not
+// noticed the loss of its partition took the job of the later owner for one that is not stored.
+func TestFormerOwnerKeepsEndsOfLaterOwner(t *testing.T) {
+	l, p := ownedPartition(&recordingStore{}, &reportOnStopRunner{})
+	p.takenOver = true
+	for epoch, want := range map[uint64]bool{0: true, p.epoch: true, p.epoch + 1: false} {
+		if got := l.JobFinished("accepted-later", epoch); got != want {
+			t.Errorf("epoch %d at the owner of epoch %d: JobFinished = %v, want %v", epoch, p.epoch, got, want)
+		}
+	}
+}
+
 // Guards against jobs that start only after the owner's next read, which can take 400 ms while
 // waiting reads return nothing. A job that the owner has appended itself starts at once only
 // if no record before it is unread, so the owner's own progress records must not count as unread.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -63,8 +63,10 @@
 }
 
 // JobFinished reports whether the ends of a job's runs need no longer be kept: the end of the
-// job is recorded, or this entry owns its partition and the job is cancelled or not stored.
-func (l *Ledger) JobFinished(id string) bool {
+// job is recorded, or this entry owns its partition and the job is cancelled or not stored. epoch is
+// that of the owner that ordered the runs. This entry may own the partition no longer without
+// knowing, and then does not know the jobs of a later owner.
+func (l *Ledger) JobFinished(id string, epoch uint64) bool {
 	p := l.partitionFor(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,7 +75,7 @@
 	if e != nil && e.progress.State != "" {
 		return true
 	}
-	return p.takenOver && (e == nil || e.cancelled)
+	return p.takenOver && (e == nil && epoch <= p.epoch || e != nil && e.cancelled)
 }
 
 // maxStateWait is how long State waits for a job to end. Callers often ask just after the
