--- a/executor/run.go
+++ b/executor/run.go
@@ -63,7 +63,7 @@
 	reportedRemainingMillis uint32
 	startUnanswered         bool // a start call ended without a reply
 	crashRecorded           bool // the crash of its incarnation is in Executor.crashes
-	countsAsLost            bool // once it is stopped, since the incarnation of its endpoint has ended
+	countsAsLost            bool // once it is stopped, since its endpoint or the lease has ended
 	stopSentAt              time.Time
 	stopInFlight            bool
 	stopAccepted            bool // the endpoint has accepted the stop
