soak: endpoints whose capacity changes and is not enforced

The soak had endpoints of one capacity that enforce it, so it could not show a start over a capacity that has shrunk (LIMIT).

--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -74,7 +74,7 @@
 	ip := fmt.Sprintf("127.%d.%d.10", 10+rand.IntN(200), 1+rand.IntN(250))
 	address := func(port string) string { return net.JoinHostPort(ip, port) }
 	store := standin.NewStore(2)
-	c.Assert(store.PutConfig(1, "queue.example", "/jobs/", "service"), quicktest.IsNil)
+	c.Assert(store.PutConfig(1, "queue.example", "/jobs/", "service", true), quicktest.IsNil)
 	l, err := net.Listen("tcp", address("9000"))
 	c.Assert(err, quicktest.IsNil)
 	storeServer := &http.Server{Handler: store, ReadHeaderTimeout: time.Minute}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,9 @@
 	// PromptEphemeral lets prompt callers resubmit ephemeral jobs too. The platform's callers
 	// resubmit these resubmitDelay after a broken connection.
 	PromptEphemeral bool
+	// ChangingCapacity lets the capacities of the endpoints, which then do not enforce them,
+	// shrink and grow while faults are injected.
+	ChangingCapacity bool
 }
 
 // Timing of a run.
@@ -136,7 +139,14 @@
 	running.Go(func() { w.watchScheduling(ctx) })
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	running.Go(func() { w.generateLoad(loadCtx, &running) })
+	faultCtx, stopFaults := context.WithCancel(ctx)
+	if w.ChangingCapacity {
+		for i := range w.endpoints {
+			running.Go(func() { w.changeCapacity(faultCtx, i) })
+		}
+	}
 	w.injectFaults(ctx)
+	stopFaults()
 	w.clearFaults()
 	time.Sleep(recoveryDelay)
 	from := time.Now()
@@ -161,7 +171,7 @@
 	if err := serve(ctx, agentStoreAddress, w.store.WithEntryPort(entryPort, agentPort)); err != nil {
 		return err
 	}
-	if err := w.store.PutConfig(1, queueHost, queuePrefix, service); err != nil {
+	if err := w.store.PutConfig(1, queueHost, queuePrefix, service, !w.ChangingCapacity); err != nil {
 		return err
 	}
 	var seeds []string
@@ -188,8 +198,8 @@
 	}
 	for i := range w.Agents {
 		ip := w.hostIP(100 + i)
-		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), wire.Resources{MilliCores: 16000, MemoryMiB: 16000}, 1)
-		e.Work = parsePayload
+		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), endpointCapacity, 1)
+		e.Work, e.Unenforced = parsePayload, w.ChangingCapacity
 		w.endpoints = append(w.endpoints, e)
 		if err := serve(ctx, hostPort(ip, endpointPort), standin.NewEndpointHandler(e)); err != nil {
 			return err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 	entries = flag.Int("soak.entries", 2, "number of entries; with more than three, only some are placement entries")
 	agents  = flag.Int("soak.agents", 3, "number of agents")
 	prompt  = flag.Bool("soak.prompt", false, "prompt callers resubmit ephemeral jobs at once too, which the platform's callers don't")
+	changes = flag.Bool("soak.capacity", false, "let the capacities of the endpoints, which do not enforce them, change during the faults")
 	length  = flag.Duration("soak.length", 4*time.Second, "time during which faults are injected")
 )
 
@@ -64,7 +65,7 @@
 		}
 	}
 	r, err := Run(t.Context(), Options{
-		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, Binary: binary, Dir: dir,
+		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, ChangingCapacity: *changes, Binary: binary, Dir: dir,
 		Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
 	})
 	if err != nil {
