job: encode CapacityUnenforced only where it is set

A Queue is encoded under the Go names of its fields in each forwarded job and in each record of a stored job. The new field added 20 bytes to all of them, also where the endpoints enforce their capacity. A reader that does not know the field, or finds none, takes the capacity as enforced, as before.

--- a/executor/observe.go
+++ b/executor/observe.go
@@ -213,8 +213,9 @@
 	x.failedObservations = unreachableAfterFailures
 }
 
-// setClock stores a reading of the endpoint's clock from the reply to a call sent at the given time. With the first one it assumes that an earlier
-// process of this agent extended the lease just now; until then no lease end is known.
+// setClock stores a reading of the endpoint's clock from the reply to a call sent at the given time.
+// With the first one it assumes that an earlier process of this agent extended the lease just now;
+// until then no lease end is known.
 func (x *Executor) setClock(reading time.Duration, sent, now time.Time, source string) {
 	first := !x.clock.known()
 	x.clock.set(reading, now)
--- a/job/config.go
+++ b/job/config.go
@@ -31,7 +31,7 @@
 	// Advised is set for a queue whose steps start only where an external policy allows it.
 	Advised bool
 	// CapacityUnenforced is set if the endpoints of the service start tasks beyond their capacity.
-	CapacityUnenforced bool
+	CapacityUnenforced bool `cbor:",omitempty"`
 }
 
 // Objective returns the time within which a job with the given critical path should be
