soak: announcements every 1.5 s where the capacity changes

The endpoints of the soak announce themselves every 0.5 s, so that two announcements that state a shrunk capacity arrive within a second, and no fault of at most 2.5 s made an agent miss the change for 4.5 s. With -soak.capacity they now use the interval of the users' platform; other runs are unchanged.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -211,7 +211,11 @@
 			return err
 		}
 		w.agents = append(w.agents, p)
-		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress) })
+		interval := announceInterval
+		if w.ChangingCapacity {
+			interval = platformAnnounceInterval
+		}
+		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress, interval) })
 	}
 	return nil
 }
@@ -251,19 +255,23 @@
 	return nil
 }
 
-// announceInterval is the time between announcements of an endpoint.
-const announceInterval = 500 * time.Millisecond
+// announceInterval is the time between announcements of an endpoint whose capacity does not change;
+// platformAnnounceInterval is that of the users' platform.
+const (
+	announceInterval         = 500 * time.Millisecond
+	platformAnnounceInterval = 1500 * time.Millisecond
+)
 
 // announce sends the announcements of the endpoint at address to its agent. A failed announcement
 // is not retried; the next one replaces it.
-func announce(ctx context.Context, e *emulator.Endpoint, address, agent string) {
+func announce(ctx context.Context, e *emulator.Endpoint, address, agent string, interval time.Duration) {
 	c := &http.Client{Timeout: announceInterval}
 	for ctx.Err() == nil {
 		a := e.Announcement(false)
 		a.Profile.Address = address
 		_ = standin.Announce(ctx, c, agent, a)
 		select {
-		case <-time.After(announceInterval):
+		case <-time.After(interval):
 		case <-ctx.Done():
 		}
 	}
