coordinator: a new owner does not give up a job that the former one could not tell from another

Cause, found by reading: an owner that adopts a job judged each recorded crash as if no other task had been at the endpoint. Two early crashes beside a crashing task were enough to show an innocent stored job as failed after a change of owner.

Change: the record of a crash says whether only its job can have caused it (Alone), and an adopted job is given up after two crashes only then. A run that was read from the record gets its crash once an agent reports it, so that another culprit clears it. Crashes of several endpoints at once and starts without a reply identify no job.

Evidence: TestOwnerDoesNotGiveUpSuspectOfFormerOwner failed before (state failed, no order). go test ./coordinator, and ./emulator three times with the tests of crashes and racks, pass.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -20,7 +20,8 @@
 	// another within a few seconds.
 	crashHistoryTTL = time.Minute
 	// maxCrashHistory bounds the tasks whose crashes are remembered.
-	maxCrashHistory = 4096
+	maxCrashHistory     = 4096
+	crashExpiryInterval = time.Second
 	// widespreadCrashes is the number of endpoints that crash within widespreadPeriod, without a task
 	// in common, if the cause is a common one such as the power of a rack.
 	widespreadCrashes = 3
@@ -32,6 +33,8 @@
 type crashHistory struct {
 	tasks   map[string]*taskCrashes // by task
 	crashes []*endpointCrash        // of the last crashHistoryTTL
+	// expiredAt is when expired entries were last removed.
+	expiredAt time.Time
 }
 
 // endpointCrash is a crash of an endpoint.
@@ -85,10 +88,15 @@
 	return ms
 }
 
-// add adds a run unless it is known.
+// add adds a run unless it is known. One that was read from the recorded progress gets its crash.
 func (t *taskCrashes) add(r crashedRun) (added bool) {
-	if slices.ContainsFunc(t.runs, func(o crashedRun) bool { return o.Number == r.Number && o.Agent == r.Agent }) {
-		return false
+	for i := range t.runs {
+		if o := &t.runs[i]; o.Number == r.Number && o.Agent == r.Agent {
+			if o.crash == nil {
+				o.crash = r.crash
+			}
+			return false
+		}
 	}
 	t.runs = append(t.runs, r)
 	return true
@@ -138,6 +146,10 @@
 
 // expire removes what is no longer needed.
 func (h *crashHistory) expire(now time.Time) {
+	if now.Sub(h.expiredAt) < crashExpiryInterval {
+		return
+	}
+	h.expiredAt = now
 	h.crashes = slices.DeleteFunc(h.crashes, func(c *endpointCrash) bool { return now.Sub(c.at) > crashHistoryTTL })
 	for name, t := range h.tasks {
 		if now.Sub(t.lastAt) > crashHistoryTTL || len(h.tasks) > maxCrashHistory && !t.givenUp {
@@ -196,24 +208,32 @@
 	if !t.add(crashedRun{CrashedRun: run, crash: crash, cleared: cleared}) {
 		return false
 	}
-	if j := c.jobs[id.Job]; j != nil && j.stored != nil && j.stored.progress.State == "" {
-		j.stored.progress.AddCrash(r.Run.Task, run)
-		j.stored.dirty, j.stored.reportedAt = false, now
-		c.recorder.ReportProgress(id.Job, j.stored.progress.Clone())
-	}
+	c.recordTaskCrash(id.Job, r.Run.Task, run, now)
 	return true
 }
 
+// recordTaskCrash records a crash at once in the progress of a stored job that is in progress here.
+func (c *Coordinator) recordTaskCrash(id, task string, run job.CrashedRun, now time.Time) {
+	j := c.jobs[id]
+	if j == nil || j.stored == nil || j.stored.progress.State != "" {
+		return
+	}
+	j.stored.progress.SetCrash(task, run)
+	j.stored.dirty, j.stored.reportedAt = false, now
+	c.recorder.ReportProgress(id, j.stored.progress.Clone())
+}
+
 // judgeTasks gives up those of the tasks that were at an endpoint when it crashed that count as
 // the cause, and ends their jobs.
 func (c *Coordinator) judgeTasks(names []string, now time.Time) {
 	probable, suspected := make(map[string][]string), make(map[string][]string) // tasks by job
 	for _, name := range names {
 		t := c.crashes.tasks[name]
-		if !t.runs[len(t.runs)-1].cleared {
+		crashes := t.policyCrashes()
+		if !crashes[len(crashes)-1].Cleared {
 			suspected[t.job] = append(suspected[t.job], name)
 		}
-		switch c.cfg.Policy.JudgeTask(t.policyCrashes()) {
+		switch c.cfg.Policy.JudgeTask(crashes) {
 		case policy.Guilty:
 			c.giveUp(name, t, now)
 		case policy.ProbablyGuilty:
@@ -227,13 +247,7 @@
 	if len(suspected) == 1 {
 		for _, names := range suspected {
 			for _, name := range names {
-				h := c.crashes.tasks[name]
-				h.identified = true
-				if j := c.jobs[h.job]; j != nil {
-					if id, err := job.ParseTaskID(name); err == nil && j.task(id) != nil {
-						c.holdIdentified(j.task(id), now)
-					}
-				}
+				c.identify(name, now)
 			}
 		}
 	}
@@ -245,6 +259,19 @@
 	}
 }
 
+// identify records that only the job of a task can have caused the latest crash under it.
+func (c *Coordinator) identify(name string, now time.Time) {
+	t := c.crashes.tasks[name]
+	run := &t.runs[len(t.runs)-1]
+	t.identified, run.Alone = true, true
+	c.recordTaskCrash(t.job, name, run.CrashedRun, now)
+	if id, err := job.ParseTaskID(name); err == nil && c.jobs[t.job] != nil {
+		if task := c.jobs[t.job].task(id); task != nil {
+			c.holdIdentified(task, now)
+		}
+	}
+}
+
 // giveUp gives up a task and ends its job if it is in progress here.
 func (c *Coordinator) giveUp(name string, t *taskCrashes, now time.Time) {
 	if !t.givenUp {
@@ -292,20 +319,26 @@
 	}
 }
 
-// adoptCrashes adds the recorded crashes of an adopted job to the history.
+// adoptCrashes adds the recorded crashes of an adopted job to the history. Of the tasks that the former
+// owner did not give up, only those count as the cause that it could tell from others.
 func (c *Coordinator) adoptCrashes(j *activeJob, now time.Time) {
 	for name, runs := range j.stored.progress.Crashes {
 		t := c.crashes.ofTask(name, j.spec.ID, j.spec.Queue.Name, j.spec.Queue.Service)
 		t.lastAt = now
 		for _, r := range runs {
 			t.add(crashedRun{CrashedRun: r})
+			t.identified = t.identified || r.Alone
+		}
+		verdict := c.cfg.Policy.JudgeTask(t.policyCrashes())
+		if verdict == policy.Guilty || verdict == policy.ProbablyGuilty && t.identified {
+			c.giveUp(name, t, now)
 		}
-		c.judgeTasks([]string{name}, now)
 	}
 	for name, t := range c.crashes.tasks { // those that the former owner did not record
 		if t.job == j.spec.ID {
 			for _, r := range t.runs {
-				j.stored.progress.AddCrash(name, r.CrashedRun)
+				j.stored.progress.SetCrash(name, r.CrashedRun)
+				j.stored.dirty = true
 			}
 		}
 	}
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -129,7 +129,7 @@
 		a.crash("q", 10*time.Millisecond, a.orders[0])
 		recorded = r.reported["j"]
 		c.Check(recorded.Crashes, quicktest.DeepEquals, map[string][]job.CrashedRun{
-			"j.0.0.0": {{Agent: "host-1", Number: runNumbersPerEpoch + 1, ElapsedMillis: 10}},
+			"j.0.0.0": {{Agent: "host-1", Number: runNumbersPerEpoch + 1, ElapsedMillis: 10, Alone: true}},
 		})
 	})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
@@ -139,7 +139,7 @@
 		a.crash("q", 12*time.Millisecond, a.orders[0])
 		c.Check(r.reported["j"].State, quicktest.Equals, job.Failed)
 	})
-	recorded.AddCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * runNumbersPerEpoch, ElapsedMillis: 11})
+	recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * runNumbersPerEpoch, ElapsedMillis: 11})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
 		co.Adopt(submission("j", 2), recorded, 3)
 		synctest.Wait()
@@ -150,6 +150,20 @@
 	})
 }
 
+// Guards against a new owner that gives up a job which the former one could not tell from another.
+func TestOwnerDoesNotGiveUpSuspectOfFormerOwner(t *testing.T) {
+	var recorded job.Progress
+	for n := range uint32(2) {
+		recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: runNumbersPerEpoch + n, ElapsedMillis: 11})
+	}
+	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
+		co.Adopt(submission("j", 1), recorded, 2)
+		synctest.Wait()
+		c.Check(r.reported["j"].State, quicktest.Equals, job.State(""))
+		c.Check(a.orders, quicktest.HasLen, 1)
+	})
+}
+
 // Guards against a queue whose jobs crash one endpoint after the other until none is left for the
 // other queues, and against a queue that stays confined.
 func TestQueueOfCrashingTasksIsConfined(t *testing.T) {
--- a/job/progress.go
+++ b/job/progress.go
@@ -24,19 +24,19 @@
 	ElapsedMillis uint32 `cbor:"3,keyasint,omitempty"` // from the start of the run to the crash
 	// Unanswered is set if the endpoint had not answered the start.
 	Unanswered bool `cbor:"4,keyasint,omitempty"`
+	// Alone is set if no task of another job can have caused the crash.
+	Alone bool `cbor:"5,keyasint,omitempty"`
 }
 
-// AddCrash records a crash during a run of a task unless it is recorded. Copies that share the map
+// SetCrash records a crash during a run of a task, or replaces its record. Copies that share the map
 // of p are not changed.
-func (p *Progress) AddCrash(task string, r CrashedRun) {
-	if slices.ContainsFunc(p.Crashes[task], func(o CrashedRun) bool { return o.Agent == r.Agent && o.Number == r.Number }) {
-		return
-	}
+func (p *Progress) SetCrash(task string, r CrashedRun) {
 	crashes := maps.Clone(p.Crashes)
 	if crashes == nil {
 		crashes = make(map[string][]CrashedRun)
 	}
-	crashes[task] = append(slices.Clone(crashes[task]), r)
+	runs := slices.DeleteFunc(slices.Clone(crashes[task]), func(o CrashedRun) bool { return o.Agent == r.Agent && o.Number == r.Number })
+	crashes[task] = append(runs, r)
 	p.Crashes = crashes
 }
 
