emulator: the entry dies before the next run crashes an endpoint

TestCrashesAreKnownAfterEntryDeath and its neighbour killed the entry 30 ms after a crash.

The entry now dies 8 ms after the crash. It has heard of the crash by then and could store it (1 ms and 4 ms), and the next crash is at least 10 ms away.

--- a/emulator/crash_test.go
+++ b/emulator/crash_test.go
@@ -26,18 +26,23 @@
 	crashOutage = 3 * time.Second
 	// crashesBeforeGivingUp is the number of crashes under a task after which it may be given up.
 	crashesBeforeGivingUp = 2
+	// crashDelay is the time from the start of a task to the crash that it causes.
+	crashDelay = 10 * time.Millisecond
+	// entryDeathDelay is the time from a crash to the death of the entry that ordered the run: the
+	// entry has heard of the crash and could store it, but the next run hasn't crashed an endpoint yet.
+	entryDeathDelay = 8 * time.Millisecond
 )
 
 func elevenEndpoints() []*Endpoint {
 	return Fleet(capacity, taskSize, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1)
 }
 
-// crashingJobs makes the first task of the given jobs crash its endpoint 10 ms after its start.
+// crashingJobs makes the first task of the given jobs crash its endpoint.
 func crashingJobs(endpoints []*Endpoint, isCrashing func(jobID string) bool) {
 	for _, e := range endpoints {
 		e.CrashOf = func(task, _ string) (Crash, bool) {
 			id, err := job.ParseTaskID(task)
-			return Crash{After: 10 * time.Millisecond, Outage: crashOutage}, err == nil && id.Index == 0 && isCrashing(id.Job)
+			return Crash{After: crashDelay, Outage: crashOutage}, err == nil && id.Index == 0 && isCrashing(id.Job)
 		}
 	}
 }
@@ -207,7 +212,7 @@
 func TestCrashesAreKnownAfterEntryDeath(t *testing.T) {
 	runCrashingJobs(t, crashesBeforeBudget, func(s *System, _, _ int, task string) {
 		entry := s.lastOrderer(task)
-		time.AfterFunc(30*time.Millisecond, func() { s.KillEntry(entry) })
+		time.AfterFunc(entryDeathDelay, func() { s.KillEntry(entry) })
 	})
 }
 
@@ -221,6 +226,6 @@
 		}
 		entry := s.lastOrderer(task)
 		s.KillAgent(endpoint)
-		time.AfterFunc(30*time.Millisecond, func() { s.KillEntry(entry) })
+		time.AfterFunc(entryDeathDelay, func() { s.KillEntry(entry) })
 	})
 }
