soak: ephemeral jobs that fail beside crashing tasks are judged too

An ephemeral job that is reported as failed is now judged like a stored one: one of its tasks failed as often as the queue allows, or crashes endpoints.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -168,7 +168,7 @@
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
 	w.unanswered[h.ID] = slices.DeleteFunc(w.unanswered[h.ID], func(t time.Time) bool { return t.Equal(sent) })
-	h.completed = h.completed || a.State == job.Completed
+	h.completed, h.failed = h.completed || a.State == job.Completed, h.failed || a.State == job.Failed
 	accepted := err == nil && got.Status == http.StatusOK
 	h.accepted = h.accepted || accepted
 	w.submissions[h.ID] = append(w.submissions[h.ID], fmt.Sprintf("%.3f to %.3f: %v caller at entry-%d: status %d, error %v",
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -109,7 +109,7 @@
 	sent      time.Time
 	accepted  bool // an entry answered a submission with status 200
 	completed bool
-	failed    bool // a stored job was reported as failed
+	failed    bool // the job was reported as failed
 }
 
 // Result is the outcome of a soak run.
@@ -335,11 +335,10 @@
 	return r
 }
 
-// checkTasks returns the violations of three guarantees: every task of a completed job is
-// done; a stored job completes unless one of its tasks failed as often as the queue allows or crashes
-// endpoints;
-// and a task of a stored job does not start again after an end that was acknowledged before
-// the lease of its endpoint expired.
+// checkTasks returns the violations of four guarantees: every task of a completed job is done; a job
+// is reported as failed only if one of its tasks failed as often as the queue allows or crashes
+// endpoints; a stored job without such a task completes; and a task of a stored job does not start
+// again after an end that was acknowledged before the lease of its endpoint expired.
 func (w *soakRun) checkTasks() (violations []string) {
 	done, failures := make(map[string]bool), make(map[string]int)
 	acknowledgedEnds := make(map[string]emulator.Run) // earliest acknowledged end of each task
@@ -369,7 +368,7 @@
 			}
 		}
 		if h.failed && !failedTooOften && !h.isCrashing() {
-			violations = append(violations, fmt.Sprintf("stored job %s is reported as failed although no task used up its attempts", h.ID))
+			violations = append(violations, fmt.Sprintf("job %s is reported as failed although no task used up its attempts", h.ID))
 		}
 		if !h.Ephemeral && h.accepted && !h.completed && !h.failed && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s, submitted at %.3f s, is not completed", h.ID, h.sent.Sub(w.startedAt).Seconds()))
