balance: an endpoint whose first samples were all delayed is measured anew

Cause: three samples of an endpoint replace the assumption that makes it be tried. If all three are delayed beyond the run time of another endpoint, as by a process that has just started on a busy machine, it is not chosen while no endpoint is full, gets no further sample, and stays slow in the estimate: the later move towards the mean of the kind never goes below the endpoint that runs the tasks. One delayed sample of three was already covered (TestDelayedFirstSample).

TestDelayedFirstSamples repeats this with injected time and failed before: "0 of the last 500 tasks ran on the fastest endpoint".

Change: an endpoint with few and old samples is measured anew once; its old samples are dropped. The interval counts samples of the kind for each known endpoint, so slow endpoints together get a small share of the tasks, and only once each.

Not measured: the response times of the load experiments.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -243,3 +243,34 @@
 	_, ok := Choose(s, 0)
 	c.Assert(ok, qt.IsFalse)
 }
+
+// TestDelayedFirstSamples guards against a fast endpoint that is never chosen again because
+// all samples of its first tasks were delayed, which a process that has just started may cause.
+func TestDelayedFirstSamples(t *testing.T) {
+	c := qt.New(t)
+	runs := []time.Duration{20 * time.Millisecond, 10 * time.Millisecond, 5 * time.Millisecond}
+	var k KindRunTimes
+	times := make([]EndpointRunTimes, len(runs))
+	now, fast, late := time.Unix(0, 0), 0, 0
+	const tasks = 1000
+	for i := range tasks {
+		s := Snapshot{Waiting: 1, Endpoints: make([]Endpoint, len(runs))}
+		for j := range runs {
+			s.Endpoints[j] = Endpoint{Slots: 8, Limit: 10, RunTime: k.RunTimeForPlacement(&times[j], 35*time.Millisecond, 0, now)}
+		}
+		chosen, ok := Choose(s, uint64(i))
+		c.Assert(ok, qt.IsTrue)
+		run := runs[chosen]
+		if chosen == 2 {
+			if fast++; fast <= minSamples {
+				run += 10 * time.Millisecond
+			}
+			if i >= tasks/2 {
+				late++
+			}
+		}
+		k.RecordRunTime(&times[chosen], run, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(late >= tasks/2*9/10, qt.IsTrue, qt.Commentf("%d of the last %d tasks ran on the fastest endpoint", late, tasks/2))
+}
--- a/balance/run_times.go
+++ b/balance/run_times.go
@@ -35,6 +35,11 @@
 	// samples that correct its mean.
 	stableSamples   = 10
 	maxOverShortest = 1.5
+	// An endpoint with fewer than stableSamples samples is measured anew once, after
+	// remeasureInterval samples of the kind for each endpoint since its last one. All of
+	// its first samples may have been delayed, for example by the start of its process.
+	// The interval limits the share of tasks that endpoints found to be slow get.
+	remeasureInterval = 4
 	// defaultRunTime is assumed without enough samples or a declared run time.
 	defaultRunTime = 100 * time.Millisecond
 )
@@ -44,6 +49,8 @@
 	mean     movingAverage
 	variance float64 // moving average of squared deviations, ns²
 	slowest  float64 // decayed slowest run time in ns
+	// samples and endpoints count the samples and the endpoints that have any.
+	samples, endpoints int
 }
 
 // EndpointRunTimes estimates the run times of one kind at one endpoint.
@@ -51,6 +58,9 @@
 	mean     movingAverage
 	shortest float64 // shortest run time in ns; 0 without samples
 	last     time.Time
+	// lastSample is KindRunTimes.samples at the last sample.
+	lastSample int
+	remeasured bool
 }
 
 // movingAverage is an exponentially weighted moving average whose first samples have
@@ -80,6 +90,14 @@
 		k.variance += (deviation*deviation - k.variance) * max(meanWeight, 1/float64(k.mean.samples))
 	}
 	k.slowest = max(ns, k.slowest*slowestDecay)
+	if k.isRemeasurementDue(e) {
+		e.mean, e.shortest, e.remeasured = movingAverage{}, 0, true
+	}
+	if e.lastSample == 0 {
+		k.endpoints++
+	}
+	k.samples++
+	e.lastSample = k.samples
 	e.mean.add(ns)
 	if e.shortest == 0 || ns < e.shortest {
 		e.shortest = ns
@@ -87,6 +105,13 @@
 	e.last = now
 }
 
+// isRemeasurementDue reports whether the samples of e are few and old, so that they are to
+// be replaced.
+func (k *KindRunTimes) isRemeasurementDue(e *EndpointRunTimes) bool {
+	return !e.remeasured && e.lastSample > 0 && e.mean.samples >= minSamples && e.mean.samples < stableSamples &&
+		k.samples-e.lastSample >= remeasureInterval*k.endpoints
+}
+
 // RecordFailure records a failed task. It counts as a sample with the slowest run time
 // of the kind, so that an endpoint whose tasks fail fast doesn't attract more tasks.
 func (k *KindRunTimes) RecordFailure(e *EndpointRunTimes, declared time.Duration, now time.Time) {
@@ -147,8 +172,8 @@
 // the endpoint is tried.
 func (k *KindRunTimes) RunTimeForPlacement(e *EndpointRunTimes, declared, oldestRunning time.Duration, now time.Time) time.Duration {
 	runTime := k.ExpectedRunTime(e, declared, oldestRunning, now)
-	if e.mean.samples < minSamples && oldestRunning < runTime {
-		return max(time.Duration(untriedFactor*float64(runTime)), time.Microsecond)
+	if (e.mean.samples < minSamples || k.isRemeasurementDue(e)) && oldestRunning < runTime {
+		return max(time.Duration(untriedFactor*float64(min(runTime, k.TypicalRunTime(declared)))), time.Microsecond)
 	}
 	if e.mean.samples < stableSamples && e.shortest > 0 && oldestRunning < runTime {
 		return min(runTime, time.Duration(maxOverShortest*e.shortest))
