endpoint: keep connections open that the agent has not used yet

Cause: the server of an endpoint closed a connection without a request header 2 s after it was opened, and the agent keeps an idle connection for 30 s. An HTTP client dials for a request and may then send it on another connection that has become idle, so an unused one is normal; a busy machine also holds up the agent between dial and request. A task that is written at the moment of the close has no reply and counts as one that may have run.

TestUnusedConnectionStaysOpen failed before ("EOF" in place of "i/o timeout" after 2.01 s).

Change: the endpoint allows a minute, more than the 30 s of the agent, so that the agent closes first.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -26,6 +26,11 @@
 // three missed announcements.
 const announceInterval = time.Second
 
+// headerTimeout bounds the time from the opening of a connection to the header of its first
+// request. It is longer than the agent keeps an idle connection: the agent may dial one that
+// it does not use at once, and loses the task that it then sends if the server closes it.
+const headerTimeout = time.Minute
+
 // maxPayloadBytes limits the payload of one task.
 const maxPayloadBytes = 64 << 10
 
@@ -101,7 +106,7 @@
 // Run serves requests and announces the endpoint until ctx ends. It then announces that the
 // endpoint is draining, finishes the tasks in progress and returns.
 func (e *Endpoint) Run(ctx context.Context) error {
-	srv := &http.Server{Handler: e.mux, ReadHeaderTimeout: 2 * time.Second}
+	srv := &http.Server{Handler: e.mux, ReadHeaderTimeout: headerTimeout}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- srv.Serve(e.listener) }()
 	tick := time.NewTicker(announceInterval)
--- a/endpoint/endpoint_test.go
+++ b/endpoint/endpoint_test.go
@@ -1,13 +1,16 @@
 package endpoint
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -191,3 +194,28 @@
 	qt.Check(t, settings.Parse(good.Bytes(), &s), qt.IsNil)
 	qt.Check(t, s.Slots, qt.Equals, 8)
 }
+
+// Guards against tasks that are lost because the endpoint closes a connection that the agent
+// has dialled and not used yet.
+func TestUnusedConnectionStaysOpen(t *testing.T) {
+	e, announced, stop := serve(t, 1, runnerFunc(func(context.Context, Task) ([]byte, error) { return nil, nil }))
+	defer stop()
+	<-announced
+	conn, err := net.Dial("tcp", e.Address())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)), qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	qt.Assert(t, conn.SetReadDeadline(time.Time{}), qt.IsNil)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Address()+"/run", nil)
+	qt.Assert(t, err, qt.IsNil)
+	req.Header.Set("Oriole-Submission", "order-17")
+	req.Header.Set("Oriole-Index", "0")
+	req.Header.Set("Oriole-Deadline-Ms", "5000")
+	qt.Assert(t, req.Write(conn), qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+}
