--- a/executor/entry.go
+++ b/executor/entry.go
@@ -22,7 +22,8 @@
 	lastSent     time.Time
 	orderedRuns  uint64 // on this connection
 	profileSent  bool
-	suspect      bool // see IsSuspect
+	crashesSent  uint64 // number of the newest crash that was sent on this connection
+	suspect      bool   // see IsSuspect
 	// echoedClock is the newest Status.ClockMillis that the entry has returned, or the clock at
 	// the start of the connection. echoesInHeartbeats is false for an entry of an older version.
 	echoedClock        uint64
@@ -48,7 +49,7 @@
 		x.lastConnection++
 		e.connection, connection = x.lastConnection, x.lastConnection
 		e.send, e.lastReceived, e.orderedRuns, e.profileSent, e.pendingClaim, e.retired = send, time.Now(), 0, false, nil, false
-		e.pendingStops, e.suspect, e.echoedClock = nil, false, x.clockMillis()
+		e.pendingStops, e.suspect, e.echoedClock, e.crashesSent = nil, false, x.clockMillis(), 0
 		e.reports = nil // the entry's Claim makes the agent report them again
 		x.reportUnconfirmed(incarnation)
 		x.statusDirty = true
@@ -126,9 +127,10 @@
 			age := x.age(m.StatusClockMillis)
 			for i := range m.Groups {
 				g := &m.Groups[i]
+				x.capacityUnenforced = g.CapacityUnenforced
 				for _, id := range g.Runs {
 					if age > x.cfg.Timing.MaxOrderAge {
-						x.reject(e, id, wire.RejectStale)
+						x.reject(e, id, wire.RejectStale, 0)
 						continue
 					}
 					x.acceptOrder(e, id, g, now)
@@ -194,6 +196,15 @@
 	return e.echoesInHeartbeats && x.age(e.echoedClock) > x.cfg.Timing.MaxOrderAge
 }
 
+// untilTimeout returns the time until expireEntries stops the runs of e unless e is heard again.
+func (x *Executor) untilTimeout(e *entry, now time.Time) time.Duration {
+	d := x.cfg.Timing.EntryTimeout - now.Sub(e.lastReceived)
+	if e.echoesInHeartbeats {
+		d = min(d, x.cfg.Timing.MaxOrderAge-x.age(e.echoedClock))
+	}
+	return d
+}
+
 // expireEntries stops the runs of entries that have timed out or hear nothing, and removes
 // entries that are disconnected and have no runs left.
 func (x *Executor) expireEntries(now time.Time) {
@@ -298,6 +309,7 @@
 	if !e.profileSent && x.profile != nil {
 		s.Profile, e.profileSent = x.profile, true
 	}
+	s.Crashes = x.unsentCrashes(e)
 	return s
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -45,8 +45,13 @@
 	startedAt   time.Time // of this process
 
 	profile *wire.Profile // nil until the endpoint has announced itself
-	// otherProfile is the profile in the newest announcement if that differs from profile.
+	// otherProfile is the profile in the newest announcement if that differs from profile in more
+	// than the capacity.
 	otherProfile        *wire.Profile
+	statedCapacity      wire.Resources // in the newest announcement with this profile
+	announcedAt         time.Duration  // the same one's time on the endpoint's clock; 0 if it was restored
+	capacityUnenforced  bool           // the endpoint starts runs beyond its capacity, as the newest order says
+	capacityKnown       bool           // result of knowsCapacity at the last tick
 	endpointStartMillis int64
 	incarnationSince    time.Time // when this incarnation became the known one
 	sequence            uint64    // of the newest announcement
@@ -83,6 +88,10 @@
 	// lastConnection is the number of the newest connection to an entry.
 	lastConnection uint64
 	recent         recentOutcomes
+	crashes        []crash   // the recent ones, oldest first
+	crashCount     uint64    // crashes that were recorded
+	crashedAt      time.Time // when the last crash was noticed
+	trial          trial
 	// statusDirty is set while the newest status has not been sent to the entries.
 	statusDirty  bool
 	statusSentAt time.Time
@@ -146,6 +155,8 @@
 		return wire.RejectDraining
 	case x.evacuated.Has(x.profile.DataCentre):
 		return wire.RejectEvacuated
+	case !x.knowsCapacity(time.Now()):
+		return wire.RejectCapacityUnknown
 	}
 	return 0
 }
@@ -153,6 +164,7 @@
 // Tick implements loop.Controller.
 func (x *Executor) Tick(now time.Time) {
 	x.expireLease(now)
+	x.checkCapacityKnown(now)
 	x.loseClaimedRuns(now)
 	x.verifyUnansweredStarts(now)
 	x.expireEntries(now)
@@ -161,6 +173,7 @@
 	x.retryStops(now)
 	x.expireUnconfirmed(now)
 	x.resendUnconfirmed(now)
+	x.expireCrashes(now)
 }
 
 // AfterBatch implements loop.Controller. It sends queued reports and a changed status.
--- a/executor/incarnation.go
+++ b/executor/incarnation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"reflect"
 	"time"
 
 	"oriolerelay/endpointapi"
@@ -27,6 +26,7 @@
 		return accepted
 	}
 	req := endpointapi.ObserveRequest{Instance: a.Profile.Instance, FencingToken: x.fence.token()}
+	sent := time.Now()
 	obs, err := x.queryIncarnation(ctx, req)
 	x.loop.Do(func() {
 		var fenced *endpointapi.FencedError
@@ -35,6 +35,9 @@
 		}
 		if x.incarnationSince == known { // otherwise another announcement was confirmed meanwhile
 			accepted = x.handleIncarnationReply(a, obs, err, time.Now())
+			if accepted {
+				x.clock.calledAt = sent
+			}
 		}
 	})
 	return accepted
@@ -55,6 +58,9 @@
 			return false, false
 		}
 		x.applyAnnouncement(a)
+		if x.capacityUnenforced {
+			x.observeNow(now) // a reading of the clock shows the age of the announcement
+		}
 		return true, false
 	case a.StartMillis < x.endpointStartMillis && !x.unreachable:
 		x.logStale(a)
@@ -73,8 +79,9 @@
 
 // applyAnnouncement applies an announcement of the known incarnation.
 func (x *Executor) applyAnnouncement(a endpointapi.Announcement) {
+	repeated := a.Sequence == x.sequence
 	x.sequence, x.lower = a.Sequence, lowerSequences{}
-	x.checkProfile(a)
+	x.updateProfile(a, repeated)
 	if a.Draining != x.endpointDraining {
 		x.endpointDraining = a.Draining
 		x.statusDirty = true
@@ -86,26 +93,6 @@
 	x.save(a)
 }
 
-// checkProfile replaces the profile of the known incarnation once two consecutive announcements
-// state the same other one. A profile does not change, so that the first one was false.
-func (x *Executor) checkProfile(a endpointapi.Announcement) {
-	p := a.Profile
-	switch {
-	case reflect.DeepEqual(p, *x.profile):
-		x.otherProfile = nil
-	case x.otherProfile == nil || !reflect.DeepEqual(p, *x.otherProfile):
-		x.otherProfile = &p
-	default:
-		x.cfg.Log.Log(event.EndpointAnnounced, "instance", p.Instance, "born", a.StartMillis, "service", p.Service,
-			"millicores", p.Capacity.MilliCores, "runs", len(x.runs), "replaced_service", x.profile.Service)
-		x.profile, x.otherProfile, x.statusDirty = &p, nil, true
-		x.persisted = persistedState{} // the new profile is saved
-		for _, e := range x.entries {
-			e.profileSent = false
-		}
-	}
-}
-
 // lowerSequences counts the consecutive announcements with rising sequence numbers below the known
 // one. The known one is false if they go on, since the endpoint sends newer announcements at
 // intervals, while delayed ones arrive together.
@@ -159,8 +146,10 @@
 		x.cfg.Log.Log(event.AnnouncementRefused, "instance", a.Profile.Instance, "born", a.StartMillis, "why", err)
 		return false
 	}
+	announcedAt := a.Clock
 	a.Clock = obs.Clock // that of the announcement cannot be checked
 	x.newIncarnation(a, now)
+	x.announcedAt = announcedAt
 	x.unverified = err != nil
 	if err == nil {
 		x.save(a)
@@ -255,13 +244,16 @@
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
 	first := x.profile == nil || x.unverified
 	sameID := !first && a.Profile.Instance == x.profile.Instance
+	if !first {
+		x.recordCrash(now)
+	}
 	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
-	x.incarnationSince, x.lower, x.otherProfile = now, lowerSequences{}, nil
-	x.clock = endpointClock{}
+	x.incarnationSince, x.lower, x.otherProfile, x.statedCapacity = now, lowerSequences{}, nil, profile.Capacity
+	x.clock, x.announcedAt = endpointClock{}, 0
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
-	x.setClock(a.Clock, now, "first announcement")
+	x.setClock(a.Clock, now, now, "first announcement")
 	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
 	x.health = health{}
 	if !first && !sameID {
--- a/executor/run.go
+++ b/executor/run.go
@@ -45,6 +45,7 @@
 	id              wire.Run
 	entry           string // incarnation of the entry that ordered the run; empty until claimed
 	payload         string
+	queue           string
 	size            wire.Resources
 	declaredRunTime time.Duration
 	state           runState
@@ -60,6 +61,8 @@
 	percentReadAt           time.Time
 	percentRoseAt           time.Time
 	reportedRemainingMillis uint32
+	startUnanswered         bool // a start call ended without a reply
+	crashRecorded           bool // the crash of its incarnation is in Executor.crashes
 	countsAsLost            bool // once it is stopped, since its endpoint or the lease has ended
 	stopSentAt              time.Time
 	stopInFlight            bool
@@ -72,11 +75,16 @@
 // acceptOrder starts one run that an entry has ordered, or rejects it.
 func (x *Executor) acceptOrder(e *entry, id wire.Run, g *wire.OrderGroup, now time.Time) {
 	if reason := x.orderRejection(id, g); reason != 0 {
-		x.reject(e, id, reason)
+		x.reject(e, id, reason, 0)
 		return
 	}
+	if left := x.trialLeft(id, g, now); left > 0 {
+		x.reject(e, id, wire.RejectTrial, left)
+		return
+	}
+	x.beginTrial(id, g, now)
 	r := &run{
-		id: id, entry: e.incarnation, payload: g.Payload, size: g.Size, orderedAt: now, stored: g.Stored,
+		id: id, entry: e.incarnation, payload: g.Payload, queue: g.Queue, size: g.Size, orderedAt: now, stored: g.Stored,
 		declaredRunTime: time.Duration(g.EstimateMillis) * time.Millisecond,
 	}
 	r.span = x.startSpan(r, g.Trace)
@@ -118,11 +126,28 @@
 	if !x.clock.known() {
 		return 0
 	}
-	end := x.clock.endpointTime(now, x.cfg.Timing.Lease)
+	end := x.clock.endpointTime(now, x.leaseExtension(now))
 	x.leaseEnd = max(x.leaseEnd, end)
 	return end
 }
 
+// leaseExtension returns the length of a lease that is extended now. Runs of an entry that has not
+// been heard in time keep no more than they would if this process had failed just before it had to
+// stop them: it may fail now, after it was suspended, and the entry counts from its last message.
+// Inherited runs that wait to be claimed have a deadline instead.
+func (x *Executor) leaseExtension(now time.Time) time.Duration {
+	d := x.cfg.Timing.Lease
+	if !x.adoptDeadline.IsZero() {
+		d = min(d, max(x.adoptDeadline.Sub(now), 0)+x.cfg.Timing.AdoptMargin)
+	}
+	for _, r := range x.runs {
+		if e := x.entries[r.entry]; e != nil {
+			d = min(d, x.untilTimeout(e, now)+x.cfg.Timing.BusyTickInterval+x.cfg.Timing.Lease)
+		}
+	}
+	return max(d, 0)
+}
+
 // stop stops r; reason is set if its start was rejected or got no reply.
 func (x *Executor) stop(r *run, reason wire.RejectReason, now time.Time) {
 	if r.state != runStopping {
@@ -201,10 +226,12 @@
 	return sent.Sub(r.orderedAt).Milliseconds()
 }
 
-// reject reports that an order is not accepted.
-func (x *Executor) reject(e *entry, id wire.Run, reason wire.RejectReason) {
+// reject reports that an order is not accepted; for how long is known only of some reasons.
+func (x *Executor) reject(e *entry, id wire.Run, reason wire.RejectReason, remaining time.Duration) {
 	x.cfg.Metrics.countEnd(wire.RunRejected, reason)
 	x.cfg.Log.Log(event.RunRejected, "task", id.Task, "run", id.Number, "reason", reason, "entry", e.incarnation,
 		"used_millicores", x.used.MilliCores)
-	x.report(e.incarnation, wire.Report{Run: id, State: wire.RunRejected, Reason: reason})
+	x.report(e.incarnation, wire.Report{
+		Run: id, State: wire.RunRejected, Reason: reason, RemainingMillis: uint32(remaining.Milliseconds()),
+	})
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,12 +50,17 @@
 			HTTP: &http.Client{}, Address: hostPort(w.hostIP(10+i), callersProxyPort), Host: queueHost, Prefix: queuePrefix,
 		}
 	}
+	faultsEnd := time.Now().Add(w.FaultDuration)
 	for n := 0; ctx.Err() == nil; n++ {
 		ms := []uint32{30, 120, 400, 900}[rng.IntN(4)]
 		j := standin.Job{
 			ID: fmt.Sprintf("%08x%08x", w.Seed, n), Payload: fmt.Sprintf("%d %d", ms, 2000), Tasks: 1 + rng.IntN(4),
 			MilliCores: 2000, MemoryMiB: 64, Estimate: time.Duration(ms) * time.Millisecond, Ephemeral: !w.AllFaults || n%8 != 0,
 		}
+		if w.CrashingJobs > 0 && n%w.CrashingJobs == 0 && time.Now().Before(faultsEnd) {
+			j.Payload += crashingSuffix
+			j.Ephemeral = n/w.CrashingJobs%2 == 0
+		}
 		c := &caller{
 			run: w, clients: clients, kind: callerKind(callerRNG.IntN(int(callerKinds))), first: rng.IntN(len(clients)), again: rng.IntN(len(clients)),
 			patience: 200*time.Millisecond + time.Duration(callerRNG.Int64N(int64(resubmitDelay-200*time.Millisecond))),
@@ -142,6 +148,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	w, h, sent := c.run, c.job, time.Now()
+	w.mu.Lock()
+	w.unanswered[h.ID] = append(w.unanswered[h.ID], sent)
+	w.mu.Unlock()
 	got, err := c.clients[entry].Submit(ctx, h.Job, callerTimeout)
 	a := emulator.Answer{Job: h.ID, SentAt: sent, ReceivedAt: time.Now(), Disconnected: true}
 	switch {
@@ -158,6 +167,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
+	w.unanswered[h.ID] = slices.DeleteFunc(w.unanswered[h.ID], func(t time.Time) bool { return t.Equal(sent) })
 	h.completed = h.completed || a.State == job.Completed
 	accepted := err == nil && got.Status == http.StatusOK
 	h.accepted = h.accepted || accepted
