--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -64,6 +64,7 @@
 			run, at := lastOrder(agents, "j.0.0.0")
 			at.crash("q", 10*time.Millisecond, run)
 			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
 		}
 		c.Assert(w.answer, quicktest.HasLen, 1)
 		c.Check((<-w.answer).state, quicktest.Equals, job.Failed)
@@ -94,6 +95,7 @@
 			k, _ := lastOrder([]*fakeAgent{a}, "k.0.0.0")
 			a.crash("q", 10*time.Millisecond, j, k)
 			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
 		}
 		c.Check(first.answer, quicktest.HasLen, 0)
 		c.Check(second.answer, quicktest.HasLen, 0)
@@ -176,6 +178,7 @@
 				run, at := lastOrder(agents, id+".0.0.0")
 				at.crash("q", 10*time.Millisecond, run)
 				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
 			}
 		}
 		usedBy := func(id, queue string) map[string]bool {
@@ -209,6 +212,7 @@
 			for _, a := range agents {
 				a.c.Handle(a.name, a.connection, &wire.Status{OrderedRuns: a.count})
 			}
+			synctest.Wait()
 		}
 		c.Check(len(usedBy("f", "q")) > 2, quicktest.IsTrue)
 		crashTwice("g")
