--- a/emulator/system.go
+++ b/emulator/system.go
@@ -150,7 +150,7 @@
 		e.faults.LoseAnnouncements--
 		return true
 	}
-	return e.faults.Down || e.faults.Unresponsive
+	return e.faults.Down || e.down || e.faults.Unresponsive
 }
 
 func (s *System) newEntry(i, incarnationNumber int) *Entry {
@@ -197,6 +197,10 @@
 	s.mu.Lock()
 	e := s.entries[entry]
 	s.mu.Unlock()
+	return s.submitTo(ctx, e, j)
+}
+
+func (s *System) submitTo(ctx context.Context, e *Entry, j job.Submission) Answer {
 	submit := e.Coordinator.Submit
 	if e.Router != nil {
 		submit = e.Router.Submit
--- a/executor/incarnation.go
+++ b/executor/incarnation.go
@@ -194,7 +194,7 @@
 			x.finish(r, wire.RunLost, 0, "endpoint incarnation ended") // its only start was not sent
 			continue
 		}
-		r.incarnationEnded = true
+		r.countsAsLost = true
 		if r.state != runStopping {
 			x.stop(r, 0, now)
 		}
@@ -244,6 +244,9 @@
 		"service", a.Profile.Service, "millicores", a.Profile.Capacity.MilliCores, "runs", len(x.runs))
 	first := x.profile == nil || x.unverified
 	sameID := !first && a.Profile.Instance == x.profile.Instance
+	if !first {
+		x.recordCrash(now)
+	}
 	x.unverified = false
 	profile := a.Profile
 	x.profile, x.endpointStartMillis, x.sequence, x.endpointDraining = &profile, a.StartMillis, a.Sequence, a.Draining
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -21,6 +21,17 @@
 	// Local is set for an endpoint in the data centre of this process.
 	Local  bool
 	Labels []string
+	// Suspects counts the tasks there during whose runs other endpoints have crashed.
+	Suspects int
+	// TrialJob is the job, a suspect or of a confined queue, whose tasks have run there for too short a
+	// time to be cleared of a crash; empty if there is none. TrialSuspected is set if it is an
+	// identified one.
+	TrialJob       string
+	TrialSuspected bool
+	// Confined is set for the endpoints that are left to the confined queues of the service; they
+	// are those of the lowest ConfinementRank.
+	Confined        bool
+	ConfinementRank int
 }
 
 // FreeCapacity is the part of a capacity that no task uses. It is negative where more was
@@ -71,13 +82,37 @@
 	// PlacedByEndpoint counts those that are already placed, by endpoint index.
 	MaxPerEndpoint   int
 	PlacedByEndpoint map[int]int
+	// Suspect is set if an endpoint has crashed during a run of the task.
+	Suspect bool
+	// SuspectRanks orders the endpoints for a suspect, from 0 to 1, by endpoint index. Each task has an
+	// order of its own, so that the suspects of several entries do not meet again.
+	SuspectRanks []float64
+	// Identified is set if a crash can have been caused by this task's job only. It is certain to
+	// crash another endpoint, and several such jobs share one.
+	Identified bool
+	Job        string
+	// confinedTo is the number of endpoints to which the queue is limited; 0 if it is not.
+	confinedTo int
+}
+
+// Confine limits t to the given number of endpoints, those of the lowest ConfinementRank, unless
+// none of them can run it.
+func (t *Task) Confine(endpoints []Endpoint, limit int) {
+	t.confinedTo = limit
+	if limit > 0 && !slices.ContainsFunc(endpoints, func(e Endpoint) bool { return t.CanRunOn(&e) }) {
+		t.confinedTo = 0
+	}
 }
 
 // CanRunOn reports whether t may run on e, regardless of its current load.
 func (t *Task) CanRunOn(e *Endpoint) bool {
-	return t.Size.Fits(e.Capacity) && !(t.Stored && e.RejectsStored) && (t.Label == "" || slices.Contains(e.Labels, t.Label))
+	return t.Size.Fits(e.Capacity) && !(t.Stored && e.RejectsStored) && (t.Label == "" || slices.Contains(e.Labels, t.Label)) &&
+		t.mayUse(e)
 }
 
+// mayUse reports whether the confinement of the queue, if any, includes e.
+func (t *Task) mayUse(e *Endpoint) bool { return t.confinedTo == 0 || e.ConfinementRank < t.confinedTo }
+
 // RunTime is the expected run time of t on e.
 func (t *Task) RunTime(e *Endpoint) time.Duration {
 	d := float64(t.DeclaredRunTime) * e.Slowness
@@ -105,7 +140,7 @@
 	for k := range n {
 		i := int((random + uint64(k)) % uint64(n))
 		e := &endpoints[i]
-		if !e.Available || !t.CanRunOn(e) || !e.Free.Fits(t.Size) || t.atEndpointLimit(i) {
+		if !e.Available || !t.CanRunOn(e) || !e.Free.Fits(t.Size) || t.atEndpointLimit(i) || t.conflictsWithTrial(e) {
 			continue
 		}
 		c := Placement{Index: i, RunTime: t.RunTime(e)}
@@ -118,6 +153,15 @@
 	return best, ok
 }
 
+// conflictsWithTrial reports whether t, a suspect or of a confined queue, must not run on e yet: a
+// crash would not tell it from the tasks of the trial job there.
+func (t *Task) conflictsWithTrial(e *Endpoint) bool {
+	return (t.confinedTo > 0 || t.Suspect) && e.TrialJob != "" && e.TrialJob != t.Job && !(t.Identified && e.TrialSuspected)
+}
+
+// IsConfined reports whether t is limited to a few endpoints.
+func (t *Task) IsConfined() bool { return t.confinedTo > 0 }
+
 func (t *Task) atEndpointLimit(i int) bool {
 	return t.MaxPerEndpoint > 0 && t.PlacedByEndpoint[i] >= t.MaxPerEndpoint
 }
@@ -126,6 +170,17 @@
 const (
 	lateCostMillis  = 1e6 // the task would end after the objective
 	avoidCostMillis = 1e7 // the task has failed or was slow on this endpoint
+	// confinedCostMillis is the cost of an endpoint that is left to confined queues: it crashes
+	// often, but may be the only one with free capacity.
+	confinedCostMillis = 1e8
+	// suspectCostMillis is the cost of an endpoint for a suspect task for each other one there, so
+	// that a second crash tells them apart.
+	suspectCostMillis = 1000.0
+	// trialCostMillis is the gain of an endpoint where the job, or another identified one, is on trial.
+	trialCostMillis = 1000.0
+	// suspectSpreadMillis is the cost of a fully used endpoint for a suspect task, so that another
+	// crash ends few other runs.
+	suspectSpreadMillis = 200.0
 	// spreadCostMillis is the cost of a fully used endpoint, in proportion for others, so that
 	// equal endpoints share the load.
 	spreadCostMillis = 10.0
@@ -145,6 +200,21 @@
 	if p.Uses(Spread) && e.Capacity.MilliCores > 0 {
 		cost += spreadCostMillis * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
 	}
+	if e.Confined && t.confinedTo == 0 {
+		cost += confinedCostMillis
+	}
+	if t.IsConfined() && e.TrialJob == t.Job {
+		cost -= trialCostMillis // the job crashes one endpoint rather than several
+	}
+	if t.Identified && e.TrialSuspected {
+		cost -= trialCostMillis
+	}
+	if t.Suspect && !t.Identified {
+		cost += suspectCostMillis*float64(e.Suspects) + suspectSpreadMillis*t.SuspectRanks[i]
+		if e.Capacity.MilliCores > 0 {
+			cost += suspectSpreadMillis * (1 - float64(e.Free.MilliCores)/float64(e.Capacity.MilliCores))
+		}
+	}
 	if p.Uses(Local) && !e.Local {
 		cost += remoteCostMillis
 	}
@@ -168,12 +238,12 @@
 	return !hasLabel
 }
 
-// FittingTasks returns how many tasks of the given size the available endpoints can take now.
-func FittingTasks(endpoints []Endpoint, size wire.Resources) int {
+// FittingTasks returns how many tasks like t the available endpoints can take now.
+func FittingTasks(endpoints []Endpoint, t *Task) int {
 	n := int64(0)
 	for i := range endpoints {
-		if e := &endpoints[i]; e.Available {
-			n += e.Free.fittingTasks(size)
+		if e := &endpoints[i]; e.Available && t.mayUse(e) {
+			n += e.Free.fittingTasks(t.Size)
 		}
 	}
 	return int(n)
--- a/policy/endpoint_test.go
+++ b/policy/endpoint_test.go
@@ -16,7 +16,7 @@
 		{4000, 256, 0}, {999, 256, 0}, {4000, 63, 0}, {4000, 256, -1}, {4000, -1, 0}, {-1, 256, 1}, {4000, 256, 1}, {},
 	} {
 		for _, s := range []wire.Resources{size, {MilliCores: 1000}, {MemoryMiB: 64}, {MilliCores: 1, Accelerators: 1}, {}} {
-			got := FittingTasks([]Endpoint{{Free: free, Available: true}}, s) > 0
+			got := FittingTasks([]Endpoint{{Free: free, Available: true}}, &Task{Size: s}) > 0
 			quicktest.Check(t, got, quicktest.Equals, free.Fits(s), quicktest.Commentf("free %+v, size %+v", free, s))
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -34,11 +34,11 @@
 }
 
 const (
-	// peerTimeout is the time without a message after which both sides of a connection give
+	// PeerTimeout is the time without a message after which both sides of a connection give
 	// up its forwarded jobs. Callers resubmit such a job 1,300 ms later. By then its runs have
 	// ended, since both this timeout and the one after which agents stop the runs of an entry
 	// have passed.
-	peerTimeout = 450 * time.Millisecond
+	PeerTimeout = 450 * time.Millisecond
 	// heartbeatInterval is the longest time between two messages to a peer that has jobs of
 	// this entry.
 	heartbeatInterval = 120 * time.Millisecond
@@ -48,9 +48,9 @@
 	minLoadInterval = 50 * time.Millisecond
 	maxLoadInterval = 80 * time.Millisecond
 	minLoadChange   = 0.05
-	// suspectTimeout is the time without a message after which a placement entry is suspect
+	// SuspectTimeout is the time without a message after which a placement entry is suspect
 	// and gets no more jobs. It has missed two load messages by then.
-	suspectTimeout = 200 * time.Millisecond
+	SuspectTimeout = 200 * time.Millisecond
 	// checkInterval is the time between two checks of the peers.
 	checkInterval = 25 * time.Millisecond
 )
@@ -75,6 +75,7 @@
 
 	mu               sync.Mutex
 	enabled          bool
+	sharedAgents     bool // see SetSharedAgents
 	draining         bool // this process is about to stop
 	closed           bool // this process places no more jobs
 	random           *rand.Rand
@@ -128,8 +129,8 @@
 	}
 }
 
-// SetEnabled enables or disables forwarding. If it is disabled, as in a deployment with few
-// entries, this process places all jobs of its callers itself.
+// SetEnabled enables or disables forwarding. If it is disabled, as in a deployment with one
+// entry, this process places all jobs of its callers itself.
 func (r *Router) SetEnabled(enabled bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,6 +142,15 @@
 	r.cfg.Log.Log(event.ForwardingChanged, "enabled", enabled)
 }
 
+// SetSharedAgents sets whether all entries place jobs at the same endpoints, as in a deployment
+// with few entries. Then the id of a job alone decides which of them places it, whatever their
+// loads, and a job that one of them has refused for want of capacity is not tried at another one.
+func (r *Router) SetSharedAgents(shared bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sharedAgents = shared
+}
+
 // SetEvacuated sets the data centres at which no task may start, and sends them to the
 // placement entries, which may be unable to read them from the store.
 func (r *Router) SetEvacuated(m wire.Evacuated) {
@@ -198,7 +208,7 @@
 }
 
 // Handle handles a message of a placement entry. It reports whether the connection is still
-// in use; one that was dropped after peerTimeout is not.
+// in use; one that was dropped after PeerTimeout is not.
 func (r *Router) Handle(connection uint64, m wire.Message) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -304,7 +314,7 @@
 	for _, p := range r.placementEntries {
 		switch {
 		case len(p.forwarded) == 0:
-		case now.Sub(p.lastReceived) > peerTimeout:
+		case now.Sub(p.lastReceived) > PeerTimeout:
 			r.dropPlacementEntry(p, "no message was received from it in time")
 		case now.Sub(p.lastEchoed) > heartbeatInterval:
 			p.lastEchoed = now
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,9 @@
 	// PromptEphemeral lets prompt callers resubmit ephemeral jobs too. The platform's callers
 	// resubmit these resubmitDelay after a broken connection.
 	PromptEphemeral bool
+	// CrashingJobs, if positive, makes one in so many jobs of the time of the faults crash the
+	// endpoints that run its first task. Half of these jobs are stored.
+	CrashingJobs int
 	// ChangingCapacity lets the capacities of the endpoints, which then do not enforce them,
 	// shrink and grow while faults are injected.
 	ChangingCapacity bool
@@ -99,6 +102,7 @@
 	events        []string
 	submissions   map[string][]string // lines for each job
 	answers       []emulator.Answer
+	unanswered    map[string][]time.Time // times of the submissions of each job that wait for an answer
 	submittedJobs map[string]*submittedJob
 }
 
@@ -128,6 +132,7 @@
 	w := &soakRun{
 		Options: o, faultRNG: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: time.Now(), store: standin.NewStore(4),
 		submittedJobs: make(map[string]*submittedJob), submissions: make(map[string][]string),
+		unanswered: make(map[string][]time.Time),
 	}
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -201,7 +206,7 @@
 		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), endpointCapacity, 1)
 		e.Work, e.Unenforced = parsePayload, w.ChangingCapacity
 		w.endpoints = append(w.endpoints, e)
-		if err := serve(ctx, hostPort(ip, endpointPort), standin.NewEndpointHandler(e)); err != nil {
+		if err := w.serveEndpoint(ctx, running, e, hostPort(ip, endpointPort)); err != nil {
 			return err
 		}
 		s := w.commonSettings(fmt.Sprintf("agent-%d", i+1), ip, agentPort)
@@ -267,9 +272,11 @@
 func announce(ctx context.Context, e *emulator.Endpoint, address, agent string, interval time.Duration) {
 	c := &http.Client{Timeout: announceInterval}
 	for ctx.Err() == nil {
-		a := e.Announcement(false)
-		a.Profile.Address = address
-		_ = standin.Announce(ctx, c, agent, a)
+		if !e.IsDown() {
+			a := e.Announcement(false)
+			a.Profile.Address = address
+			_ = standin.Announce(ctx, c, agent, a)
+		}
 		select {
 		case <-time.After(interval):
 		case <-ctx.Done():
@@ -314,6 +321,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for id, sent := range w.unanswered {
+		for _, at := range sent {
+			w.answers = append(w.answers, emulator.Answer{Job: id, SentAt: at, Disconnected: true})
+		}
+	}
 	r := Result{Violations: emulator.Check(w.endpoints, w.answers), Events: w.events, Jobs: len(w.submittedJobs)}
 	r.Violations = append(r.Violations, w.checkTasks()...)
 	for id, lines := range w.submissions {
@@ -342,7 +354,8 @@
 }
 
 // checkTasks returns the violations of three guarantees: every task of a completed job is
-// done; a stored job completes unless one of its tasks failed as often as the queue allows;
+// done; a stored job completes unless one of its tasks failed as often as the queue allows or crashes
+// endpoints;
 // and a task of a stored job does not start again after an end that was acknowledged before
 // the lease of its endpoint expired.
 func (w *soakRun) checkTasks() (violations []string) {
@@ -373,10 +386,10 @@
 				violations = append(violations, fmt.Sprintf("job %s is completed but its task %s is not done", h.ID, task))
 			}
 		}
-		if h.failed && !failedTooOften {
+		if h.failed && !failedTooOften && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s is reported as failed although no task used up its attempts", h.ID))
 		}
-		if !h.Ephemeral && h.accepted && !h.completed && !h.failed {
+		if !h.Ephemeral && h.accepted && !h.completed && !h.failed && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s, submitted at %.3f s, is not completed", h.ID, h.sent.Sub(w.startedAt).Seconds()))
 		}
 	}
