--- a/emulator/endpoint_calls.go
+++ b/emulator/endpoint_calls.go
@@ -37,7 +37,7 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.expireLeaseLocked()
-			if o.Instance == e.instanceLocked() {
+			if !e.faults.Down && !e.down && o.Instance == e.instanceLocked() {
 				e.startLocked(late)
 			}
 		})
@@ -105,7 +105,7 @@
 	for _, r := range e.running {
 		used = used.Plus(r.record.Size)
 	}
-	if !used.Plus(size).Fits(e.Capacity) {
+	if !e.Unenforced && !used.Plus(size).Fits(e.Capacity) {
 		return endpointapi.StartNoCapacity
 	}
 	r := &activeRun{
@@ -174,7 +174,7 @@
 		time.AfterFunc(e.faults.Delay, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			if o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
+			if !e.faults.Down && !e.down && o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
 				e.stopLocked(o.Run)
 			}
 		})
@@ -214,7 +214,7 @@
 				e.mu.Lock()
 				defer e.mu.Unlock()
 				e.expireLeaseLocked()
-				if o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
+				if !e.faults.Down && !e.down && o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
 					e.extendLeaseLocked(end)
 				}
 			})
--- a/emulator/play_system_test.go
+++ b/emulator/play_system_test.go
@@ -98,13 +98,14 @@
 
 func (s *playSystem) startEntry(i, incarnation int) {
 	n := &playEntry{playProcess: s.newProcess(fmt.Sprintf("entry-%d", i)), Entry: s.newEntry(i, incarnation)}
-	n.Router = router.New(router.Config{Local: n.Coordinator, Metrics: router.NewMetrics(prometheus.NewRegistry())})
-	n.Router.SetEnabled(len(s.listed) > policy.SmallDeploymentEntries)
+	n.Router = router.New(router.Config{Local: n.Coordinator, Self: n.incarnation(), Metrics: router.NewMetrics(prometheus.NewRegistry())})
+	n.Router.SetSharedAgents(len(s.listed) <= policy.SmallDeploymentEntries)
+	n.Router.SetEnabled(len(s.listed) > 1)
 	n.runRouter()
 	s.mu.Lock()
 	s.entries[i] = n
 	s.mu.Unlock()
-	if len(s.listed) > policy.SmallDeploymentEntries {
+	if len(s.listed) > 1 {
 		go n.manage(n.chooseEntries, n.connectTo, func(string) bool { return false }, n.retire)
 	}
 }
@@ -132,8 +133,12 @@
 			time.Sleep(time.Duration(rand.Int64N(int64(heartbeatInterval))))
 		}
 		for a.ctx.Err() == nil {
-			if !e.heartbeatStopped() {
-				a.executor.Announce(e.Announcement(false))
+			if !e.announcementLost() {
+				announcement := e.Announcement(false)
+				if !a.gate.wait() { // it waits in a buffer while the agent is frozen
+					return
+				}
+				a.executor.Announce(announcement)
 			}
 			select {
 			case <-time.After(heartbeatInterval):
--- a/executor/start.go
+++ b/executor/start.go
@@ -46,6 +46,7 @@
 	// unresolved is the number of calls that may still be executed: those that are queued, in
 	// flight or unanswered.
 	unresolved int
+	unanswered *startCall // the newest call without a reply
 	last       *startCall
 }
 
@@ -132,10 +133,12 @@
 	// A reply to a call from before the endpoint restarted says nothing of this incarnation.
 	current := x.profile != nil && call.request.Instance == x.profile.Instance && !call.sentAt.Load().Before(x.incarnationSince)
 	if current {
-		x.setClock(reply.Clock, now, "start")
+		x.setClock(reply.Clock, *call.sentAt.Load(), now, "start")
 	}
 	switch reply.Result {
 	case endpointapi.StartUnknown:
+		x.recordUnansweredStart(r, *call.sentAt.Load(), now)
+		r.starts.unanswered = call
 		x.fence.recordLostGrant(call.request.FencingToken, *call.sentAt.Load())
 	case endpointapi.StartAccepted:
 		x.fence.recordAnswer(call.request.FencingToken)
@@ -192,6 +195,8 @@
 func (x *Executor) rejectStart(r *run, reason wire.RejectReason, why string, now time.Time) {
 	switch {
 	case r.state == runRunning: // another call has started the run
+	case r.starts.unresolved == 0 && r.countsAsLost:
+		x.finish(r, wire.RunLost, 0, why)
 	case r.starts.unresolved == 0:
 		x.finish(r, wire.RunRejected, reason, why)
 	case r.state == runStarting:
--- a/executor/timing.go
+++ b/executor/timing.go
@@ -24,9 +24,14 @@
 	// StartTimeout is the time after which a start without a reply is verified.
 	StartTimeout time.Duration
 	// MaxOrderAge bounds the age of the agent status that an order is based on. An entry
-	// runs the tasks elsewhere OrphanTimeout after the agent's last message; a run that starts
-	// within MaxOrderAge of that message has ended by then.
+	// runs the tasks elsewhere OrphanTimeout after the agent's last message. A run that starts
+	// within MaxOrderAge of that message has ended by then, even if the agent extends the lease
+	// until the next tick and fails.
 	MaxOrderAge time.Duration
+	// MaxCapacityAge is the age of the newest announcement from which an endpoint that does not
+	// enforce its capacity gets no starts. A capacity counts for 4.5 s after it has shrunk, and a
+	// start is executed within the lease.
+	MaxCapacityAge time.Duration
 	// EntryTimeout is the time without a message after which the runs of an entry are stopped.
 	EntryTimeout time.Duration
 	// StatusInterval is the shortest time between two status messages to entries that have no
@@ -41,8 +46,10 @@
 	// IdleKeepaliveInterval to one without.
 	KeepaliveInterval     time.Duration
 	IdleKeepaliveInterval time.Duration
-	// AdoptWindow is how long inherited runs wait for their entry to claim them.
+	// AdoptWindow is how long inherited runs wait for their entry to claim them. The lease does
+	// not end until AdoptMargin later, after the next observation.
 	AdoptWindow       time.Duration
+	AdoptMargin       time.Duration
 	BusyTickInterval  time.Duration
 	IdleTickInterval  time.Duration
 	DrainPollInterval time.Duration
@@ -58,7 +65,8 @@
 		CallTimeout:               40 * time.Millisecond,
 		ObserveWaitMargin:         20 * time.Millisecond,
 		StartTimeout:              15 * time.Millisecond,
-		MaxOrderAge:               600 * time.Millisecond,
+		MaxOrderAge:               550 * time.Millisecond,
+		MaxCapacityAge:            3750 * time.Millisecond,
 		EntryTimeout:              450 * time.Millisecond,
 		StatusInterval:            15 * time.Millisecond,
 		StatusIntervalPerEntry:    6 * time.Millisecond,
@@ -66,6 +74,7 @@
 		KeepaliveInterval:         150 * time.Millisecond,
 		IdleKeepaliveInterval:     300 * time.Millisecond,
 		AdoptWindow:               400 * time.Millisecond,
+		AdoptMargin:               120 * time.Millisecond,
 		BusyTickInterval:          20 * time.Millisecond,
 		IdleTickInterval:          100 * time.Millisecond,
 		DrainPollInterval:         20 * time.Millisecond,
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -63,6 +63,9 @@
 	// CrashingJobs, if positive, makes one in so many jobs of the time of the faults crash the
 	// endpoints that run its first task. Half of these jobs are stored.
 	CrashingJobs int
+	// ChangingCapacity lets the capacities of the endpoints, which then do not enforce them,
+	// shrink and grow while faults are injected.
+	ChangingCapacity bool
 }
 
 // Timing of a run.
@@ -141,7 +144,14 @@
 	running.Go(func() { w.watchScheduling(ctx) })
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	running.Go(func() { w.generateLoad(loadCtx, &running) })
+	faultCtx, stopFaults := context.WithCancel(ctx)
+	if w.ChangingCapacity {
+		for i := range w.endpoints {
+			running.Go(func() { w.changeCapacity(faultCtx, i) })
+		}
+	}
 	w.injectFaults(ctx)
+	stopFaults()
 	w.clearFaults()
 	time.Sleep(recoveryDelay)
 	from := time.Now()
@@ -166,7 +176,7 @@
 	if err := serve(ctx, agentStoreAddress, w.store.WithEntryPort(entryPort, agentPort)); err != nil {
 		return err
 	}
-	if err := w.store.PutConfig(1, queueHost, queuePrefix, service); err != nil {
+	if err := w.store.PutConfig(1, queueHost, queuePrefix, service, !w.ChangingCapacity); err != nil {
 		return err
 	}
 	var seeds []string
@@ -193,8 +203,8 @@
 	}
 	for i := range w.Agents {
 		ip := w.hostIP(100 + i)
-		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), wire.Resources{MilliCores: 16000, MemoryMiB: 16000}, 1)
-		e.Work = parsePayload
+		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), endpointCapacity, 1)
+		e.Work, e.Unenforced = parsePayload, w.ChangingCapacity
 		w.endpoints = append(w.endpoints, e)
 		if err := w.serveEndpoint(ctx, running, e, hostPort(ip, endpointPort)); err != nil {
 			return err
@@ -206,7 +216,11 @@
 			return err
 		}
 		w.agents = append(w.agents, p)
-		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress) })
+		interval := announceInterval
+		if w.ChangingCapacity {
+			interval = platformAnnounceInterval
+		}
+		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress, interval) })
 	}
 	return nil
 }
@@ -246,12 +260,16 @@
 	return nil
 }
 
-// announceInterval is the time between announcements of an endpoint.
-const announceInterval = 500 * time.Millisecond
+// announceInterval is the time between announcements of an endpoint whose capacity does not change;
+// platformAnnounceInterval is that of the users' platform.
+const (
+	announceInterval         = 500 * time.Millisecond
+	platformAnnounceInterval = 1500 * time.Millisecond
+)
 
 // announce sends the announcements of the endpoint at address to its agent. A failed announcement
 // is not retried; the next one replaces it.
-func announce(ctx context.Context, e *emulator.Endpoint, address, agent string) {
+func announce(ctx context.Context, e *emulator.Endpoint, address, agent string, interval time.Duration) {
 	c := &http.Client{Timeout: announceInterval}
 	for ctx.Err() == nil {
 		if !e.IsDown() {
@@ -260,7 +278,7 @@
 			_ = standin.Announce(ctx, c, agent, a)
 		}
 		select {
-		case <-time.After(announceInterval):
+		case <-time.After(interval):
 		case <-ctx.Done():
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	agents  = flag.Int("soak.agents", 3, "number of agents")
 	prompt  = flag.Bool("soak.prompt", false, "prompt callers resubmit ephemeral jobs at once too, which the platform's callers don't")
 	crashes = flag.Int("soak.crash", 0, "one in so many jobs crashes the endpoints that run its first task; none if zero")
+	changes = flag.Bool("soak.capacity", false, "let the capacities of the endpoints, which do not enforce them, change during the faults")
 	length  = flag.Duration("soak.length", 4*time.Second, "time during which faults are injected")
 )
 
@@ -75,7 +76,7 @@
 		}
 	}
 	r, err := Run(t.Context(), Options{
-		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, CrashingJobs: crashingJobs, Binary: binary, Dir: dir,
+		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, ChangingCapacity: *changes, CrashingJobs: crashingJobs, Binary: binary, Dir: dir,
 		Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
 	})
 	if err != nil {
