--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -26,6 +26,7 @@
 	suspect         bool // no message was received for SuspectTimeout
 	onProbation     bool
 	lastTrial       time.Time // when the last trial task was ordered
+	otherTrialUntil time.Time // end of the trial of another entry's job at its endpoint
 	trialSuccesses  int       // trial tasks that succeeded since the last failure
 	pendingStops    []wire.Run
 	pendingConfirms []wire.Run // runs whose ends are recorded and are to be confirmed
@@ -132,6 +133,7 @@
 		c.cfg.Log.Log(event.AgentStateChanged, "agent", a.name, "distrusted", a.onProbation, "failed_share", a.failedShare())
 	}
 	c.replan = true
+	c.handleCrashes(a, s.Crashes, time.Now())
 }
 
 // mayRunTrial reports whether an endpoint on probation may get a trial task now.
@@ -149,6 +151,9 @@
 		c.handleUnclaimedEnd(a, r)
 		return
 	}
+	if t.job.stored != nil && r.State != wire.RunRejected && r.State != wire.RunLost {
+		c.startedJobs.Store(t.job.spec.ID, struct{}{})
+	}
 	switch r.State {
 	case wire.RunStarted:
 		if t.state == taskOrdered {
@@ -159,6 +164,9 @@
 	case wire.RunFailed:
 		c.handleFailed(t, now)
 	case wire.RunRejected:
+		if r.Reason == wire.RejectTrial {
+			a.otherTrialUntil = now.Add(time.Duration(r.RemainingMillis) * time.Millisecond)
+		}
 		c.handleRejected(t, r.Reason)
 	case wire.RunStopped:
 		c.requeue(t, "stopped")
@@ -188,8 +196,8 @@
 		return // the run is already being stopped
 	}
 	remaining := time.Duration(r.RemainingMillis) * time.Millisecond
-	endpoints, agents := c.snapshot(&t.job.spec.Queue, now)
-	pt := c.policyTask(t, agents, now)
+	endpoints, agents := c.snapshot(t.job.spec.Queue.Service, now)
+	pt := c.policyTask(t, endpoints, agents, now)
 	here := indexOf(agents, t.agent)
 	if here < 0 {
 		return
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -77,7 +77,7 @@
 	// draining is set when this process will stop.
 	draining bool
 	// recorder records stored jobs; nil without a ledger. startedJobs holds the ids of the stored
-	// jobs of which a task was ordered; it is read outside the loop.
+	// jobs of which a run has started; it is read outside the loop.
 	recorder           Recorder
 	startedJobs        sync.Map
 	unclaimedEnds      map[string][]unclaimedEnd    // by job id
@@ -90,6 +90,9 @@
 	serviceLoadsAt     time.Time // when serviceLoads was last updated
 	serviceLabels      atomic.Pointer[[]wire.ServiceLabels]
 	callerTimeouts     map[string]*policy.CallerTimeoutModel // by queue
+	crashes            crashHistory
+	confined           map[string]*confinement // by queue
+	confinementsAt     time.Time               // when confined was last updated
 }
 
 // New returns a Coordinator. It does nothing until Run is called.
@@ -105,6 +108,8 @@
 		pendingOrders:  make(map[*agent][]wire.OrderGroup),
 		stopping:       make(map[string]*stoppingRun),
 		callerTimeouts: make(map[string]*policy.CallerTimeoutModel),
+		crashes:        crashHistory{tasks: make(map[string]*taskCrashes)},
+		confined:       make(map[string]*confinement),
 	}
 	c.agentsUnreachable.Store(true) // until the first message from an agent
 	return c
@@ -168,6 +173,8 @@
 	c.checkAgents(now)
 	c.checkJobs(now)
 	c.expireUnclaimedEnds(now)
+	c.crashes.expire(now)
+	c.updateConfinements(now)
 	c.updateLabels()
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -29,6 +29,7 @@
 	stops      []wire.Run
 	evacuated  []wire.Evacuated
 	count      uint64
+	crashes    int
 }
 
 func (a *fakeAgent) connect() {
@@ -82,7 +83,7 @@
 	r.ends = append(r.ends, run)
 	return true
 }
-func (r *fakeRecorder) JobFinished(string) bool { return false }
+func (r *fakeRecorder) JobFinished(string, uint64) bool { return false }
 
 // withCoordinator runs f with a coordinator, an agent and a recorder in a synctest bubble.
 func withCoordinator(t *testing.T, f func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder)) {
@@ -318,9 +319,9 @@
 				t.state = taskWaiting
 			}
 		}
-		c.Check(unplacedCores(j, nil), quicktest.Equals, 9.0)
+		c.Check(co.unplacedCores(j, nil), quicktest.Equals, 9.0)
 		four := policy.Endpoint{Available: true, Free: policy.FreeCapacity{MilliCores: 4000}, Capacity: wire.Resources{MilliCores: 4000}}
-		c.Check(unplacedCores(j, []policy.Endpoint{four}), quicktest.Equals, 4.0)
+		c.Check(co.unplacedCores(j, []policy.Endpoint{four}), quicktest.Equals, 4.0)
 	})
 }
 
--- a/emulator/check.go
+++ b/emulator/check.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -31,7 +30,8 @@
 // Check returns a line for each violation of a guarantee in the runs of the endpoints and the
 // answers to the callers. Overlapping runs are followed by the timeline of their task.
 func (s *System) Check(answers []Answer) []string {
-	return append(s.checkOverlap(), checkAnswers(s.Endpoints, answers)...)
+	violations := append(s.checkOverlap(), s.checkCrashBudget()...)
+	return append(violations, checkAnswers(s.Endpoints, answers)...)
 }
 
 // checkOverlap finds tasks with two runs at the same time and adds their timelines.
@@ -54,12 +54,14 @@
 }
 
 // Check returns a line for each violation of a guarantee in the runs of the endpoints and the
-// answers to the callers: overlapping runs of a task, runs of refused jobs, completed jobs that
-// did not run, and endpoints used beyond their capacity.
+// answers to the callers: overlapping runs of a task, starts of a task that has crashed endpoints,
+// runs of refused jobs, completed jobs that did not run, and endpoints used beyond their capacity.
 func Check(endpoints []*Endpoint, answers []Answer) (violations []string) {
 	for _, o := range overlaps(allRuns(endpoints)) {
 		violations = append(violations, o.String())
 	}
+	_, overBudget := checkCrashBudget(allRuns(endpoints))
+	violations = append(violations, overBudget...)
 	return append(violations, checkAnswers(endpoints, answers)...)
 }
 
@@ -125,7 +127,7 @@
 			}
 		}
 	}
-	violations := s.checkOverlap()
+	violations := append(s.checkOverlap(), s.checkCrashBudget()...)
 	for _, r := range runs {
 		if at, ok := done[r.ID.Task]; ok && r.Start.After(at) {
 			violations = append(violations, fmt.Sprintf("task %s was started on %s at %v, after its completion at %v", r.ID.Task, r.Endpoint, r.Start, at))
@@ -167,7 +169,7 @@
 			continue
 		}
 		if f, ok := refused[id.Job]; ok && (f.allRefused || r.Start.Before(f.resubmittedAt)) {
-			violations = append(violations, fmt.Sprintf("task %s ran on %s although its job had been refused", r.ID.Task, r.Endpoint))
+			violations = append(violations, fmt.Sprintf("task %s ran on %s from %v although its job had been refused", r.ID.Task, r.Endpoint, r.Start))
 		}
 	}
 	return violations
@@ -189,32 +191,3 @@
 	}
 	return violations
 }
-
-// checkCapacity finds times at which the runs of an endpoint need more than its capacity.
-func checkCapacity(e *Endpoint, runs []Run) (violations []string) {
-	type change struct {
-		at    time.Time
-		cores int64
-	}
-	var changes []change
-	for _, r := range runs {
-		changes = append(changes, change{r.Start, int64(r.Size.MilliCores)})
-		if !r.End.IsZero() {
-			changes = append(changes, change{r.End, -int64(r.Size.MilliCores)})
-		}
-	}
-	sort.Slice(changes, func(i, j int) bool {
-		if !changes[i].at.Equal(changes[j].at) {
-			return changes[i].at.Before(changes[j].at)
-		}
-		return changes[i].cores < changes[j].cores
-	})
-	var used int64
-	for _, c := range changes {
-		used += c.cores
-		if used > int64(e.Capacity.MilliCores) {
-			return []string{fmt.Sprintf("runs at endpoint %s use %d millicores of %d", e.Name, used, e.Capacity.MilliCores)}
-		}
-	}
-	return nil
-}
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -10,8 +10,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +41,8 @@
 	// LossRate is the share of calls that get no reply. Start and stop calls among them take
 	// effect after Delay.
 	LossRate float64
+	// LoseAnnouncements is the number of upcoming announcements that do not arrive.
+	LoseAnnouncements int
 	// LateGrants makes observations that get no reply take effect after Delay as well. The
 	// lease end in a late call then counts from its arrival.
 	LateGrants bool
@@ -55,6 +55,8 @@
 	Size       wire.Resources
 	Start, End time.Time // End is zero during the run
 	EndReason  endpointapi.End
+	// CrashedEndpoint is set if the endpoint ended because of this run.
+	CrashedEndpoint bool
 	// Acknowledged is set if the agent acknowledged the end before the lease of the endpoint
 	// expired. After an end that is not acknowledged, the task may run again.
 	Acknowledged bool
@@ -62,14 +64,22 @@
 
 // Endpoint is an emulated endpoint. It implements endpointapi.Endpoint.
 type Endpoint struct {
-	Name     string
+	Name string
+	// Capacity is the current capacity; SetCapacity changes it.
 	Capacity wire.Resources
+	// Unenforced is set for an endpoint that starts runs beyond its capacity.
+	Unenforced bool
 	// Slowness is the ratio of the run time of a task to its work.
 	Slowness float64
 	// Service is the service of the endpoint. An empty Service means "service".
 	Service string
 	// Work returns the work and the size of the task with the given payload.
 	Work func(task, payload string) (time.Duration, wire.Resources)
+	// CrashOf returns the crash that a task causes, and whether it causes one. If it is nil, no
+	// task does.
+	CrashOf func(task, payload string) (Crash, bool)
+	// OnCrash, if set, is called in a goroutine of its own after a crash that a task caused.
+	OnCrash func(task string)
 
 	mu             sync.Mutex
 	faults         Faults
@@ -77,6 +87,8 @@
 	instance       int
 	startedAt      time.Time
 	leaseEnd       time.Time
+	crashed        chan struct{} // closed when the incarnation ends
+	down           bool          // until the endpoint is back after a crash that a task caused
 	running        map[string]*activeRun
 	ended          []endpointapi.EndedRun
 	unacknowledged map[uint64]*Run // ends that can still be acknowledged, by sequence
@@ -85,6 +97,7 @@
 	ackedSequence  uint64
 	changed        chan struct{}
 	history        []*Run
+	pastCapacities []capacityPeriod
 	announcements  uint64
 	fencingToken   endpointapi.FencingToken // highest of the calls to this incarnation
 }
@@ -95,6 +108,7 @@
 	workDone  time.Duration // work done until updatedAt
 	updatedAt time.Time
 	timer     *time.Timer
+	crash     *time.Timer // nil if the task crashes no endpoint
 }
 
 // NewEndpoint returns a running endpoint without faults.
@@ -110,6 +124,7 @@
 
 func (e *Endpoint) restartLocked() {
 	e.startedAt = time.Now()
+	e.crashed = make(chan struct{})
 	e.fencingToken = 0
 	e.running, e.highestRun = make(map[string]*activeRun), make(map[string]uint32)
 	e.ended, e.sequence, e.ackedSequence, e.announcements = nil, 0, 0, 0
@@ -134,8 +149,9 @@
 
 func (e *Endpoint) crashLocked() {
 	e.expireLeaseLocked()
+	close(e.crashed)
 	for _, r := range e.running {
-		r.timer.Stop()
+		r.stopTimers()
 		r.record.End, r.record.EndReason = time.Now(), endpointapi.EndLeaseExpired
 	}
 	e.restartLocked()
@@ -152,6 +168,13 @@
 	}
 }
 
+// Faults returns the injected faults.
+func (e *Endpoint) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 // SetSlowness changes the slowness, also of the current runs.
 func (e *Endpoint) SetSlowness(s float64) {
 	e.mu.Lock()
@@ -207,7 +230,7 @@
 // applyFaultsLocked applies the faults that affect every call.
 func (e *Endpoint) applyFaultsLocked(ctx context.Context, instance string) error {
 	switch {
-	case e.faults.Down:
+	case e.faults.Down || e.down:
 		return &endpointapi.DownError{Err: errors.New("connection refused")}
 	case e.faults.Unresponsive:
 		e.mu.Unlock()
@@ -244,260 +267,3 @@
 		e.leaseEnd = t
 	}
 }
-
-// Start implements endpointapi.Endpoint.
-func (e *Endpoint) Start(ctx context.Context, o endpointapi.StartRequest) endpointapi.StartReply {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := e.applyFaultsLocked(ctx, o.Instance); err != nil {
-		var down *endpointapi.DownError
-		var other *endpointapi.OtherInstanceError
-		switch {
-		case errors.As(err, &down):
-			return endpointapi.StartReply{Result: endpointapi.StartEndpointDown, Err: err}
-		case errors.As(err, &other):
-			return endpointapi.StartReply{Result: endpointapi.StartOtherInstance, Err: err}
-		}
-		return endpointapi.StartReply{Result: endpointapi.StartUnknown, Err: err}
-	}
-	if lost := e.loseCallLocked(); lost || e.faults.DelayStarts > 0 {
-		if !lost {
-			e.faults.DelayStarts--
-		}
-		late := o
-		late.LeaseEnd = e.lateLeaseEndLocked(o.LeaseEnd)
-		time.AfterFunc(e.faults.Delay, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.expireLeaseLocked()
-			if o.Instance == e.instanceLocked() {
-				e.startLocked(late)
-			}
-		})
-		return e.noReplyLocked(ctx)
-	}
-	result := e.startLocked(o)
-	if e.faults.LoseStartReplies > 0 {
-		e.faults.LoseStartReplies--
-		return e.noReplyLocked(ctx)
-	}
-	return endpointapi.StartReply{Result: result, Clock: e.clockLocked()}
-}
-
-// lateLeaseEndLocked returns the lease end of a call that takes effect after Faults.Delay.
-func (e *Endpoint) lateLeaseEndLocked(end time.Duration) time.Duration {
-	if end > 0 && e.faults.LateGrants {
-		return end + e.faults.Delay
-	}
-	return end
-}
-
-// passFenceLocked reports whether a call with the given token may take effect.
-func (e *Endpoint) passFenceLocked(token endpointapi.FencingToken) bool {
-	if token < e.fencingToken {
-		return false
-	}
-	e.fencingToken = token
-	return true
-}
-
-// loseCallLocked reports whether the current call gets no reply.
-func (e *Endpoint) loseCallLocked() bool {
-	if e.faults.LossRate <= 0 {
-		return false
-	}
-	e.lossyCalls++
-	h := fnv.New32a()
-	_, _ = fmt.Fprint(h, e.Name, e.lossyCalls)
-	return float64(h.Sum32()%1000) < 1000*e.faults.LossRate
-}
-
-func (e *Endpoint) noReplyLocked(ctx context.Context) endpointapi.StartReply {
-	e.mu.Unlock()
-	<-ctx.Done()
-	e.mu.Lock()
-	return endpointapi.StartReply{Result: endpointapi.StartUnknown, Err: errNoReply}
-}
-
-func (e *Endpoint) startLocked(o endpointapi.StartRequest) endpointapi.StartResult {
-	if !e.passFenceLocked(o.FencingToken) {
-		return endpointapi.StartFenced
-	}
-	if r := e.running[o.Run.Task]; r != nil && r.record.ID == o.Run {
-		return endpointapi.StartAccepted
-	}
-	if e.clockLocked() > o.LeaseEnd {
-		return endpointapi.StartLeaseExpired
-	}
-	e.extendLeaseLocked(o.LeaseEnd)
-	if o.Run.Number <= e.highestRun[o.Run.Task] || e.running[o.Run.Task] != nil {
-		return endpointapi.StartOldRun
-	}
-	work, size := e.Work(o.Run.Task, o.Payload)
-	var used wire.Resources
-	for _, r := range e.running {
-		used = used.Plus(r.record.Size)
-	}
-	if !used.Plus(size).Fits(e.Capacity) {
-		return endpointapi.StartNoCapacity
-	}
-	r := &activeRun{
-		record: &Run{Endpoint: e.Name, ID: o.Run, Size: size, Start: time.Now()},
-		work:   work, updatedAt: time.Now(),
-	}
-	e.history = append(e.history, r.record)
-	e.running[o.Run.Task] = r
-	e.resumeLocked(o.Run.Task, r)
-	return endpointapi.StartAccepted
-}
-
-// pauseLocked stops the timer of r and adds up the work that r has done.
-func (e *Endpoint) pauseLocked(r *activeRun) {
-	r.timer.Stop()
-	now := time.Now()
-	if !e.faults.Hang {
-		r.workDone += time.Duration(float64(now.Sub(r.updatedAt)) / e.Slowness)
-	}
-	r.updatedAt = now
-}
-
-// resumeLocked starts the timer for the end of r.
-func (e *Endpoint) resumeLocked(task string, r *activeRun) {
-	left, reason := time.Duration(float64(r.work-r.workDone)*e.Slowness), endpointapi.EndDone
-	switch {
-	case e.faults.Hang:
-		left = time.Hour
-	case e.faults.Fail:
-		left, reason = time.Millisecond, endpointapi.EndFailed
-	}
-	r.timer = time.AfterFunc(max(left, 0), func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if e.running[task] != r {
-			return
-		}
-		e.expireLeaseLocked()
-		if e.running[task] == r {
-			e.endLocked(task, r, reason, time.Now())
-		}
-	})
-}
-
-func (e *Endpoint) endLocked(task string, r *activeRun, reason endpointapi.End, at time.Time) {
-	r.timer.Stop()
-	delete(e.running, task)
-	r.record.End, r.record.EndReason = at, reason
-	e.highestRun[task] = max(e.highestRun[task], r.record.ID.Number)
-	e.sequence++
-	e.unacknowledged[e.sequence] = r.record
-	e.ended = append(e.ended, endpointapi.EndedRun{Sequence: e.sequence, Run: r.record.ID, End: reason})
-	close(e.changed)
-	e.changed = make(chan struct{})
-}
-
-// Stop implements endpointapi.Endpoint.
-func (e *Endpoint) Stop(ctx context.Context, o endpointapi.StopRequest) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := e.applyFaultsLocked(ctx, o.Instance); err != nil {
-		return err
-	}
-	if e.loseCallLocked() {
-		time.AfterFunc(e.faults.Delay, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
-				e.stopLocked(o.Run)
-			}
-		})
-		return e.noReplyLocked(ctx).Err
-	}
-	if !e.passFenceLocked(o.FencingToken) {
-		return &endpointapi.FencedError{}
-	}
-	e.stopLocked(o.Run)
-	return nil
-}
-
-func (e *Endpoint) stopLocked(run wire.Run) {
-	e.highestRun[run.Task] = max(e.highestRun[run.Task], run.Number)
-	if r := e.running[run.Task]; r != nil && r.record.ID.Number <= run.Number {
-		time.AfterFunc(stopDelay, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if e.running[run.Task] == r {
-				e.endLocked(run.Task, r, endpointapi.EndStopped, time.Now())
-			}
-		})
-	}
-}
-
-// Observe implements endpointapi.Endpoint.
-func (e *Endpoint) Observe(ctx context.Context, o endpointapi.ObserveRequest) (endpointapi.Observation, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err := e.applyFaultsLocked(ctx, o.Instance); err != nil {
-		return endpointapi.Observation{}, err
-	}
-	if e.loseCallLocked() {
-		if e.faults.LateGrants {
-			end := e.lateLeaseEndLocked(o.LeaseEnd)
-			time.AfterFunc(e.faults.Delay, func() {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				e.expireLeaseLocked()
-				if o.Instance == e.instanceLocked() && e.passFenceLocked(o.FencingToken) {
-					e.extendLeaseLocked(end)
-				}
-			})
-		}
-		return endpointapi.Observation{}, e.noReplyLocked(ctx).Err
-	}
-	if !e.passFenceLocked(o.FencingToken) {
-		return endpointapi.Observation{}, &endpointapi.FencedError{}
-	}
-	e.extendLeaseLocked(o.LeaseEnd)
-	e.ackedSequence = max(e.ackedSequence, o.AckedSequence)
-	for sequence, r := range e.unacknowledged {
-		if sequence <= e.ackedSequence {
-			r.Acknowledged = true
-			delete(e.unacknowledged, sequence)
-		}
-	}
-	e.ended = slices.DeleteFunc(e.ended, func(r endpointapi.EndedRun) bool { return r.Sequence <= e.ackedSequence })
-	if o.MaxWait > 0 && e.faults.LoseObservations > 0 {
-		e.faults.LoseObservations--
-		e.mu.Unlock()
-		<-ctx.Done()
-		e.mu.Lock()
-		return endpointapi.Observation{}, errNoReply
-	}
-	if o.MaxWait > 0 && len(e.ended) == 0 {
-		changed, timer := e.changed, time.NewTimer(o.MaxWait)
-		e.mu.Unlock()
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		e.mu.Lock()
-		if ctx.Err() != nil {
-			return endpointapi.Observation{}, errNoReply
-		}
-		e.expireLeaseLocked()
-	}
-	observation := endpointapi.Observation{Clock: e.clockLocked(), StartMillis: e.startedAt.UnixMilli(), Ended: slices.Clone(e.ended)}
-	for _, r := range e.running {
-		done := r.workDone
-		if !e.faults.Hang {
-			done += time.Duration(float64(time.Since(r.updatedAt)) / e.Slowness)
-		}
-		percent := 0
-		if r.work > 0 {
-			percent = min(int(100*done/r.work), 99)
-		}
-		observation.Running = append(observation.Running, endpointapi.RunningRun{Run: r.record.ID, Percent: percent})
-	}
-	return observation, nil
-}
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -156,7 +156,7 @@
 		x.unreachable, x.statusDirty = false, true
 	}
 	x.failedObservations = 0
-	x.setClock(obs.Clock, now, "observation")
+	x.setClock(obs.Clock, sent, now, "observation")
 	for _, e := range obs.Ended {
 		x.handleEndedRun(e, now)
 	}
@@ -194,7 +194,12 @@
 // with it.
 func (x *Executor) handleEndpointDown(err error) {
 	var other *endpointapi.OtherInstanceError
-	if errors.As(err, &other) && x.unverified {
+	if !errors.As(err, &other) {
+		x.markEndpointDown(err)
+		x.loseRunsWithoutLateStart(time.Now())
+		return
+	}
+	if x.unverified {
 		x.forgetRestored(err)
 		return
 	}
@@ -204,6 +209,7 @@
 
 // markEndpointDown rejects new runs until another incarnation is known.
 func (x *Executor) markEndpointDown(err error) {
+	x.recordCrash(time.Now())
 	if !x.unreachable {
 		x.cfg.Log.Log(event.EndpointUnreachable, "error", err, "runs", len(x.runs))
 		x.unreachable, x.statusDirty = true, true
@@ -213,11 +219,15 @@
 	x.failedObservations = unreachableAfterFailures
 }
 
-// setClock stores a reading of the endpoint's clock. With the first one it assumes that an earlier
-// process of this agent extended the lease just now; until then no lease end is known.
-func (x *Executor) setClock(reading time.Duration, now time.Time, source string) {
+// setClock stores a reading of the endpoint's clock from the reply to a call sent at the given time.
+// With the first one it assumes that an earlier process of this agent extended the lease just now;
+// until then no lease end is known.
+func (x *Executor) setClock(reading time.Duration, sent, now time.Time, source string) {
 	first := !x.clock.known()
 	x.clock.set(reading, now)
+	if reading > 0 {
+		x.clock.calledAt = sent
+	}
 	if !first || !x.clock.known() {
 		return
 	}
@@ -229,7 +239,7 @@
 
 // expireLease reports the runs as lost once their lease has certainly expired.
 func (x *Executor) expireLease(now time.Time) {
-	if len(x.runs) == 0 || !x.clock.known() {
+	if !x.clock.known() || !x.hasExpirableRuns(now) {
 		return
 	}
 	end := x.clock.latestLocalTime(x.leaseEnd)
@@ -238,7 +248,7 @@
 	}
 	x.cfg.Log.Log(event.LeaseExpired, "lease_end_ms", x.leaseEnd.Milliseconds(), "clock_ms", x.clock.reading.Milliseconds(),
 		"clock_age_ms", now.Sub(x.clock.readAt).Milliseconds(), "failed_observations", x.failedObservations, "runs", len(x.runs))
-	x.loseRuns("lease expired")
+	x.expireRuns(now)
 }
 
 // handleEndedRun processes a run that the endpoint lists as ended.
@@ -380,7 +390,7 @@
 
 func stoppedState(r *run) wire.RunState {
 	switch {
-	case r.incarnationEnded:
+	case r.countsAsLost:
 		return wire.RunLost
 	case r.rejectReason != 0:
 		return wire.RunRejected
--- a/executor/timing.go
+++ b/executor/timing.go
@@ -28,6 +28,10 @@
 	// within MaxOrderAge of that message has ended by then, even if the agent extends the lease
 	// until the next tick and fails.
 	MaxOrderAge time.Duration
+	// MaxCapacityAge is the age of the newest announcement from which an endpoint that does not
+	// enforce its capacity gets no starts. A capacity counts for 4.5 s after it has shrunk, and a
+	// start is executed within the lease.
+	MaxCapacityAge time.Duration
 	// EntryTimeout is the time without a message after which the runs of an entry are stopped.
 	EntryTimeout time.Duration
 	// StatusInterval is the shortest time between two status messages to entries that have no
@@ -62,6 +66,7 @@
 		ObserveWaitMargin:         20 * time.Millisecond,
 		StartTimeout:              15 * time.Millisecond,
 		MaxOrderAge:               550 * time.Millisecond,
+		MaxCapacityAge:            3750 * time.Millisecond,
 		EntryTimeout:              450 * time.Millisecond,
 		StatusInterval:            15 * time.Millisecond,
 		StatusIntervalPerEntry:    6 * time.Millisecond,
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,12 @@
 	// PromptEphemeral lets prompt callers resubmit ephemeral jobs too. The platform's callers
 	// resubmit these resubmitDelay after a broken connection.
 	PromptEphemeral bool
+	// CrashingJobs, if positive, makes one in so many jobs of the time of the faults crash the
+	// endpoints that run its first task. Half of these jobs are stored.
+	CrashingJobs int
+	// ChangingCapacity lets the capacities of the endpoints, which then do not enforce them,
+	// shrink and grow while faults are injected.
+	ChangingCapacity bool
 }
 
 // Timing of a run.
@@ -96,6 +102,7 @@
 	events        []string
 	submissions   map[string][]string // lines for each job
 	answers       []emulator.Answer
+	unanswered    map[string][]time.Time // times of the submissions of each job that wait for an answer
 	submittedJobs map[string]*submittedJob
 }
 
@@ -125,6 +132,7 @@
 	w := &soakRun{
 		Options: o, faultRNG: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: time.Now(), store: standin.NewStore(4),
 		submittedJobs: make(map[string]*submittedJob), submissions: make(map[string][]string),
+		unanswered: make(map[string][]time.Time),
 	}
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -136,7 +144,14 @@
 	running.Go(func() { w.watchScheduling(ctx) })
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	running.Go(func() { w.generateLoad(loadCtx, &running) })
+	faultCtx, stopFaults := context.WithCancel(ctx)
+	if w.ChangingCapacity {
+		for i := range w.endpoints {
+			running.Go(func() { w.changeCapacity(faultCtx, i) })
+		}
+	}
 	w.injectFaults(ctx)
+	stopFaults()
 	w.clearFaults()
 	time.Sleep(recoveryDelay)
 	from := time.Now()
@@ -161,7 +176,7 @@
 	if err := serve(ctx, agentStoreAddress, w.store.WithEntryPort(entryPort, agentPort)); err != nil {
 		return err
 	}
-	if err := w.store.PutConfig(1, queueHost, queuePrefix, service); err != nil {
+	if err := w.store.PutConfig(1, queueHost, queuePrefix, service, !w.ChangingCapacity); err != nil {
 		return err
 	}
 	var seeds []string
@@ -188,10 +203,10 @@
 	}
 	for i := range w.Agents {
 		ip := w.hostIP(100 + i)
-		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), wire.Resources{MilliCores: 16000, MemoryMiB: 16000}, 1)
-		e.Work = parsePayload
+		e := emulator.NewEndpoint(fmt.Sprintf("endpoint-%d", i+1), endpointCapacity, 1)
+		e.Work, e.Unenforced = parsePayload, w.ChangingCapacity
 		w.endpoints = append(w.endpoints, e)
-		if err := serve(ctx, hostPort(ip, endpointPort), standin.NewEndpointHandler(e)); err != nil {
+		if err := w.serveEndpoint(ctx, running, e, hostPort(ip, endpointPort)); err != nil {
 			return err
 		}
 		s := w.commonSettings(fmt.Sprintf("agent-%d", i+1), ip, agentPort)
@@ -201,7 +216,11 @@
 			return err
 		}
 		w.agents = append(w.agents, p)
-		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress) })
+		interval := announceInterval
+		if w.ChangingCapacity {
+			interval = platformAnnounceInterval
+		}
+		running.Go(func() { announce(ctx, e, s.EndpointAddress, s.AnnounceAddress, interval) })
 	}
 	return nil
 }
@@ -241,19 +260,25 @@
 	return nil
 }
 
-// announceInterval is the time between announcements of an endpoint.
-const announceInterval = 500 * time.Millisecond
+// announceInterval is the time between announcements of an endpoint whose capacity does not change;
+// platformAnnounceInterval is that of the users' platform.
+const (
+	announceInterval         = 500 * time.Millisecond
+	platformAnnounceInterval = 1500 * time.Millisecond
+)
 
 // announce sends the announcements of the endpoint at address to its agent. A failed announcement
 // is not retried; the next one replaces it.
-func announce(ctx context.Context, e *emulator.Endpoint, address, agent string) {
+func announce(ctx context.Context, e *emulator.Endpoint, address, agent string, interval time.Duration) {
 	c := &http.Client{Timeout: announceInterval}
 	for ctx.Err() == nil {
-		a := e.Announcement(false)
-		a.Profile.Address = address
-		_ = standin.Announce(ctx, c, agent, a)
+		if !e.IsDown() {
+			a := e.Announcement(false)
+			a.Profile.Address = address
+			_ = standin.Announce(ctx, c, agent, a)
+		}
 		select {
-		case <-time.After(announceInterval):
+		case <-time.After(interval):
 		case <-ctx.Done():
 		}
 	}
@@ -296,6 +321,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for id, sent := range w.unanswered {
+		for _, at := range sent {
+			w.answers = append(w.answers, emulator.Answer{Job: id, SentAt: at, Disconnected: true})
+		}
+	}
 	r := Result{Violations: emulator.Check(w.endpoints, w.answers), Events: w.events, Jobs: len(w.submittedJobs)}
 	r.Violations = append(r.Violations, w.checkTasks()...)
 	for id, lines := range w.submissions {
@@ -324,7 +354,8 @@
 }
 
 // checkTasks returns the violations of three guarantees: every task of a completed job is
-// done; a stored job completes unless one of its tasks failed as often as the queue allows;
+// done; a stored job completes unless one of its tasks failed as often as the queue allows or crashes
+// endpoints;
 // and a task of a stored job does not start again after an end that was acknowledged before
 // the lease of its endpoint expired.
 func (w *soakRun) checkTasks() (violations []string) {
@@ -355,10 +386,10 @@
 				violations = append(violations, fmt.Sprintf("job %s is completed but its task %s is not done", h.ID, task))
 			}
 		}
-		if h.failed && !failedTooOften {
+		if h.failed && !failedTooOften && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s is reported as failed although no task used up its attempts", h.ID))
 		}
-		if !h.Ephemeral && h.accepted && !h.completed && !h.failed {
+		if !h.Ephemeral && h.accepted && !h.completed && !h.failed && !h.isCrashing() {
 			violations = append(violations, fmt.Sprintf("stored job %s, submitted at %.3f s, is not completed", h.ID, h.sent.Sub(w.startedAt).Seconds()))
 		}
 	}
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -40,13 +40,22 @@
 	Stored bool `cbor:"6,keyasint,omitempty"`
 	// Trace is the W3C traceparent of the job; empty when it is not traced.
 	Trace string `cbor:"7,keyasint,omitempty"`
+	// Queue is the queue of the job. Agents return it in a CrashedRun.
+	Queue string `cbor:"8,keyasint,omitempty"`
+	// CapacityUnenforced is set if the endpoint starts runs beyond its capacity.
+	CapacityUnenforced bool `cbor:"9,keyasint,omitempty"`
+	// TrialMillis is the time for which the agent starts no other job on trial after these runs; 0
+	// for a job that is not on trial. Jobs with TrialShared set may start together.
+	TrialMillis uint32 `cbor:"10,keyasint,omitempty"`
+	TrialShared bool   `cbor:"11,keyasint,omitempty"`
 }
 
 // EqualExceptRuns reports whether g and o are equal in all fields but Runs, so that their
 // runs can share a group.
 func (g *OrderGroup) EqualExceptRuns(o *OrderGroup) bool {
 	return g.Payload == o.Payload && g.Size == o.Size && g.EstimateMillis == o.EstimateMillis &&
-		g.Stored == o.Stored && g.Trace == o.Trace
+		g.Stored == o.Stored && g.Trace == o.Trace && g.Queue == o.Queue && g.CapacityUnenforced == o.CapacityUnenforced &&
+		g.TrialMillis == o.TrialMillis && g.TrialShared == o.TrialShared
 }
 
 // RunState is the state of a run in a Report.
@@ -79,6 +88,8 @@
 	RejectStale           RejectReason = 10 // the order is based on a status that is too old
 	RejectBacklogFull     RejectReason = 11 // too many ends of stored runs are unrecorded
 	RejectEvacuated       RejectReason = 12 // the operator evacuates the data centre
+	RejectTrial           RejectReason = 14 // another job is on trial; RemainingMillis says for how long
+	RejectCapacityUnknown RejectReason = 13 // the endpoint enforces no capacity, and what is free is not known
 )
 
 // Report is the state of one run.
@@ -98,7 +109,7 @@
 	Status  *Status  `cbor:"2,keyasint,omitempty"`
 }
 
-// Profile describes an endpoint. It is fixed for one incarnation of the endpoint.
+// Profile describes an endpoint. All but the capacity is fixed for one incarnation of the endpoint.
 type Profile struct {
 	Instance   string    `cbor:"1,keyasint"`
 	Service    string    `cbor:"2,keyasint"`
@@ -126,6 +137,32 @@
 	// RejectsStoredRuns is set while the endpoint accepts no stored runs because too many
 	// ends of such runs are unrecorded.
 	RejectsStoredRuns bool `cbor:"9,keyasint,omitempty"`
+	// Crashes holds the recent crashes of the endpoint that were not sent on this connection yet.
+	Crashes []Crash `cbor:"10,keyasint,omitempty"`
+}
+
+// Crash is an end of an incarnation of the endpoint that was not announced.
+type Crash struct {
+	// Instance and StartMillis name the incarnation.
+	Instance    string `cbor:"1,keyasint"`
+	StartMillis int64  `cbor:"2,keyasint"`
+	// AgeMillis is the time since the agent has noticed the crash.
+	AgeMillis uint32 `cbor:"3,keyasint,omitempty"`
+	// Number tells several reports of one crash apart: those of starts that got no reply follow.
+	Number uint64 `cbor:"5,keyasint,omitempty"`
+	// Runs holds the runs that the endpoint may have executed when it crashed, those of other
+	// entries included.
+	Runs []CrashedRun `cbor:"4,keyasint,omitempty"`
+}
+
+// CrashedRun is a run during which the endpoint crashed.
+type CrashedRun struct {
+	Run   Run    `cbor:"1,keyasint"`
+	Queue string `cbor:"2,keyasint,omitempty"`
+	// ElapsedMillis is the time from the start of the run to the crash.
+	ElapsedMillis uint32 `cbor:"3,keyasint,omitempty"`
+	// Unanswered is set if the start call had no reply, so that the run may not have begun.
+	Unanswered bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Stop asks an agent to stop runs, or not to start them.
@@ -187,6 +224,11 @@
 	}
 }
 
+// Min returns the lower of r and o, for each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMiB, o.MemoryMiB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.MilliCores * uint32(n), r.MemoryMiB * uint32(n), r.Accelerators * uint32(n)}
@@ -209,7 +251,7 @@
 	0: "none", RejectCapacity: "no_room", RejectDraining: "draining", RejectUnreachable: "unreachable",
 	RejectStartUnanswered: "unanswered", RejectOldRun: "old_run", RejectInvalid: "invalid", RejectTaskRunning: "busy",
 	RejectRetired: "serves_other_entries", RejectStale: "stale",
-	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied",
+	RejectBacklogFull: "ends_not_recorded", RejectEvacuated: "emptied", RejectCapacityUnknown: "room_unknown", RejectTrial: "trial",
 }
 
 // String returns the name of r for logs and metrics.
