--- a/coordinator/review_test.go
+++ b/coordinator/review_test.go
@@ -288,3 +288,27 @@
 		c.Check(j.answer, quicktest.HasLen, 0)
 	})
 }
+
+// Guards against a job that is refused as too large while the agent of the only endpoint that is large
+// enough restarts.
+func TestJobIsNotRefusedWhileAgentOfLargestEndpointRestarts(t *testing.T) {
+	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		large := &fakeAgent{c: co, name: "host-2"}
+		large.connect()
+		beat := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				a.setCapacity(4000)
+			}
+		}
+		beat(3 * time.Second)
+		co.Disconnected(large.name, large.connection)
+		beat(2 * time.Second)
+		w := newWaiter()
+		co.loop.Do(func() { co.submit(largeJob("j", 8000), w, time.Now()) })
+		beat(500 * time.Millisecond)
+		large.connect()
+		synctest.Wait()
+		c.Check(w.answer, quicktest.HasLen, 0)
+		c.Check(large.orders, quicktest.HasLen, 1)
+	})
+}
