emulator: a task that crashes endpoints late is started too often after two agents died

The crashes at which the agent dies are not counted, and a task that crashes its endpoint later than 100 ms after its start is given up after four alike: six crashes, three starts after the third one. Two deaths, 120 and 300 ms: 4 of 4 runs fail; without a death or with one, and with earlier crashes: all 26 pass.

--- a/emulator/review_test.go
+++ b/emulator/review_test.go
@@ -1,10 +1,13 @@
 package emulator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"oriolerelay/job"
 )
 
 // Guards against two concurrent runs of a task: a run counted as lost with its endpoint while its first
@@ -30,3 +33,33 @@
 		return []Answer{<-answer}
 	})
 }
+
+// Guards against a task that crashes endpoints at another time than 10 ms after its start and is started
+// too often, alone or beside the deaths of agents at crashes.
+func TestCrashDelayDoesNotRaiseStarts(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond, 300 * time.Millisecond} {
+		for _, deaths := range []int{0, 1, 2} {
+			for _, keepID := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%v,%d,%v", after, deaths, keepID), func(t *testing.T) {
+					withSystem(t, 2, elevenEndpoints, func(c *quicktest.C, s *System) []Answer {
+						for _, e := range s.Endpoints {
+							e.CrashOf = func(task, _ string) (Crash, bool) {
+								id, err := job.ParseTaskID(task)
+								return Crash{After: after, Outage: crashOutage, KeepID: keepID}, err == nil && id.Index == 0
+							}
+						}
+						s.onCrash(func(number, endpoint int, _ string) {
+							if number <= deaths {
+								s.KillAgent(endpoint)
+							}
+						})
+						time.Sleep(4 * time.Second)
+						a := submit(s, 0, testJob("00000000000000d2", 4, 800*time.Millisecond))
+						c.Check(a.State, quicktest.Equals, job.Failed, quicktest.Commentf("%v", a.Err))
+						return []Answer{a}
+					})
+				})
+			}
+		}
+	}
+}
