--- a/emulator/review_test.go
+++ b/emulator/review_test.go
@@ -1,12 +1,15 @@
 package emulator
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"oriolerelay/internal/bubble"
 	"oriolerelay/job"
 )
 
@@ -63,3 +66,67 @@
 		}
 	}
 }
+
+// Guards against jobs that are shown as failed since racks fail soon after their tasks have started, also
+// if the racks are small, or the entry dies that attributed the crashes to the racks.
+func TestEarlyRackFailuresFailNoJob(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		racks, size  int
+		gap          time.Duration
+		stored, kill bool
+	}{
+		{"stored, three endpoints", 3, 3, 60 * time.Millisecond, true, false},
+		{"stored, three endpoints, entry dies", 2, 3, 60 * time.Millisecond, true, true},
+		{"ephemeral, three endpoints", 3, 3, 60 * time.Millisecond, false, false},
+		{"stored, two endpoints", 4, 2, 60 * time.Millisecond, true, false},
+		{"ephemeral, two endpoints", 4, 2, 60 * time.Millisecond, false, false},
+		{"stored, single endpoints", 6, 1, 70 * time.Millisecond, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				ctx, stop := context.WithCancel(context.Background())
+				s := NewStoredSystem(ctx, elevenEndpoints(), 2, nil, NewStore(6))
+				time.Sleep(5 * time.Second)
+				waiting, giveUp := context.WithCancel(ctx)
+				callers := callers{system: s, ctx: waiting}
+				for i := range 20 {
+					j := testJob(fmt.Sprintf("%016x", 0x3000+i), 4, time.Second)
+					j.Ephemeral = !tc.stored
+					if tc.stored {
+						callers.accept(i%2, j)
+					} else {
+						callers.submit(i%2, j)
+					}
+				}
+				for rack := range tc.racks {
+					time.Sleep(tc.gap)
+					for _, e := range s.Endpoints[rack*tc.size : (rack+1)*tc.size] {
+						e.Crash()
+						e.SetFaults(Faults{Down: true})
+						time.AfterFunc(crashOutage, func() { e.SetFaults(Faults{}) })
+						time.Sleep(time.Millisecond)
+					}
+				}
+				if tc.kill {
+					time.Sleep(time.Second)
+					s.KillEntry(0)
+				}
+				time.Sleep(20 * time.Second)
+				giveUp()
+				callers.wg.Wait()
+				failed := 0
+				for _, a := range callers.lastAnswers(ctx) {
+					if a.State == job.Failed {
+						failed++
+					}
+				}
+				c.Check(failed, quicktest.Equals, 0, quicktest.Commentf("jobs shown as failed, of 20"))
+				stop()
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+			})
+		})
+	}
+}
