executor: a start in flight beside a queued one may be executed late

Cause, found by the review: when starts get no reply, all start workers are held up to 40 ms, and after 15 ms a second start of a run is queued behind them. If the endpoint then refuses a connection, neither call counted as one that may still be executed: the first was in flight, the second not sent. The run was reported as lost at once, its task ran elsewhere, and the next incarnation of the endpoint under the same id executed the first call: two runs of one task.

Change: a run remembers the call before its newest one.

--- a/executor/late_start.go
+++ b/executor/late_start.go
@@ -19,6 +19,8 @@
 		return nil
 	case s.last != nil && s.last.sentAt.Load() != nil:
 		return s.last
+	case s.beforeLast != nil && s.beforeLast.sentAt.Load() != nil:
+		return s.beforeLast // may still be in flight while the last one is queued
 	}
 	return s.unanswered
 }
--- a/executor/start.go
+++ b/executor/start.go
@@ -48,6 +48,7 @@
 	unresolved int
 	unanswered *startCall // the newest call without a reply
 	last       *startCall
+	beforeLast *startCall // nil for the first call
 }
 
 // startCall is one call that starts a run.
@@ -71,7 +72,7 @@
 	}
 	s.attempts++
 	s.unresolved++
-	s.last = call
+	s.beforeLast, s.last = s.last, call
 	return call
 }
 
