coordinator, policy: findings of the review on crashes, confinements and large jobs

Cause and change, each shown by a test of the review that failed before: - A verdict fell with the first report of a rack failure, before the others marked it as widespread (TestFirstReportOfRackFailureGivesUpNoJob): it waits 40 ms, and the tasks that it concerns do not run until then. - Crashes with another known cause counted towards the limit (TestFiveRackFailuresGiveUpNoJob): they are left out, and the limit is 4. - The cause of a crash was sought although it was found in the same judgement (TestUnansweredStartDoesNotIdentifyJob). - Recorded crashes were forgotten after a minute while the job was in progress (TestRecordedCrashesOutlastHistory), and crashes of runs that two entries numbered alike counted as one (TestCrashesOfRunsNumberedAlikeCount). - Rejections for a trial used up the 64 run numbers of an owner (TestTrialRejectionsKeepRunNumbersOfEpoch). - A confinement to endpoints that stay closed, or of a service with one endpoint, did not end (TestConfinementToClosedEndpointsEnds, TestConfinementOfSingleEndpointEnds). - An identified stored task waited 5 s beside free endpoints, now 2 s (TestIdentifiedTaskRunsAgainInTime), and the wait could shorten another one. - A job was refused as too large while the agent of the only large endpoint restarted (TestJobIsNotRefusedWhileAgentOfLargestEndpointRestarts). Early crashes are those within 60 ms.

Three tests of the review changed: two wait 100 ms for the verdict and check that nothing was ordered meanwhile; TestJobIsNotRefusedWhileAgentOfLargestEndpointRestarts expected the large task of the second step before the first step was done.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -179,6 +179,8 @@
 
 func (c *Coordinator) handleRejected(t *task, reason wire.RejectReason) {
 	switch reason {
+	case wire.RejectTrial:
+		t.runNumber-- // no start was sent; an owner has few numbers
 	case wire.RejectOldRun:
 		t.runNumber += runNumberSkip
 	case wire.RejectInvalid:
@@ -245,6 +247,7 @@
 			c.forgetStoppingRuns(a)
 			if a.send == nil {
 				delete(c.agents, name)
+				c.agentLostAt = now
 			}
 			continue
 		}
--- a/coordinator/capacity.go
+++ b/coordinator/capacity.go
@@ -11,6 +11,8 @@
 	// connectTime is the time after the start of this process for which agents may not have
 	// connected yet.
 	connectTime = 2 * time.Second
+	// returnTime is the time for which an agent that was lost may come back with a larger capacity.
+	returnTime = 5 * time.Second
 	// growthDelay is the time after which a capacity that grows now is used: two announcements.
 	growthDelay = 3 * time.Second
 )
@@ -18,7 +20,7 @@
 // refuseIfTooLarge refuses a job that has not started and is not stored if one of its tasks exceeds
 // the capacity of all endpoints, which may have shrunk. It reports whether the job was refused.
 func (c *Coordinator) refuseIfTooLarge(j *activeJob, v *serviceView, now time.Time) bool {
-	if j.stored != nil || now.Sub(c.started) < connectTime {
+	if j.stored != nil || now.Sub(c.started) < connectTime || !c.agentLostAt.IsZero() && now.Sub(c.agentLostAt) < returnTime {
 		return false
 	}
 	for i := range j.spec.Steps {
--- a/coordinator/confinement.go
+++ b/coordinator/confinement.go
@@ -31,7 +31,9 @@
 	// needed is the number of endpoints that the other queues use, the greatest of the last seconds.
 	needed     float64
 	releasedAt time.Time
-	limit      int // number of endpoints
+	// availableAt is when an endpoint of the confinement was last in service.
+	availableAt time.Time
+	limit       int // number of endpoints
 }
 
 // addCrashingJob records that a task was given up, and confines its queue if that was so with
@@ -50,9 +52,9 @@
 	f.expire(now)
 	f.crashDelay = max(f.crashDelay, min(time.Duration(slices.Min(t.elapsedMillis()))*time.Millisecond, maxCrashDelay))
 	again := !f.releasedAt.IsZero() && now.Sub(f.releasedAt) <= policy.ConfinementWindow
-	if !f.active && (again || len(f.crashingJobs) >= policy.ConfinementJobs) {
-		f.active = true
-		endpoints, _ := c.snapshot(t.service, now)
+	endpoints, _ := c.snapshot(t.service, now)
+	if !f.active && policy.ConfinedEndpoints(len(endpoints), 0, 0) > 0 && (again || len(f.crashingJobs) >= policy.ConfinementJobs) {
+		f.active, f.availableAt = true, now
 		f.updateNeeded(endpoints, 0)
 		c.cfg.Log.Log(event.QueueConfined, "queue", queue, "confined", true, "crashing_jobs", len(f.crashingJobs), "again", again,
 			"limit", c.confinedLimit(queue, len(endpoints)), "endpoints", len(endpoints), "needed", f.needed, "crash_delay_ms", f.crashDelay.Milliseconds())
@@ -125,7 +127,10 @@
 	neededTimeConstant = 2 * time.Second
 	// retryDelay is how long the identified tasks of stored jobs wait for others, so that several
 	// crash one endpoint together. No caller waits for them.
-	retryDelay = 5 * time.Second
+	retryDelay = 2 * time.Second
+	// maxConfinedOutage is how long all endpoints of a confinement may be out of service. Those that
+	// have crashed are back after some seconds, others perhaps never.
+	maxConfinedOutage = 10 * time.Second
 	// trialMargin is the time from an order to the start of its run, and from a crash to its report.
 	trialMargin = 20 * time.Millisecond
 )
@@ -187,7 +192,9 @@
 	if f.retryAt.Before(now) {
 		f.retryAt = now.Add(retryDelay)
 	}
-	t.holdUntil = f.retryAt
+	if t.holdUntil.Before(f.retryAt) {
+		t.holdUntil = f.retryAt
+	}
 }
 
 // updateConfinements adds the time since the last call to the calm time of the confined queues of
@@ -207,8 +214,12 @@
 		f.updateNeeded(endpoints, elapsed)
 		if slices.ContainsFunc(endpoints, func(e policy.Endpoint) bool { return e.Confined && e.Available }) {
 			f.calm += elapsed
+			f.availableAt = now
 		}
 		limit := policy.ConfinedEndpoints(len(endpoints), f.needed, f.calm)
+		if now.Sub(f.availableAt) > maxConfinedOutage {
+			limit = 0
+		}
 		if limit == f.limit {
 			continue
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,6 +71,7 @@
 	lastConnection uint64
 	jobs           map[string]*activeJob // by job id
 	queued         []*activeJob          // jobs with tasks that wait for capacity, in placement order
+	agentLostAt    time.Time             // when an agent was last forgotten
 	// replan is set when capacity, endpoints or waiting tasks have changed.
 	replan    bool
 	evacuated wire.Evacuated
@@ -180,6 +181,7 @@
 
 // AfterBatch implements loop.Controller.
 func (c *Coordinator) AfterBatch(now time.Time) {
+	c.judgePending(now) // before the tasks that wait for it are placed
 	if c.replan {
 		c.replan = false
 		c.placeQueuedJobs(now)
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -33,6 +33,7 @@
 type crashHistory struct {
 	tasks   map[string]*taskCrashes // by task
 	crashes []*endpointCrash        // of the last crashHistoryTTL
+	pending []pendingVerdict        // in order of time
 	// expiredAt is when expired entries were last removed.
 	expiredAt time.Time
 }
@@ -68,18 +69,27 @@
 	cleared bool // by its elapsed time
 }
 
-// policyCrashes returns the crashes in the form of package policy.
-func (t *taskCrashes) policyCrashes() []policy.TaskCrash {
-	out := make([]policy.TaskCrash, len(t.runs))
-	for i, r := range t.runs {
-		otherCause := r.crash != nil && (r.crash.widespread || r.crash.culprit != "" && r.crash.culprit != t.job)
-		out[i] = policy.TaskCrash{
-			Elapsed: time.Duration(r.ElapsedMillis) * time.Millisecond, Cleared: r.cleared || r.Unanswered || otherCause,
+// policyCrashes returns the crashes that have no other known cause in the form of package policy.
+func (t *taskCrashes) policyCrashes() (out []policy.TaskCrash) {
+	for _, r := range t.runs {
+		if t.isCause(r) {
+			out = append(out, policy.TaskCrash{Elapsed: time.Duration(r.ElapsedMillis) * time.Millisecond, Cleared: r.cleared || r.Unanswered})
 		}
 	}
 	return out
 }
 
+// isCause reports whether the task may have caused the crash during r.
+func (t *taskCrashes) isCause(r crashedRun) bool {
+	return r.crash == nil || !r.crash.widespread && (r.crash.culprit == "" || r.crash.culprit == t.job)
+}
+
+// isSuspicious reports whether the task may have caused the newest crash and began before it.
+func (t *taskCrashes) isSuspicious() bool {
+	r := t.runs[len(t.runs)-1]
+	return t.isCause(r) && !r.cleared && !r.Unanswered
+}
+
 // elapsedMillis returns the times from the starts of the runs to the crashes.
 func (t *taskCrashes) elapsedMillis() (ms []uint32) {
 	for _, r := range t.runs {
@@ -88,10 +98,11 @@
 	return ms
 }
 
-// add adds a run unless it is known. One that was read from the recorded progress gets its crash.
+// add adds a run unless it is known: one that was read from the recorded progress gets its crash. Runs
+// of an ephemeral job have the same numbers at each entry that orders them.
 func (t *taskCrashes) add(r crashedRun) (added bool) {
 	for i := range t.runs {
-		if o := &t.runs[i]; o.Number == r.Number && o.Agent == r.Agent {
+		if o := &t.runs[i]; o.Number == r.Number && o.Agent == r.Agent && (o.crash == nil || r.crash == nil) {
 			if o.crash == nil {
 				o.crash = r.crash
 			}
@@ -184,8 +195,59 @@
 				tasks = append(tasks, r.Run.Task)
 			}
 		}
-		c.judgeTasks(tasks, now)
+		if c.mayGiveUp(tasks) {
+			c.holdForVerdict(tasks, now)
+		} else {
+			c.judgeTasks(tasks, now)
+		}
+	}
+}
+
+// pendingVerdict holds the tasks of a crash that are judged once reports of other crashes at the same
+// moment must have arrived.
+type pendingVerdict struct {
+	tasks []string
+	at    time.Time
+}
+
+// mayGiveUp reports whether one of the tasks would be given up now.
+func (c *Coordinator) mayGiveUp(tasks []string) bool {
+	return slices.ContainsFunc(tasks, func(name string) bool {
+		return c.cfg.Policy.JudgeTask(c.crashes.tasks[name].policyCrashes()) != policy.Suspected
+	})
+}
+
+// holdForVerdict delays the judgement of the tasks, and their next runs until then.
+func (c *Coordinator) holdForVerdict(tasks []string, now time.Time) {
+	v := pendingVerdict{tasks, now.Add(widespreadPeriod)}
+	c.crashes.pending = append(c.crashes.pending, v)
+	c.hold(v)
+}
+
+func (c *Coordinator) hold(v pendingVerdict) {
+	for _, name := range v.tasks {
+		if t := c.taskNamed(name); t != nil && t.holdUntil.Before(v.at) {
+			t.holdUntil = v.at
+		}
+	}
+}
+
+// judgePending judges the tasks whose time has come.
+func (c *Coordinator) judgePending(now time.Time) {
+	for len(c.crashes.pending) > 0 && !now.Before(c.crashes.pending[0].at) {
+		v := c.crashes.pending[0]
+		c.crashes.pending, c.replan = c.crashes.pending[1:], true
+		c.judgeTasks(slices.DeleteFunc(v.tasks, func(name string) bool { return c.crashes.tasks[name] == nil }), now)
+	}
+}
+
+// taskNamed returns the task of a job that is in progress here, or nil.
+func (c *Coordinator) taskNamed(name string) *task {
+	id, err := job.ParseTaskID(name)
+	if err != nil || c.jobs[id.Job] == nil {
+		return nil
 	}
+	return c.jobs[id.Job].task(id)
 }
 
 // addTaskCrash adds a crash during a run to the history of its task, and to the progress of a
@@ -202,6 +264,11 @@
 	}
 	t := c.crashes.ofTask(r.Run.Task, id.Job, r.Queue, service)
 	t.lastAt = crash.at
+	if j := c.jobs[id.Job]; len(t.runs) == 0 && j != nil && j.stored != nil {
+		for _, r := range j.stored.progress.Crashes[r.Run.Task] { // the history has expired
+			t.add(crashedRun{CrashedRun: r})
+		}
+	}
 	run := job.CrashedRun{Agent: a.name, Number: r.Run.Number, ElapsedMillis: r.ElapsedMillis, Unanswered: r.Unanswered}
 	f := c.confined[r.Queue]
 	cleared := f != nil && f.active && time.Duration(r.ElapsedMillis)*time.Millisecond > policy.ClearedAfter(f.crashDelay)
@@ -227,17 +294,19 @@
 // the cause, and ends their jobs.
 func (c *Coordinator) judgeTasks(names []string, now time.Time) {
 	probable, suspected := make(map[string][]string), make(map[string][]string) // tasks by job
+	known := false                                                              // the cause of the crash
 	for _, name := range names {
 		t := c.crashes.tasks[name]
-		crashes := t.policyCrashes()
-		if !crashes[len(crashes)-1].Cleared {
+		if t.isSuspicious() {
 			suspected[t.job] = append(suspected[t.job], name)
 		}
-		switch c.cfg.Policy.JudgeTask(crashes) {
+		switch c.cfg.Policy.JudgeTask(t.policyCrashes()) {
 		case policy.Guilty:
+			known = true
 			c.giveUp(name, t, now)
 		case policy.ProbablyGuilty:
 			if t.identified {
+				known = true
 				c.giveUp(name, t, now)
 				continue
 			}
@@ -251,8 +320,8 @@
 			}
 		}
 	}
-	if len(probable) != 1 {
-		return // one task caused the crash, and it cannot be told which
+	if known || len(probable) != 1 {
+		return // one task caused the crash; of several, it cannot be told which
 	}
 	for _, names := range probable {
 		c.giveUp(names[0], c.crashes.tasks[names[0]], now)
@@ -265,10 +334,8 @@
 	run := &t.runs[len(t.runs)-1]
 	t.identified, run.Alone = true, true
 	c.recordTaskCrash(t.job, name, run.CrashedRun, now)
-	if id, err := job.ParseTaskID(name); err == nil && c.jobs[t.job] != nil {
-		if task := c.jobs[t.job].task(id); task != nil {
-			c.holdIdentified(task, now)
-		}
+	if task := c.taskNamed(name); task != nil {
+		c.holdIdentified(task, now)
 	}
 }
 
@@ -304,11 +371,15 @@
 	c.finish(j, outcome{state: job.Failed}, now)
 }
 
-// failIfGivenUp ends j if a task of it was given up.
+// failIfGivenUp ends j, which was admitted, if a task of it was given up, and holds those that are to be
+// judged.
 func (c *Coordinator) failIfGivenUp(j *activeJob, now time.Time) {
 	if len(c.crashes.tasks) == 0 {
 		return
 	}
+	for _, v := range c.crashes.pending {
+		c.hold(v)
+	}
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if h := c.crashes.tasks[t.name]; h != nil && h.givenUp && t.state != taskDone {
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -139,7 +139,11 @@
 		synctest.Wait()
 		c.Assert(a.orders, quicktest.HasLen, 2)
 		a.crash("q", 12*time.Millisecond, a.orders[0])
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		c.Check(r.reported["j"].State, quicktest.Equals, job.Failed)
+		run, _ := lastOrder([]*fakeAgent{a}, "j.0.0.0")
+		c.Check(run, quicktest.Equals, a.orders[0])
 	})
 	recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * runNumbersPerEpoch, ElapsedMillis: 11})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
--- a/coordinator/review_test.go
+++ b/coordinator/review_test.go
@@ -185,6 +185,8 @@
 		co.loop.Do(func() { co.submit(submission("j", 1), w, time.Now()) })
 		synctest.Wait()
 		a.crash("q", 10*time.Millisecond, a.orders[0])
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
 		c.Check(a.orders, quicktest.HasLen, 1)
 		c.Check(w.answer, quicktest.HasLen, 1)
 	})
@@ -309,6 +311,9 @@
 		large.connect()
 		synctest.Wait()
 		c.Check(w.answer, quicktest.HasLen, 0)
+		c.Assert(a.orders, quicktest.HasLen, 1) // of the first step
+		a.report(a.orders[0], wire.RunDone)
+		synctest.Wait()
 		c.Check(large.orders, quicktest.HasLen, 1)
 	})
 }
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -10,8 +10,8 @@
 type TaskCrash struct {
 	// Elapsed is the time from the start of the run to the crash.
 	Elapsed time.Duration
-	// Cleared is set if the crash has another cause: another task, several endpoints crashed at the
-	// same moment, or the run may not have begun.
+	// Cleared is set if the task had run for too long to be the cause, or may not have begun. Crashes
+	// that are known to have another cause are left out.
 	Cleared bool
 }
 
@@ -20,12 +20,12 @@
 	// agent notices a crash up to an observation interval late.
 	crashDelayTolerance = 30 * time.Millisecond
 	// earlyCrash is the time after the start within which a crash is unlikely to be a coincidence.
-	earlyCrash = 100 * time.Millisecond
-	// Crashes with the same delay after which a task is given up, if they came early and otherwise.
-	// Endpoints that crash one after the other at a regular interval crash three times alike.
-	maxEarlyCrashes, maxLateCrashes = 2, 4
-	// maxTaskCrashes is the number of crashes after which a task is given up in any case.
-	maxTaskCrashes = 5
+	earlyCrash = 60 * time.Millisecond
+	// maxEarlyCrashes is the number of early crashes with the same delay after which a task is given up.
+	maxEarlyCrashes = 2
+	// maxTaskCrashes is the number of crashes after which a task is given up in any case. Endpoints
+	// that crash one after the other at a regular interval crash three times alike.
+	maxTaskCrashes = 4
 )
 
 // CrashVerdict says whether a task is taken to cause the crashes during its runs.
@@ -38,9 +38,9 @@
 	Guilty
 )
 
-// JudgeTask judges a task by the crashes during its runs. It is probably guilty if several came
-// equally long after the start and have no other known cause, since endpoints that crash by themselves
-// do so at any time of a run. A job that is given up though it could be done is lost to its caller.
+// JudgeTask judges a task by the crashes during its runs. It is probably guilty if two came early and
+// equally long after the start, since endpoints that crash by themselves do so at any time of a run. A
+// job that is given up though it could be done is lost to its caller.
 func (p Policy) JudgeTask(crashes []TaskCrash) CrashVerdict {
 	if len(crashes) >= maxTaskCrashes {
 		return Guilty
@@ -59,7 +59,7 @@
 				same++
 			}
 		}
-		if same >= maxLateCrashes || same >= maxEarlyCrashes && delays[i] <= earlyCrash {
+		if same >= maxEarlyCrashes && delays[i] <= earlyCrash {
 			return ProbablyGuilty
 		}
 	}
