coordinator: the tests of the review read orders and progress without races

Cause: go test -race reported reads of the fakes beside writes of the loop in seven tests of the review, which were run without the race detector. Change: the tests wait for all goroutines after each sleep and read the progress in the loop. Their checks are unchanged.

--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -26,6 +26,12 @@
 	synctest.Wait()
 }
 
+// settle lets d pass and then all goroutines wait.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // lastOrder returns the newest run that was ordered for a task, and its agent.
 func lastOrder(agents []*fakeAgent, task string) (run wire.Run, at *fakeAgent) {
 	for _, a := range agents {
@@ -63,8 +69,7 @@
 		for range 2 {
 			run, at := lastOrder(agents, "j.0.0.0")
 			at.crash("q", 10*time.Millisecond, run)
-			time.Sleep(100 * time.Millisecond)
-			synctest.Wait()
+			settle(100 * time.Millisecond)
 		}
 		c.Assert(w.answer, quicktest.HasLen, 1)
 		c.Check((<-w.answer).state, quicktest.Equals, job.Failed)
@@ -94,8 +99,7 @@
 			j, _ := lastOrder([]*fakeAgent{a}, "j.0.0.0")
 			k, _ := lastOrder([]*fakeAgent{a}, "k.0.0.0")
 			a.crash("q", 10*time.Millisecond, j, k)
-			time.Sleep(100 * time.Millisecond)
-			synctest.Wait()
+			settle(100 * time.Millisecond)
 		}
 		c.Check(first.answer, quicktest.HasLen, 0)
 		c.Check(second.answer, quicktest.HasLen, 0)
@@ -139,8 +143,7 @@
 		synctest.Wait()
 		c.Assert(a.orders, quicktest.HasLen, 2)
 		a.crash("q", 12*time.Millisecond, a.orders[0])
-		time.Sleep(100 * time.Millisecond)
-		synctest.Wait()
+		settle(100 * time.Millisecond)
 		c.Check(r.reported["j"].State, quicktest.Equals, job.Failed)
 		run, _ := lastOrder([]*fakeAgent{a}, "j.0.0.0")
 		c.Check(run, quicktest.Equals, a.orders[0])
@@ -181,8 +184,7 @@
 			for range 2 {
 				run, at := lastOrder(agents, id+".0.0.0")
 				at.crash("q", 10*time.Millisecond, run)
-				time.Sleep(100 * time.Millisecond)
-				synctest.Wait()
+				settle(100 * time.Millisecond)
 			}
 		}
 		usedBy := func(id, queue string) map[string]bool {
--- a/coordinator/review_test.go
+++ b/coordinator/review_test.go
@@ -24,7 +24,7 @@
 			j, _ := lastOrder([]*fakeAgent{a}, "j.0.0.0")
 			k, _ := lastOrder([]*fakeAgent{a}, "k.0.0.0")
 			a.crash("q", 10*time.Millisecond, j, k)
-			time.Sleep(100 * time.Millisecond)
+			settle(100 * time.Millisecond)
 		}
 		recorded["j"], recorded["k"] = r.reported["j"].Clone(), r.reported["k"].Clone()
 		c.Assert(recorded["j"].State, quicktest.Equals, job.State(""))
@@ -55,7 +55,7 @@
 				}
 			}
 			at.crash("q", time.Duration(40+20*n)*time.Millisecond, run)
-			time.Sleep(100 * time.Millisecond)
+			settle(100 * time.Millisecond)
 		}
 		recorded = r.reported["j"].Clone()
 		c.Assert(recorded.State, quicktest.Equals, job.State(""))
@@ -76,7 +76,7 @@
 		synctest.Wait()
 		run, at := lastOrder(agents, "j.0.0.0")
 		at.crash("q", 40*time.Millisecond, run) // by itself
-		time.Sleep(100 * time.Millisecond)
+		settle(100 * time.Millisecond)
 		run, at = lastOrder(agents, "j.0.0.0")
 		at.crash("q", 60*time.Millisecond, run)
 		for _, o := range agents {
@@ -102,7 +102,7 @@
 				}
 			}
 			at.crash("q", time.Duration(40+100*n)*time.Millisecond, run)
-			time.Sleep(500 * time.Millisecond)
+			settle(500 * time.Millisecond)
 		}
 		c.Check(r.reported["j"].State, quicktest.Equals, job.State(""))
 	})
@@ -115,7 +115,7 @@
 	for range 2 {
 		run, at := lastOrder(agents, id+".0.0.0")
 		at.crash("q", 10*time.Millisecond, run)
-		time.Sleep(100 * time.Millisecond)
+		settle(100 * time.Millisecond)
 	}
 }
 
@@ -143,7 +143,7 @@
 				}
 				a.c.Handle(a.name, a.connection, m)
 			}
-			time.Sleep(200 * time.Millisecond)
+			settle(200 * time.Millisecond)
 		}
 		for range 3 {
 			announce()
@@ -166,7 +166,7 @@
 		crashTwice(co, agents, "b")
 		for range 150 {
 			a.c.Handle(a.name, a.connection, &wire.Status{OrderedRuns: a.count})
-			time.Sleep(200 * time.Millisecond)
+			settle(200 * time.Millisecond)
 		}
 		co.loop.Do(func() { co.submit(submission("late", 1), newWaiter(), time.Now()) })
 		synctest.Wait()
@@ -185,8 +185,7 @@
 		co.loop.Do(func() { co.submit(submission("j", 1), w, time.Now()) })
 		synctest.Wait()
 		a.crash("q", 10*time.Millisecond, a.orders[0])
-		time.Sleep(100 * time.Millisecond)
-		synctest.Wait()
+		settle(100 * time.Millisecond)
 		c.Check(a.orders, quicktest.HasLen, 1)
 		c.Check(w.answer, quicktest.HasLen, 1)
 	})
@@ -201,16 +200,18 @@
 		for range 8 {
 			run := a.orders[len(a.orders)-1]
 			a.crash("q", time.Duration(150+60*crashes)*time.Millisecond, run)
-			if r.reported["j"].State != "" {
+			var state job.State
+			co.loop.Do(func() { state = r.reported["j"].State })
+			if state != "" {
 				break
 			}
 			if crashes++; crashes == 3 {
 				for range 320 {
 					a.c.Handle(a.name, a.connection, &wire.Status{OrderedRuns: a.count})
-					time.Sleep(200 * time.Millisecond)
+					settle(200 * time.Millisecond)
 				}
 			}
-			time.Sleep(100 * time.Millisecond)
+			settle(100 * time.Millisecond)
 		}
 		c.Check(len(a.orders) <= 5, quicktest.IsTrue, quicktest.Commentf("%d starts, %d recorded crashes", len(a.orders), len(r.reported["j"].Crashes["j.0.0.0"])))
 	})
@@ -228,7 +229,7 @@
 				Reports: []wire.Report{{Run: run, State: wire.RunRejected, Reason: wire.RejectTrial, RemainingMillis: 60}},
 				Status:  &wire.Status{OrderedRuns: a.count},
 			})
-			time.Sleep(100 * time.Millisecond)
+			settle(100 * time.Millisecond)
 		}
 		last := a.orders[len(a.orders)-1]
 		c.Check(last.Number < 2*runNumbersPerEpoch, quicktest.IsTrue, quicktest.Commentf("run %d of owner 1", last.Number))
@@ -254,7 +255,7 @@
 			for _, a := range agents {
 				a.c.Handle(a.name, a.connection, &wire.Status{OrderedRuns: a.count})
 			}
-			time.Sleep(100 * time.Millisecond)
+			settle(100 * time.Millisecond)
 		}
 		c.Check(time.Since(crashed) < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("ordered again after %v", time.Since(crashed)))
 	})
@@ -281,11 +282,11 @@
 			}},
 		})
 		synctest.Wait()
-		time.Sleep(100 * time.Millisecond)
+		settle(100 * time.Millisecond)
 		co.loop.Do(func() { c.Check(co.crashes.tasks["j.0.0.0"].identified, quicktest.IsFalse) })
 		for range 2 {
 			a.crash("q", 10*time.Millisecond, run("j.0.0.0"), run("k.0.0.0"))
-			time.Sleep(100 * time.Millisecond)
+			settle(100 * time.Millisecond)
 		}
 		c.Check(j.answer, quicktest.HasLen, 0)
 	})
@@ -298,7 +299,7 @@
 		large := &fakeAgent{c: co, name: "host-2"}
 		large.connect()
 		beat := func(d time.Duration) {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for end := time.Now().Add(d); time.Now().Before(end); settle(100 * time.Millisecond) {
 				a.setCapacity(4000)
 			}
 		}
@@ -307,6 +308,7 @@
 		beat(2 * time.Second)
 		w := newWaiter()
 		co.loop.Do(func() { co.submit(largeJob("j", 8000), w, time.Now()) })
+		synctest.Wait()
 		beat(500 * time.Millisecond)
 		large.connect()
 		synctest.Wait()
