--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -64,6 +64,7 @@
 			run, at := lastOrder(agents, "j.0.0.0")
 			at.crash("q", 10*time.Millisecond, run)
 			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
 		}
 		c.Assert(w.answer, quicktest.HasLen, 1)
 		c.Check((<-w.answer).state, quicktest.Equals, job.Failed)
@@ -94,6 +95,7 @@
 			k, _ := lastOrder([]*fakeAgent{a}, "k.0.0.0")
 			a.crash("q", 10*time.Millisecond, j, k)
 			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
 		}
 		c.Check(first.answer, quicktest.HasLen, 0)
 		c.Check(second.answer, quicktest.HasLen, 0)
@@ -129,7 +131,7 @@
 		a.crash("q", 10*time.Millisecond, a.orders[0])
 		recorded = r.reported["j"]
 		c.Check(recorded.Crashes, quicktest.DeepEquals, map[string][]job.CrashedRun{
-			"j.0.0.0": {{Agent: "host-1", Number: runNumbersPerEpoch + 1, ElapsedMillis: 10}},
+			"j.0.0.0": {{Agent: "host-1", Number: runNumbersPerEpoch + 1, ElapsedMillis: 10, Alone: true}},
 		})
 	})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
@@ -139,7 +141,7 @@
 		a.crash("q", 12*time.Millisecond, a.orders[0])
 		c.Check(r.reported["j"].State, quicktest.Equals, job.Failed)
 	})
-	recorded.AddCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * runNumbersPerEpoch, ElapsedMillis: 11})
+	recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * runNumbersPerEpoch, ElapsedMillis: 11})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
 		co.Adopt(submission("j", 2), recorded, 3)
 		synctest.Wait()
@@ -150,6 +152,20 @@
 	})
 }
 
+// Guards against a new owner that gives up a job which the former one could not tell from another.
+func TestOwnerDoesNotGiveUpSuspectOfFormerOwner(t *testing.T) {
+	var recorded job.Progress
+	for n := range uint32(2) {
+		recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: runNumbersPerEpoch + n, ElapsedMillis: 11})
+	}
+	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
+		co.Adopt(submission("j", 1), recorded, 2)
+		synctest.Wait()
+		c.Check(r.reported["j"].State, quicktest.Equals, job.State(""))
+		c.Check(a.orders, quicktest.HasLen, 1)
+	})
+}
+
 // Guards against a queue whose jobs crash one endpoint after the other until none is left for the
 // other queues, and against a queue that stays confined.
 func TestQueueOfCrashingTasksIsConfined(t *testing.T) {
@@ -162,6 +178,7 @@
 				run, at := lastOrder(agents, id+".0.0.0")
 				at.crash("q", 10*time.Millisecond, run)
 				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
 			}
 		}
 		usedBy := func(id, queue string) map[string]bool {
@@ -195,6 +212,7 @@
 			for _, a := range agents {
 				a.c.Handle(a.name, a.connection, &wire.Status{OrderedRuns: a.count})
 			}
+			synctest.Wait()
 		}
 		c.Check(len(usedBy("f", "q")) > 2, quicktest.IsTrue)
 		crashTwice("g")
