review: case 2, writes of an owner are lost after many outages of the store

Rule TWICE, with 17 platform_down of 1.7 s and then node_kill of each entry. The epoch of a partition grows by one with each outage within a generation and is not bounded, so that the next owner comes to use the epoch of the former one and the store takes its writes for repeats.

--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -29,11 +29,12 @@
 	parts int
 	delay time.Duration // of each answer
 
-	mu       sync.Mutex
-	down     bool
-	logs     map[string]*partition
-	groups   map[string]*group
-	appended chan struct{}
+	mu        sync.Mutex
+	down      bool
+	downSince time.Time
+	logs      map[string]*partition
+	groups    map[string]*group
+	appended  chan struct{}
 }
 
 // partition is one partition of a topic.
@@ -68,10 +69,20 @@
 	return &store{parts: parts, delay: delay, logs: make(map[string]*partition), groups: make(map[string]*group), appended: make(chan struct{})}
 }
 
-// setDown makes the store answer every call with 503, or serve again.
+// setDown makes the store answer every call with 503, or serve again. The times of the members of groups
+// pause meanwhile.
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if down {
+		s.downSince = time.Now()
+	} else if s.down {
+		for _, g := range s.groups {
+			for _, m := range g.members {
+				m.expires = m.expires.Add(time.Since(s.downSince))
+			}
+		}
+	}
 	s.down = down
 }
 
