--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-harness ] && [ -x target/oriole-relay ] || exit 2
-exec target/review-harness -case failed-early -record review/3/record.txt
+exec target/review-harness -case failed-early -record review/4/record.txt
