executor: the end of a stored run is acknowledged only once it is recorded

Cause: the agent dropped the end of a stored run that nobody could record, and so acknowledged it to the endpoint, after 450 later ends or 15 s. Ends of best-effort runs count as later ends, so an outage of the store of 4 s was enough. Once the entries were killed too, nobody knew the end.

Change: no end is dropped. From 480 ends and current runs that an unrecorded end holds up, the agent rejects all runs, so that the endpoint can list all their ends. After 1 s without runs in which the lease has lapsed the ends are released: they do not count as noted then. The agent goes on reporting released ends until they are confirmed, also those of an endpoint that has restarted, which it forgot before. Raising the bounds would have left the fault in place.

--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -230,9 +230,9 @@
 const unclaimedRecordAge = 1100 * time.Millisecond
 
 const (
-	// doneEndTTL is how long the end of a completed task is kept for a job that may be adopted
-	// later. Agents keep such an end for at most 15 s, and partitions can change owners several
-	// times in that time.
+	// doneEndTTL is how long the end of a completed task is kept, after its last report, for a job
+	// that may be adopted later. The agent may have failed since, and partitions can change owners
+	// several times in that time.
 	doneEndTTL = 20 * time.Second
 	// failedEndTTL is the same for a failure. The former owner may have counted it already, and
 	// agents repeat uncounted failures every 400 ms.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -76,7 +76,10 @@
 	unconfirmed       map[wire.Run]unconfirmedEnd
 	unconfirmedSentAt time.Time
 	// backlogFull is set while too many ends are unconfirmed; stored runs are rejected then.
-	backlogFull        bool
+	backlogFull bool
+	// endListFullSince is the time since which endListFull is true, so that all runs are rejected;
+	// zero while it is false.
+	endListFullSince   time.Time
 	failedObservations int // consecutive
 	unreachable        bool
 	observingNow       bool // an observation outside observeLoop is in flight
@@ -157,6 +160,8 @@
 		return wire.RejectEvacuated
 	case !x.knowsCapacity(time.Now()):
 		return wire.RejectCapacityUnknown
+	case x.endListFull():
+		return wire.RejectBacklogFull
 	}
 	return 0
 }
@@ -171,7 +176,7 @@
 	x.applyPendingClaims(now)
 	x.stopUnclaimedRuns(now)
 	x.retryStops(now)
-	x.expireUnconfirmed(now)
+	x.releaseUnconfirmed(now)
 	x.resendUnconfirmed(now)
 	x.expireCrashes(now)
 }
--- a/executor/incarnation.go
+++ b/executor/incarnation.go
@@ -254,7 +254,7 @@
 	x.clock, x.announcedAt = endpointClock{}, 0
 	x.leaseEnd, x.lastEndSequence, x.ackedSequence, x.failedObservations, x.unreachable = 0, 0, 0, 0, false
 	x.setClock(a.Clock, now, now, "first announcement")
-	x.unconfirmed = make(map[wire.Run]unconfirmedEnd)
+	x.releaseAllEnds(now, "the endpoint has restarted")
 	x.health = health{}
 	if !first && !sameID {
 		x.loseRuns("endpoint incarnation ended")
--- a/executor/observe.go
+++ b/executor/observe.go
@@ -242,8 +242,7 @@
 	if !x.clock.known() || !x.hasExpirableRuns(now) {
 		return
 	}
-	end := x.clock.latestLocalTime(x.leaseEnd)
-	if !now.After(x.fence.latestLeaseEnd(end, x.cfg.Timing.maxInheritedLease())) {
+	if !x.leaseLapsed(now) {
 		return
 	}
 	x.cfg.Log.Log(event.LeaseExpired, "lease_end_ms", x.leaseEnd.Milliseconds(), "clock_ms", x.clock.reading.Milliseconds(),
@@ -251,6 +250,12 @@
 	x.expireRuns(now)
 }
 
+// leaseLapsed reports whether the lease at the endpoint has certainly expired.
+func (x *Executor) leaseLapsed(now time.Time) bool {
+	end := x.clock.latestLocalTime(x.leaseEnd)
+	return x.clock.known() && now.After(x.fence.latestLeaseEnd(end, x.cfg.Timing.maxInheritedLease()))
+}
+
 // handleEndedRun processes a run that the endpoint lists as ended.
 func (x *Executor) handleEndedRun(e endpointapi.EndedRun, now time.Time) {
 	if e.Sequence <= x.lastEndSequence {
--- a/executor/unconfirmed.go
+++ b/executor/unconfirmed.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
 	"oriolerelay/endpointapi"
@@ -13,24 +14,33 @@
 // about the end before it runs the task again.
 const unconfirmedResendInterval = 400 * time.Millisecond
 
+// maxListedEnds is the number of ends that one reply of the endpoint lists, the oldest first.
+const maxListedEnds = 500
+
 const (
 	// backlogRejectThreshold is the number of later ends that an unconfirmed end may hold up
-	// before stored runs are rejected, and backlogExpireThreshold the number from which that end
-	// is dropped. In between, current runs still end, and runs that need no confirmation
-	// continue. The endpoint lists only its oldest 500 ends; newer ones would not be seen at
-	// all. A task whose end is dropped can run again.
+	// before stored runs are rejected. Runs that need no confirmation continue.
 	backlogRejectThreshold = 250
-	backlogExpireThreshold = 450
-	// maxUnconfirmedAge is the age at which an unconfirmed end is dropped. A new owner takes
-	// over a job within a few seconds.
-	maxUnconfirmedAge = 15 * time.Second
+	// maxOutstandingEnds is the number of ends, including those of the current runs, from which
+	// all runs are rejected while an end is unconfirmed. An end that the endpoint cannot list would
+	// make its run count as lost. The difference to maxListedEnds is a margin for inherited runs.
+	maxOutstandingEnds = maxListedEnds - 20
+	// maxClosedTime is how long all runs are rejected before the unconfirmed ends are released.
+	// It bounds how long an outage of the store takes an endpoint out of service.
+	maxClosedTime = time.Second
+	// maxReleasedEnds bounds the memory for released ends. While the store is down no stored run
+	// starts, so an outage adds at most maxListedEnds.
+	maxReleasedEnds = 4 * maxListedEnds
 )
 
 // unconfirmedEnd is the end of a stored run that no entry has confirmed as recorded.
 type unconfirmedEnd struct {
-	sequence uint64
+	sequence uint64 // in the endpoint's list of ends
 	state    wire.RunState
 	readAt   time.Time
+	// released is set once the endpoint may forget the end: the lease has lapsed since, so that the
+	// run does not count as ended, or the endpoint has restarted. The end is still reported.
+	released bool
 }
 
 // retainEnd makes the endpoint keep an end until it is confirmed.
@@ -42,7 +52,7 @@
 
 // confirmEnds releases ends that the given entry confirms as recorded.
 func (x *Executor) confirmEnds(entry string, runs []wire.Run) {
-	defer x.checkBacklog()
+	defer func() { x.checkBacklog(time.Now()) }()
 	for _, id := range runs {
 		if e, ok := x.unconfirmed[id]; ok {
 			delete(x.unconfirmed, id)
@@ -57,38 +67,80 @@
 func (x *Executor) ackableSequence() uint64 {
 	last := x.lastEndSequence
 	for _, e := range x.unconfirmed {
-		last = min(last, e.sequence-1)
+		if !e.released {
+			last = min(last, e.sequence-1)
+		}
 	}
 	return last
 }
 
-// checkBacklog updates whether stored runs are rejected.
-func (x *Executor) checkBacklog() {
+// checkBacklog updates whether stored runs, or all runs, are rejected.
+func (x *Executor) checkBacklog(now time.Time) {
 	if full := x.backlog() > backlogRejectThreshold; full != x.backlogFull {
 		x.backlogFull, x.statusDirty = full, true
 		x.cfg.Log.Log(event.EndBacklogChanged, "stored_runs_taken", !full, "ends", len(x.unconfirmed), "backlog", x.backlog())
 	}
+	if full := x.endListFull(); full != !x.endListFullSince.IsZero() {
+		x.endListFullSince, x.statusDirty = time.Time{}, true
+		if full {
+			x.endListFullSince = now
+		}
+		x.cfg.Log.Log(event.EndListFull, "runs_taken", !full, "ends", len(x.unconfirmed), "backlog", x.backlog(), "runs", len(x.runs))
+	}
 }
 
-// backlog returns the number of ends after the oldest unconfirmed one.
-func (x *Executor) backlog() uint64 {
-	var n uint64
-	for _, e := range x.unconfirmed {
-		n = max(n, x.lastEndSequence-e.sequence)
+// backlog returns the number of ends from the oldest unreleased one on that the endpoint keeps.
+func (x *Executor) backlog() uint64 { return x.lastEndSequence - x.ackableSequence() }
+
+// endListFull reports whether the endpoint could not list the end of another run, because an
+// unconfirmed end keeps it from forgetting the earlier ones.
+func (x *Executor) endListFull() bool {
+	held := x.backlog()
+	return held > 0 && held+uint64(len(x.runs)) >= maxOutstandingEnds
+}
+
+// releaseUnconfirmed releases the unconfirmed ends if all runs have been rejected for maxClosedTime
+// and the lease has lapsed since the last one ended. If the endpoint forgot the ends while the lease
+// goes on, they would count as recorded.
+func (x *Executor) releaseUnconfirmed(now time.Time) {
+	x.checkBacklog(now)
+	if x.endListFullSince.IsZero() || now.Sub(x.endListFullSince) < maxClosedTime || len(x.runs) > 0 || !x.leaseLapsed(now) {
+		return
 	}
-	return n
+	x.releaseAllEnds(now, "the lease has lapsed")
 }
 
-// expireUnconfirmed drops ends that are too old or hold up too many later ones.
-func (x *Executor) expireUnconfirmed(now time.Time) {
+// releaseAllEnds lets the endpoint forget the unconfirmed ends.
+func (x *Executor) releaseAllEnds(now time.Time, why string) {
 	for id, e := range x.unconfirmed {
-		if x.lastEndSequence-e.sequence > backlogExpireThreshold || now.Sub(e.readAt) > maxUnconfirmedAge {
-			x.cfg.Log.Log(event.EndDiscarded, "task", id.Task, "run", id.Number, "state", e.state,
-				"age_ms", now.Sub(e.readAt).Milliseconds(), "later_ends", x.lastEndSequence-e.sequence)
-			delete(x.unconfirmed, id)
+		if e.released {
+			continue
+		}
+		e.released = true
+		x.unconfirmed[id] = e
+		x.cfg.Log.Log(event.EndReleased, "task", id.Task, "run", id.Number, "state", e.state, "why", why,
+			"age_ms", now.Sub(e.readAt).Milliseconds())
+	}
+	x.limitReleasedEnds(now)
+	x.checkBacklog(now)
+	x.wakeObserver() // observeLoop acknowledges them to the endpoint
+}
+
+// limitReleasedEnds discards the oldest released ends if there are too many. Their tasks can run
+// again.
+func (x *Executor) limitReleasedEnds(now time.Time) {
+	var released []wire.Run
+	for id, e := range x.unconfirmed {
+		if e.released {
+			released = append(released, id)
 		}
 	}
-	x.checkBacklog()
+	slices.SortFunc(released, func(a, b wire.Run) int { return x.unconfirmed[a].readAt.Compare(x.unconfirmed[b].readAt) })
+	for _, id := range released[:max(len(released)-maxReleasedEnds, 0)] {
+		e := x.unconfirmed[id]
+		x.cfg.Log.Log(event.EndDiscarded, "task", id.Task, "run", id.Number, "state", e.state, "age_ms", now.Sub(e.readAt).Milliseconds())
+		delete(x.unconfirmed, id)
+	}
 }
 
 // HasUnconfirmedEnds reports whether an end has been unconfirmed for longer than age.
