ledger: an owner acts only once it has read its own record

Cause: epochs were computed from the generation of the group and the number of acquisitions, and nothing bounded the latter. After many outages of the store in one generation the next owner came to use the epoch of the former one. The store takes such writes for repetitions, answers 200 and stores nothing; a sequence mismatch of the first write was taken for an earlier attempt.

Change: the first write of an owner names the member beside the epoch. The owner records, adopts and runs nothing before it has read that record back, and acquires the partition again with a higher epoch if the epoch is another's. No safety depends on the computation any more. The range of run numbers of an epoch is 1024 in place of 64.

TestTrialRejectionsKeepRunNumbersOfEpoch keeps its bound of 64 numbers. TestEndBeforeFenceResponseIsRecorded applies the new pair of records.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -118,7 +118,7 @@
 		p.MarkDone(0, 1)
 		co.Adopt(submission("j", 3), p, 2)
 		synctest.Wait()
-		c.Check(a.orders, quicktest.DeepEquals, []wire.Run{{Task: "j.0.0.0", Number: 2*runNumbersPerEpoch + 1}, {Task: "j.0.0.2", Number: 2*runNumbersPerEpoch + 1}})
+		c.Check(a.orders, quicktest.DeepEquals, []wire.Run{{Task: "j.0.0.0", Number: 2*job.RunNumbersPerEpoch + 1}, {Task: "j.0.0.2", Number: 2*job.RunNumbersPerEpoch + 1}})
 		a.report(a.orders[0], wire.RunDone)
 		synctest.Wait()
 		c.Check(a.confirms, quicktest.HasLen, 0) // the end is not recorded yet
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -135,7 +135,7 @@
 		a.crash("q", 10*time.Millisecond, a.orders[0])
 		recorded = r.reported["j"]
 		c.Check(recorded.Crashes, quicktest.DeepEquals, map[string][]job.CrashedRun{
-			"j.0.0.0": {{Agent: "host-1", Number: runNumbersPerEpoch + 1, ElapsedMillis: 10, Alone: true}},
+			"j.0.0.0": {{Agent: "host-1", Number: job.RunNumbersPerEpoch + 1, ElapsedMillis: 10, Alone: true}},
 		})
 	})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
@@ -148,7 +148,7 @@
 		run, _ := lastOrder([]*fakeAgent{a}, "j.0.0.0")
 		c.Check(run, quicktest.Equals, a.orders[0])
 	})
-	recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * runNumbersPerEpoch, ElapsedMillis: 11})
+	recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: 2 * job.RunNumbersPerEpoch, ElapsedMillis: 11})
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
 		co.Adopt(submission("j", 2), recorded, 3)
 		synctest.Wait()
@@ -163,7 +163,7 @@
 func TestOwnerDoesNotGiveUpSuspectOfFormerOwner(t *testing.T) {
 	var recorded job.Progress
 	for n := range uint32(2) {
-		recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: runNumbersPerEpoch + n, ElapsedMillis: 11})
+		recorded.SetCrash("j.0.0.0", job.CrashedRun{Agent: "host-2", Number: job.RunNumbersPerEpoch + n, ElapsedMillis: 11})
 	}
 	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
 		co.Adopt(submission("j", 1), recorded, 2)
--- a/coordinator/crash_verdict_test.go
+++ b/coordinator/crash_verdict_test.go
@@ -232,7 +232,7 @@
 			settle(100 * time.Millisecond)
 		}
 		last := a.orders[len(a.orders)-1]
-		c.Check(last.Number < 2*runNumbersPerEpoch, quicktest.IsTrue, quicktest.Commentf("run %d of owner 1", last.Number))
+		c.Check(last.Number < job.RunNumbersPerEpoch+64, quicktest.IsTrue, quicktest.Commentf("run %d of owner 1", last.Number))
 	})
 }
 
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -33,9 +33,6 @@
 // is worse than running a task late.
 const storedRetryHold = 2500 * time.Millisecond
 
-// runNumbersPerEpoch is the size of the range of run numbers that each owner of a job uses.
-const runNumbersPerEpoch = 1 << 6
-
 // storedState is the additional state of an active stored job.
 type storedState struct {
 	progress    job.Progress
@@ -74,7 +71,7 @@
 		j.stored = &storedState{progress: p}
 		for si, tasks := range j.steps {
 			for i, t := range tasks {
-				t.runNumber = uint32(epoch * runNumbersPerEpoch)
+				t.runNumber = uint32(epoch * job.RunNumbersPerEpoch)
 				t.countedFailures = p.Failures[t.name]
 				t.failures = t.countedFailures
 				if p.IsDone(si, i) {
@@ -187,7 +184,7 @@
 	}
 	j := c.jobs[id.Job]
 	switch {
-	case j == nil && c.recorder.JobFinished(id.Job, uint64(r.Run.Number)/runNumbersPerEpoch):
+	case j == nil && c.recorder.JobFinished(id.Job, uint64(r.Run.Number)/job.RunNumbersPerEpoch):
 		c.confirm(a.name, r.Run)
 		return
 	case j == nil:
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -16,6 +16,9 @@
 // storeLatency is the time that a call of the store takes.
 const storeLatency = 4 * time.Millisecond
 
+// repeatableAppends is the number of latest fenced appends of a partition that can be repeated.
+const repeatableAppends = 5
+
 // storeTimeout is the time after which a client of the store gives up a call.
 const storeTimeout = 1500 * time.Millisecond
 
@@ -56,10 +59,10 @@
 	records           []ledger.Record
 	epoch             uint64
 	sequence          uint64
-	fenced            bool   // epoch is set
-	lastOffset        uint64 // offset of the last fenced append
-	owner             string // member that owns the partition, empty if none does
-	revocationPending bool   // another member will own the partition once the owner acknowledges it
+	fenced            bool              // epoch is set
+	offsets           map[uint64]uint64 // of the last repeatableAppends fenced appends, by sequence number
+	owner             string            // member that owns the partition, empty if none does
+	revocationPending bool              // another member will own the partition once the owner acknowledges it
 }
 
 type member struct {
@@ -131,14 +134,16 @@
 	defer s.mu.Unlock()
 	p := s.partitions[partition]
 	if fence != nil {
+		first, repeated := p.offsets[fence.Sequence]
 		switch {
 		case p.fenced && fence.Epoch < p.epoch:
 			return 0, ledger.ErrFenced
 		case !p.fenced || fence.Epoch > p.epoch:
 			p.fenced, p.epoch, p.sequence = true, fence.Epoch, fence.Sequence
+			p.offsets = make(map[uint64]uint64)
 		case len(records) == 0:
-		case fence.Sequence == p.sequence:
-			return p.lastOffset, nil // a repeated append gets the original reply
+		case repeated:
+			return first, nil // a repeated append gets the original reply
 		case fence.Sequence != p.sequence+1:
 			return 0, ledger.ErrSequenceMismatch
 		default:
@@ -147,7 +152,8 @@
 	}
 	offset := uint64(len(p.records))
 	if fence != nil {
-		p.lastOffset = offset
+		p.offsets[fence.Sequence] = offset
+		delete(p.offsets, fence.Sequence-repeatableAppends)
 	}
 	for _, r := range records {
 		p.records = append(p.records, ledger.Record{Key: r.Key, Value: slices.Clone(r.Value)})
--- a/emulator/stored_test.go
+++ b/emulator/stored_test.go
@@ -132,6 +132,40 @@
 	}
 }
 
+// Guards against an owner whose writes are lost (review case 2): after many outages of the store in one
+// generation of the group, the next owner used the epoch of the former one, and the store took its
+// writes for repetitions. Its jobs were shown as completed, and the owner after it ran them again.
+func TestOwnersAfterManyOutagesRecordJobs(t *testing.T) {
+	withStoredSystem(t, 24, func(ctx context.Context, c *quicktest.C, s *System) {
+		var jobs []job.Submission
+		submitFor := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				j := storedJob(0xabc000+len(jobs), 1, 100*time.Millisecond)
+				if s.Ledger(len(jobs)%2).Accept(ctx, j) == nil {
+					jobs = append(jobs, j)
+				}
+			}
+		}
+		for range 58 { // more than the epochs that were once reserved for the three generations of a kill
+			s.Store.SetFaults(StoreFaults{Down: true, FreezeMemberships: true})
+			time.Sleep(1700 * time.Millisecond)
+			s.Store.SetFaults(StoreFaults{})
+			time.Sleep(900 * time.Millisecond)
+		}
+		submitFor(6 * time.Second)
+		for i := range 4 {
+			s.KillEntry(i % 2)
+			submitFor(9 * time.Second)
+		}
+		time.Sleep(15 * time.Second)
+		c.Check(s.CheckStored(jobs), quicktest.HasLen, 0)
+		for _, j := range jobs {
+			state, err := s.Ledger(0).State(ctx, j.ID)
+			c.Check(err == nil && state == job.Completed, quicktest.IsTrue, quicktest.Commentf("job %s is %s, %v", j.ID, state, err))
+		}
+	})
+}
+
 // Guards against callers that wait for seconds after the store lost the reply to a write. The
 // ledger must repeat the write while the job can still meet its objective.
 func TestLostStoreReplyIsRetried(t *testing.T) {
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -59,6 +59,7 @@
 	RecordIgnored            = define(653, Warn, "invalid record in the platform store ignored")
 	PartitionAcquired        = define(654, Info, "partition of stored jobs acquired")
 	PartitionLost            = define(655, Warn, "partition of stored jobs lost or released; the runs of its jobs are stopped")
+	EpochTaken               = define(676, Warn, "epoch of an acquired partition was used by another owner; the partition is acquired again with a higher one")
 	JobStored                = define(657, Info, "job stored")
 	JobAdopted               = define(656, Info, "stored job is run by this entry")
 	EntryListFailed          = define(651, Warn, "entry list could not be read or written")
--- a/job/progress.go
+++ b/job/progress.go
@@ -5,6 +5,11 @@
 	"slices"
 )
 
+// RunNumbersPerEpoch is the size of the range of run numbers that each owner of a stored job uses for
+// a task. The range of an epoch begins at its multiple. A task whose orders are rejected at once can
+// use a hundred numbers in 100 ms.
+const RunNumbersPerEpoch = 1 << 10
+
 // Progress is what the owner of a job has recorded about it.
 type Progress struct {
 	// State is the final state; empty until the job has ended.
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -136,6 +136,7 @@
 	for _, r := range records {
 		l.apply(p, r, loaded)
 	}
+	l.checkEpoch(p)
 	if p.runsJobs() {
 		l.startJobs(p)
 	}
@@ -156,9 +157,13 @@
 // apply applies one record. inOrder is false for records of Newest, whose order is undefined.
 // l.mu must be held.
 func (l *Ledger) apply(p *partition, r Record, inOrder bool) {
-	if r.Key == ownerKey {
+	switch r.Key {
+	case ownerKey:
 		l.applyOwner(p, r.Value)
 		return
+	case claimKey:
+		l.applyClaim(p, r.Value)
+		return
 	}
 	kind, id, ok := splitKey(r.Key)
 	switch {
@@ -212,22 +217,6 @@
 	p.jobs[id] = e
 }
 
-// applyOwner applies a record of kindOwner. A former owner releases the partition before it
-// applies the jobs that were accepted later, so that the new owner can run these at once.
-func (l *Ledger) applyOwner(p *partition, value []byte) {
-	epoch, err := decode[uint64](value)
-	if err != nil {
-		l.cfg.Log.Log(event.RecordIgnored, "key", ownerKey, "error", err)
-		return
-	}
-	switch {
-	case p.owned && *epoch > p.epoch:
-		l.release(p, "a later owner has acquired the partition")
-	case p.owned && *epoch == p.epoch:
-		p.ownerRead, p.writable = true, true // even if the response to the write was lost
-	}
-}
-
 // applyAccepted applies a record of kindAccepted. It reports whether the record is valid.
 func (l *Ledger) applyAccepted(e *storedJob, id string, value []byte) bool {
 	if len(value) == 0 || e.progress.State != "" {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -143,10 +143,12 @@
 	jobs          map[string]*storedJob
 	owned         bool
 	epoch         uint64
+	storedEpoch   uint64 // highest epoch of an owner that was read
 	sequence      uint64
-	writable      bool // this owner's record is stored, which fences off former owners
-	// ownerRead is set when that record has been read. No former owner has run the jobs
-	// that follow it.
+	// writable is set when this owner has read its own record, which shows that its epoch is its
+	// own and that former owners are fenced off. It outlives owned by releaseGracePeriod.
+	writable bool
+	// ownerRead is set with writable. No former owner has run the jobs that follow the record.
 	ownerRead    bool
 	takenOver    bool                    // the runs of former owners have ended
 	dirty        map[string]job.Progress // progress to be recorded, by job
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -134,16 +135,11 @@
 	return l.leaseValid()
 }
 
-// epochsPerGeneration bounds how often a process can acquire a partition within one generation
-// of the group. It acquires a partition again if its lease expired and no other member has
-// acquired it.
-const epochsPerGeneration = 16
-
-// nextEpoch returns an epoch that is higher than all that were used before: former owners
-// had a lower generation, and this process increments its own. An epoch is not reused,
-// because the store treats a repeated sequence number as a repeated write.
+// nextEpoch returns an epoch for acquiring p in the given generation of the group. It is higher than
+// those that this process has used or read. Another member may have used it already, since it may have
+// acquired p any number of times in one generation; the owner record tells (see checkEpoch).
 func (p *partition) nextEpoch(generation uint64) uint64 {
-	return max(generation*epochsPerGeneration, p.epoch+1)
+	return max(generation, p.epoch+1, p.storedEpoch+1)
 }
 
 // acquire makes this process the owner of a partition. Jobs that are accepted after its owner
@@ -169,13 +165,7 @@
 				return
 			}
 		}
-		l.mu.Lock()
-		if p.owned && p.epoch == epoch {
-			p.writable = true
-			p.wakeRecorder()
-		}
-		l.mu.Unlock()
-		p.wakeFollower()
+		p.wakeFollower() // reads the owner record
 		select {
 		case <-time.After(takeoverEnd - l.cfg.Now()):
 		case <-ctx.Done():
@@ -189,7 +179,7 @@
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if p.owned && p.epoch == epoch {
+		if p.owned && p.epoch == epoch && p.writable {
 			p.takenOver = true
 			l.cfg.Log.Log(event.PartitionTakenOver, "partition", p.index, "epoch", epoch, "jobs", len(p.jobs),
 				"took_ms", (l.cfg.Now() - acquired).Milliseconds(), "fence_attempts", fenceAttempts, "reads", reads)
@@ -202,9 +192,10 @@
 // ownerRecordSequence is the sequence number of an owner's first write, its owner record.
 const ownerRecordSequence = 1
 
-// fence makes the nth attempt, counted from 0, to append this owner's record, which raises the
+// fence makes the nth attempt, counted from 0, to append this owner's records, which raises the
 // epoch of the partition so that the store rejects writes of former owners. It returns nil if
-// no further attempt is needed.
+// no further attempt is needed. Only reading the records back shows that they are stored: if
+// another owner has used the epoch, the store takes them for a repetition of that owner's records.
 func (l *Ledger) fence(ctx context.Context, p *partition, epoch uint64, n int) error {
 	l.mu.Lock()
 	current := p.owned && p.epoch == epoch
@@ -212,14 +203,9 @@
 	if !current {
 		return nil
 	}
-	value, err := encode(epoch)
-	if err != nil {
-		panic(err) // encoding a number cannot fail
-	}
-	owner := []Record{{Key: ownerKey, Value: value}}
-	_, err = l.appendOnce(ctx, p, owner, &Fence{Epoch: epoch, Sequence: ownerRecordSequence}, n)
+	_, err := l.appendOnce(ctx, p, ownerRecords(epoch, l.cfg.Member), &Fence{Epoch: epoch, Sequence: ownerRecordSequence}, n)
 	if errors.Is(err, ErrSequenceMismatch) {
-		return nil // an earlier attempt was applied
+		return nil // an earlier attempt was applied, or another owner has used the epoch
 	}
 	if errors.Is(err, ErrFenced) {
 		l.mu.Lock()
@@ -230,6 +216,60 @@
 	return err
 }
 
+// ownerRecords returns the first records of an owner. The claim comes first, so that it is known when
+// the epoch is applied.
+func ownerRecords(epoch uint64, member string) []Record {
+	claim, err := encode(ownerClaim{Epoch: epoch, Member: member})
+	if err != nil {
+		panic(err) // encoding a number and a string cannot fail
+	}
+	value, err := encode(epoch)
+	if err != nil {
+		panic(err) // encoding a number cannot fail
+	}
+	return []Record{{Key: claimKey, Value: claim}, {Key: ownerKey, Value: value}}
+}
+
+// applyOwner applies a record of the owner's epoch. A former owner releases the partition before it
+// applies the jobs that were accepted later, so that the new owner can run these at once.
+func (l *Ledger) applyOwner(p *partition, value []byte) {
+	epoch, err := decode[uint64](value)
+	if err == nil && *epoch > maxEpoch {
+		err = fmt.Errorf("epoch %d is above %d", *epoch, maxEpoch)
+	}
+	if err != nil {
+		l.cfg.Log.Log(event.RecordIgnored, "key", ownerKey, "error", err)
+		return
+	}
+	p.storedEpoch = max(p.storedEpoch, *epoch)
+	if p.owned && *epoch > p.epoch {
+		l.release(p, "a later owner has acquired the partition")
+	}
+}
+
+// applyClaim applies the record that tells whose epoch it is. Once an owner has read its own claim, its
+// writes are stored and former owners are fenced.
+func (l *Ledger) applyClaim(p *partition, value []byte) {
+	claim, err := decode[ownerClaim](value)
+	if err != nil {
+		l.cfg.Log.Log(event.RecordIgnored, "key", claimKey, "error", err)
+		return
+	}
+	if p.owned && claim.Epoch == p.epoch && claim.Member == l.cfg.Member {
+		p.ownerRead, p.writable = true, true
+		p.wakeRecorder()
+	}
+}
+
+// checkEpoch releases a partition whose epoch another owner has used: the store would take the writes
+// of this process for repetitions of that owner's. It is called after all read records are applied.
+func (l *Ledger) checkEpoch(p *partition) {
+	if p.owned && !p.ownerRead && p.storedEpoch >= p.epoch {
+		l.cfg.Log.Log(event.EpochTaken, "partition", p.index, "epoch", p.epoch, "stored", p.storedEpoch)
+		l.releaseFenced(p, "another owner has used the epoch")
+	}
+}
+
 // releaseGracePeriod is how long a former owner goes on recording the progress of its jobs,
 // enough for two calls to the store. The store rejects its writes once the next owner's record
 // is stored, which takes longer when partitions are rebalanced.
--- a/ledger/ownership_test.go
+++ b/ledger/ownership_test.go
@@ -150,13 +150,7 @@
 	if len(store.keys) != 0 {
 		t.Errorf("wrote %v before the owner record was stored", store.keys)
 	}
-	value, err := encode(p.epoch)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.mu.Lock()
-	l.apply(p, Record{Key: ownerKey, Value: value}, true)
-	l.mu.Unlock()
+	l.applyRead(p, ownerRecords(p.epoch, l.cfg.Member), 0, 2)
 	l.recordBatch(context.Background(), p)
 	if len(store.keys) == 0 {
 		t.Error("the end is not recorded")
@@ -230,3 +224,37 @@
 		t.Errorf("state %q, want completed", got)
 	}
 }
+
+// Guards against an owner whose writes are lost because another owner has used its epoch (review case
+// 2): the store takes them for repetitions. It must not act before it has read its own record, and must
+// acquire the partition again with a higher epoch than all that were used.
+func TestOwnerWithUsedEpochAcquiresHigherOne(t *testing.T) {
+	l, p := ownedPartition(&recordingStore{}, &reportOnStopRunner{onStop: func(string) {}})
+	l.cfg.Member = "entry-2"
+	p.takenOver, p.writable = false, false
+	epoch := p.epoch
+	l.applyRead(p, ownerRecords(epoch, "entry-1"), 0, 2)
+	if p.owned || p.writable {
+		t.Errorf("owned %v, writable %v with the epoch of another owner", p.owned, p.writable)
+	}
+	if next := p.nextEpoch(2); next <= epoch {
+		t.Errorf("next epoch %d, want one above %d", next, epoch)
+	}
+	p.owned, p.epoch = true, epoch+1
+	l.applyRead(p, ownerRecords(p.epoch, "entry-2"), 2, 4)
+	if !p.owned || !p.writable || !p.ownerRead {
+		t.Errorf("owned %v, writable %v, record read %v with an epoch of its own", p.owned, p.writable, p.ownerRead)
+	}
+}
+
+// Guards against a takeover during an upgrade whose epoch an owner of an earlier version has used, which
+// writes no claim.
+func TestEpochOfOwnerWithoutClaimIsNotReused(t *testing.T) {
+	l, p := ownedPartition(&recordingStore{}, &reportOnStopRunner{onStop: func(string) {}})
+	p.takenOver, p.writable = false, false
+	epoch := p.epoch
+	l.applyRead(p, ownerRecords(epoch, "")[1:], 0, 1)
+	if p.owned || p.writable || p.nextEpoch(1) <= epoch {
+		t.Errorf("owned %v, writable %v, next epoch %d", p.owned, p.writable, p.nextEpoch(1))
+	}
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -21,13 +22,27 @@
 	// kindEnd is the end of a run that an agent reported to an entry other than the owner,
 	// which may not get the report itself. The key holds the task id instead of the job id.
 	kindEnd = 'e'
-	// kindOwner holds the epoch of the partition's owner. An owner that reads a higher epoch
-	// releases the partition before it applies the jobs that were accepted later.
+	// kindOwner holds the epoch of the partition's owner, and which member that is. An owner that
+	// reads a higher epoch releases the partition before it applies the jobs that were accepted
+	// later.
 	kindOwner = 'o'
 )
 
-// ownerKey is the key of the partition's single record of kindOwner.
-const ownerKey = string(kindOwner) + "wner"
+// Keys of the two records of kindOwner in each partition. They are written together. Processes of
+// versions before the claim was added read and write the epoch only.
+const (
+	ownerKey = string(kindOwner) + "wner"
+	claimKey = string(kindOwner) + "claim"
+)
+
+// ownerClaim is the value of the record of claimKey.
+type ownerClaim struct {
+	Epoch  uint64 `cbor:"1,keyasint"`
+	Member string `cbor:"2,keyasint"`
+}
+
+// maxEpoch is the highest epoch of which run numbers can be derived.
+const maxEpoch = math.MaxUint32/job.RunNumbersPerEpoch - 1
 
 func recordKey(kind byte, id string) string { return string(kind) + id }
 
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -163,5 +163,6 @@
 	for _, r := range records {
 		l.apply(p, r, true)
 	}
+	l.checkEpoch(p)
 	p.nextOffset = after
 }
