coordinator, relay: agents connect to an owner whose stored jobs need them

Cause: with placement entries an agent serves one of them, and the owner of a stored job orders its tasks only at agents that are connected to it. Nothing brought a job and the endpoints that can run it together; the same holds for large tasks, for services without an agent at the owner, and for an owner whose endpoints are full.

Change: an owner whose stored task has had no endpoint that could run it for 0.4 s, or whose job has had no run for 2 s, publishes service, size and label of the task in its record of the entry list. Agents that meet them connect to it too, until 10 s after the last such job. A refusal at the submission would hold only until agents or owners change.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -44,6 +44,7 @@
 	queued          bool         // in Coordinator.queued
 	stored          *storedState // nil for an ephemeral job
 	moves           int
+	activeAt        time.Time // when it was admitted, or a task was last ordered or completed
 }
 
 // task is a task of an active job.
@@ -85,7 +86,7 @@
 
 // newActiveJob returns an active job for s of which no task is ordered.
 func newActiveJob(s job.Submission, now time.Time, waiters ...waiter) *activeJob {
-	j := &activeJob{spec: s, arrived: now.Add(-s.Elapsed), waiters: waiters}
+	j := &activeJob{spec: s, arrived: now.Add(-s.Elapsed), waiters: waiters, activeAt: now}
 	for si := range s.Steps {
 		st := &j.spec.Steps[si]
 		tasks := make([]*task, st.Count)
@@ -316,6 +317,7 @@
 	j := t.job
 	t.state = taskDone
 	j.tasksLeft--
+	j.activeAt = now
 	if j.stored != nil {
 		j.stored.progress.MarkDone(t.id.Step, t.id.Index)
 		j.addRunEnd(t, agentName, number, 0)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -94,6 +94,9 @@
 	crashes            crashHistory
 	confined           map[string]*confinement // by queue
 	confinementsAt     time.Time               // when confined was last updated
+	wanted             wantedState
+	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
+	wantedChanged      chan struct{}
 }
 
 // New returns a Coordinator. It does nothing until Run is called.
@@ -111,6 +114,8 @@
 		callerTimeouts: make(map[string]*policy.CallerTimeoutModel),
 		crashes:        crashHistory{tasks: make(map[string]*taskCrashes)},
 		confined:       make(map[string]*confinement),
+		wanted:         wantedState{neededAt: make(map[wire.TaskRequirement]time.Time)},
+		wantedChanged:  make(chan struct{}, 1),
 	}
 	c.agentsUnreachable.Store(true) // until the first message from an agent
 	return c
@@ -177,6 +182,7 @@
 	c.crashes.expire(now)
 	c.updateConfinements(now)
 	c.updateLabels()
+	c.updateWanted(now)
 }
 
 // AfterBatch implements loop.Controller.
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -265,7 +265,7 @@
 func (c *Coordinator) orderTask(t *task, a *agent, now time.Time) {
 	t.runNumber++
 	t.state, t.agent, t.orderedAt = taskOrdered, a, now
-	t.job.started = true
+	t.job.started, t.job.activeAt = true, now
 	a.tasks[t.name] = t
 	a.orderCount++
 	t.orderSequence = a.orderCount
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -62,6 +62,7 @@
 	EpochTaken               = define(676, Warn, "epoch of an acquired partition was used by another owner; the partition is acquired again with a higher one")
 	JobStored                = define(657, Info, "job stored")
 	JobAdopted               = define(656, Info, "stored job is run by this entry")
+	WantedChanged            = define(677, Info, "what agents of other entries are wanted for has changed")
 	EntryListFailed          = define(651, Warn, "entry list could not be read or written")
 	EntryListChanged         = define(652, Info, "entry list changed")
 	EntryDelisted            = define(668, Warn, "unreachable entry removed from the entry list")
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -320,3 +320,14 @@
 	}
 	return wire.RejectRetired
 }
+
+// CanRunAny reports whether the endpoint meets one of the requirements.
+func (x *Executor) CanRunAny(requirements []wire.TaskRequirement) (can bool) {
+	if len(requirements) == 0 {
+		return false
+	}
+	x.loop.Do(func() {
+		can = x.profile != nil && slices.ContainsFunc(requirements, func(r wire.TaskRequirement) bool { return r.IsMetBy(x.profile) })
+	})
+	return can
+}
--- a/policy/placement_entries.go
+++ b/policy/placement_entries.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"oriolerelay/wire"
 )
 
 const (
@@ -26,6 +28,8 @@
 	Region  string
 	// MilliCores is the processor capacity of its host, in thousandths of a core.
 	MilliCores uint32
+	// Wanted holds what the entry needs of agents that do not serve it.
+	Wanted []wire.TaskRequirement
 }
 
 // PlacementEntries returns the addresses of the entries that place jobs at the endpoints of a
--- a/relay/agent_conns.go
+++ b/relay/agent_conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oriolerelay/event"
@@ -38,13 +39,20 @@
 
 // chooseEntries implements connOwner. It returns all placement entries while there are few
 // entries, or while this agent holds unconfirmed ends, since any of these entries may be
-// their new owner; otherwise placementEntriesPerAgent that are not down.
+// their new owner; otherwise placementEntriesPerAgent that are not down. Entries whose stored jobs
+// need this endpoint are added.
 func (ac *agentConns) chooseEntries(entries []policy.Entry, down map[string]bool) []string {
 	candidates := policy.PlacementEntries(entries, ac.process.settings.Region, down)
-	if len(entries) <= policy.SmallDeploymentEntries || ac.executor.HasUnconfirmedEnds(confirmTimeout) {
-		return candidates
+	chosen := candidates
+	if len(entries) > policy.SmallDeploymentEntries && !ac.executor.HasUnconfirmedEnds(confirmTimeout) {
+		chosen = rendezvous.Choose(ac.process.settings.Node, candidates, down, placementEntriesPerAgent, len(candidates))
 	}
-	return rendezvous.Choose(ac.process.settings.Node, candidates, down, placementEntriesPerAgent, len(candidates))
+	for _, e := range entries {
+		if !slices.Contains(chosen, e.Address) && ac.executor.CanRunAny(e.Wanted) {
+			chosen = append(chosen, e.Address)
+		}
+	}
+	return chosen
 }
 
 // newHandler implements connOwner.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -209,11 +209,12 @@
 
 // publish keeps the record of this entry in the entry list.
 func (e *entry) publish(ctx context.Context) {
-	record := wire.EntryAddress{
+	record := wire.EntryRecord{EntryAddress: wire.EntryAddress{
 		Node: e.process.incarnation, Address: e.peers.selfAddress, Region: e.process.settings.Region,
 		MilliCores: uint32(1000 * e.process.settings.ProcessorShare),
-	}
+	}}
 	for !e.draining.Load() {
+		record.Wanted = e.coordinator.Wanted()
 		delay := entryPublishInterval
 		if err := e.store.PublishEntry(ctx, record); err != nil && ctx.Err() == nil {
 			e.process.log.Log(event.EntryListFailed, "error", err)
@@ -222,6 +223,7 @@
 		select {
 		case <-time.After(delay):
 		case <-e.republish:
+		case <-e.coordinator.WantedChanged():
 		case <-ctx.Done():
 			return
 		}
--- a/relay/entry_conns.go
+++ b/relay/entry_conns.go
@@ -160,8 +160,8 @@
 			ec.listed = true
 			l.wake()
 		}
-		if ec.incarnation = ch.Entry.Node; ec.Region != ch.Entry.Region || ec.MilliCores != ch.Entry.MilliCores {
-			ec.Region, ec.MilliCores = ch.Entry.Region, ch.Entry.MilliCores
+		if ec.incarnation = ch.Entry.Node; ec.Region != ch.Entry.Region || ec.MilliCores != ch.Entry.MilliCores || !slices.Equal(ec.Wanted, ch.Entry.Wanted) {
+			ec.Region, ec.MilliCores, ec.Wanted = ch.Entry.Region, ch.Entry.MilliCores, ch.Entry.Wanted
 			l.wake()
 		}
 	}
--- a/relay/entry_conns_test.go
+++ b/relay/entry_conns_test.go
@@ -15,6 +15,7 @@
 	"oriolerelay/executor"
 	"oriolerelay/ids"
 	"oriolerelay/internal/rendezvous"
+	"oriolerelay/platform"
 	"oriolerelay/policy"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
@@ -184,6 +185,42 @@
 	waitFor(t, changed, "a connection to another entry", func() bool { return countConnected(entries) == placementEntriesPerAgent })
 }
 
+// Guards against an agent that does not connect to an entry whose stored jobs need its endpoint (review
+// case 3), and against one that connects to entries that need other endpoints.
+func TestAgentConnectsToEntriesThatWantItsEndpoint(t *testing.T) {
+	entries, changed := startTestEntries(t, policy.SmallDeploymentEntries+3)
+	l := startTestAgent(t, "side-1", addressesOf(entries))
+	waitFor(t, changed, "connections to the chosen entries", func() bool { return countConnected(entries) == placementEntriesPerAgent })
+	var others []*testEntry
+	for _, e := range entries {
+		if e.connection() == nil {
+			others = append(others, e)
+		}
+	}
+	list := func(wanted, other []wire.TaskRequirement) {
+		var changes []platform.EntryChange
+		for i, e := range entries {
+			record := wire.EntryRecord{EntryAddress: wire.EntryAddress{Node: ids.NewIncarnation(fmt.Sprintf("entry-%d", i)), Address: e.address}}
+			switch e {
+			case others[0]:
+				record.Wanted = wanted
+			case others[1]:
+				record.Wanted = other
+			}
+			changes = append(changes, platform.EntryChange{Entry: record, Present: true})
+		}
+		l.applyListChanges(changes)
+	}
+	service := emulator.NewEndpoint("endpoint", wire.Resources{}, 1).Announcement(false).Profile.Service
+	list([]wire.TaskRequirement{{Service: service, Size: wire.Resources{MilliCores: 8000}}},
+		[]wire.TaskRequirement{{Service: service, Size: wire.Resources{MilliCores: 8001}}, {Service: service, Label: "b"}, {Service: "other"}})
+	waitFor(t, changed, "a connection to the entry that wants the endpoint", func() bool { return others[0].connection() != nil })
+	time.Sleep(5 * reconcileInterval)
+	qt.Check(t, others[1].connection(), qt.IsNil)
+	list(nil, nil)
+	waitFor(t, changed, "the end of that connection", func() bool { return others[0].connection() == nil })
+}
+
 // Guards against runs that are lost because the agent replaces their entry by another one, and
 // against orders to an agent that is about to close the connection.
 func TestRunsOfRetiredEntryComplete(t *testing.T) {
--- a/relay/peers_test.go
+++ b/relay/peers_test.go
@@ -37,9 +37,9 @@
 	e := newPeerConns(p, router.New(router.Config{Local: noAgents{}, Region: "r", Metrics: router.NewMetrics(prometheus.NewRegistry())}))
 	var listed []platform.EntryChange
 	for i, x := range entries {
-		listed = append(listed, platform.EntryChange{Present: true, Entry: wire.EntryAddress{
+		listed = append(listed, platform.EntryChange{Present: true, Entry: wire.EntryRecord{EntryAddress: wire.EntryAddress{
 			Node: ids.NewIncarnation(x.address), Address: x.address, Region: "r", MilliCores: uint32(1000 - i),
-		}})
+		}}})
 	}
 	e.conns.applyListChanges(listed)
 	done := make(chan struct{})
--- a/relay/prober_test.go
+++ b/relay/prober_test.go
@@ -127,7 +127,7 @@
 		return sorted(out)
 	}
 	change := func(address string, present bool) platform.EntryChange {
-		return platform.EntryChange{Present: present, Entry: wire.EntryAddress{Node: ids.NewIncarnation(address), Address: address, Region: "r"}}
+		return platform.EntryChange{Present: present, Entry: wire.EntryRecord{EntryAddress: wire.EntryAddress{Node: ids.NewIncarnation(address), Address: address, Region: "r"}}}
 	}
 	now := time.Now()
 	l.setSeeds([]string{"a", "b", "gone"})
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -5,8 +5,10 @@
 package wire
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -99,6 +101,34 @@
 	MilliCores uint32 `cbor:"4,keyasint,omitempty"`
 }
 
+// EntryRecord is the record of an entry in the platform's entry list.
+type EntryRecord struct {
+	EntryAddress
+	// Wanted holds what the tasks of the entry's stored jobs need of agents that do not serve it.
+	// Agents whose endpoints meet one of them connect to it.
+	Wanted []TaskRequirement `json:",omitempty"`
+}
+
+// TaskRequirement is what an endpoint needs for a task. Its zero Size and Label stand for any.
+type TaskRequirement struct {
+	Service string    `cbor:"1,keyasint"`
+	Size    Resources `cbor:"2,keyasint"`
+	Label   string    `cbor:"3,keyasint,omitempty"`
+}
+
+// IsMetBy reports whether an endpoint with the given profile can run the task when it is idle.
+func (r *TaskRequirement) IsMetBy(p *Profile) bool {
+	return p.Service == r.Service && r.Size.Fits(p.Capacity) && (r.Label == "" || slices.Contains(p.Labels, r.Label))
+}
+
+// Compare orders requirements.
+func (r TaskRequirement) Compare(o TaskRequirement) int {
+	return cmp.Or(
+		cmp.Compare(r.Service, o.Service), cmp.Compare(r.Label, o.Label), cmp.Compare(r.Size.MilliCores, o.Size.MilliCores),
+		cmp.Compare(r.Size.MemoryMiB, o.Size.MemoryMiB), cmp.Compare(r.Size.Accelerators, o.Size.Accelerators),
+	)
+}
+
 // Config carries the complete current configuration, as the JSON of ticket.Config, with
 // its ticket number.
 type Config struct {
