coordinator: the next owner of a job recognizes a recorded failure

Cause: the recorded progress held the number of failures of a task and not which runs they were. A former owner that gave the job up did not confirm the end to its agent, which goes on reporting it, and the next owner counted it again.

Change: the progress holds the numbers of the failed runs. A reported failure that is recorded is confirmed and not counted. Reports of failures are kept for a later adoption as long as those of completed tasks; the 600 ms were meant to drop repetitions. Failures that earlier versions recorded without numbers absorb as many reports of former runs.

Tests: TestRecordedFailureIsNotCountedByNextOwner and TestFailuresWithoutRunNumbersAreNotCountedAgain failed before the fix, on with 3 failures in place of 2.

Tests of coordinator and ledger pass.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -65,8 +65,8 @@
 	// holdUntil is the time until which a stored task waits for a report of its last run, whose
 	// agent was lost and may have kept its end.
 	holdUntil time.Time
-	// failedRuns holds the numbers of the counted failed runs of a stored task.
-	failedRuns map[uint32]bool
+	// adoptedNumber is the run number below which runs of a stored task were ordered by former owners.
+	adoptedNumber uint32
 }
 
 // minDeclaredRunTime is the run time that is assumed for a task that declares none or a shorter
@@ -320,7 +320,7 @@
 	j.activeAt = now
 	if j.stored != nil {
 		j.stored.progress.MarkDone(t.id.Step, t.id.Index)
-		j.addRunEnd(t, agentName, number, 0)
+		j.addRunEnd(t, agentName, number, false)
 	}
 	switch {
 	case j.tasksLeft == 0 && j.stored != nil:
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -423,3 +423,53 @@
 		})
 	}
 }
+
+// Guards against a job that is shown as failed too early (review case 4): a failure that the former
+// owner has recorded, but not confirmed to its agent, is reported to the next owner and was counted
+// again.
+func TestRecordedFailureIsNotCountedByNextOwner(t *testing.T) {
+	for name, reportedBefore := range map[string]bool{"reported before the adoption": true, "reported after it": false} {
+		t.Run(name, func(t *testing.T) {
+			withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
+				s := submission("j", 1)
+				s.Queue.Attempts = 3
+				co.Adopt(s, job.Progress{}, 1)
+				synctest.Wait()
+				failed := a.orders[0]
+				a.report(failed, wire.RunFailed)
+				co.StopJob("j")
+				synctest.Wait()
+				recorded := r.reported["j"]
+				c.Assert(recorded.Failures, quicktest.DeepEquals, map[string]int{"j.0.0.0": 1})
+				if reportedBefore {
+					a.report(failed, wire.RunFailed)
+				}
+				a.confirms = nil
+				co.Adopt(s, recorded, 2)
+				a.report(failed, wire.RunFailed)
+				synctest.Wait()
+				c.Check(a.confirms, quicktest.Contains, failed)
+				a.report(a.orders[len(a.orders)-1], wire.RunFailed)
+				settle(time.Second)
+				c.Check(r.reported["j"].Failures, quicktest.DeepEquals, map[string]int{"j.0.0.0": 2})
+				c.Check(r.reported["j"].State, quicktest.Equals, job.State(""))
+			})
+		})
+	}
+}
+
+// Guards against failures that an owner of an earlier version has recorded without run numbers and that
+// are counted again, and against failures of the present owner that are taken for one of those.
+func TestFailuresWithoutRunNumbersAreNotCountedAgain(t *testing.T) {
+	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
+		s := submission("j", 1)
+		s.Queue.Attempts = 3
+		co.Adopt(s, job.Progress{Failures: map[string]int{"j.0.0.0": 1}}, 2)
+		a.report(wire.Run{Task: "j.0.0.0", Number: 7}, wire.RunFailed)
+		settle(time.Second)
+		c.Check(r.reported["j"].Failures, quicktest.DeepEquals, map[string]int{"j.0.0.0": 1})
+		a.report(a.orders[0], wire.RunFailed)
+		settle(time.Second)
+		c.Check(r.reported["j"].Failures, quicktest.DeepEquals, map[string]int{"j.0.0.0": 2})
+	})
+}
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -46,14 +45,14 @@
 	agent string
 	run   wire.Run
 	task  *task
-	// failure is the ordinal of this failure among those of the task; 0 for a completed task.
-	failure int
+	// failed is set for a failure, and not for a completed task.
+	failed bool
 }
 
 // recordedIn reports whether p includes the end.
 func (e *runEnd) recordedIn(p job.Progress) bool {
-	if e.failure > 0 {
-		return p.Failures[e.task.name] >= e.failure
+	if e.failed {
+		return p.HasFailure(e.task.name, e.run.Number)
 	}
 	return p.IsDone(e.task.id.Step, e.task.id.Index)
 }
@@ -72,6 +71,7 @@
 		for si, tasks := range j.steps {
 			for i, t := range tasks {
 				t.runNumber = uint32(epoch * job.RunNumbersPerEpoch)
+				t.adoptedNumber = t.runNumber
 				t.countedFailures = p.Failures[t.name]
 				t.failures = t.countedFailures
 				if p.IsDone(si, i) {
@@ -154,12 +154,11 @@
 	c.recorder.ReportProgress(j.spec.ID, j.stored.progress)
 }
 
-// addRunEnd adds the end of a stored run to those that wait to be recorded; failure is its
-// ordinal among the failures of the task, 0 for a completed task.
-func (j *activeJob) addRunEnd(t *task, agentName string, number uint32, failure int) {
+// addRunEnd adds the end of a stored run to those that wait to be recorded.
+func (j *activeJob) addRunEnd(t *task, agentName string, number uint32, failed bool) {
 	j.stored.dirty = true
 	j.stored.unconfirmed = append(j.stored.unconfirmed, runEnd{
-		agent: agentName, run: wire.Run{Task: t.name, Number: number}, task: t, failure: failure,
+		agent: agentName, run: wire.Run{Task: t.name, Number: number}, task: t, failed: failed,
 	})
 }
 
@@ -226,22 +225,10 @@
 // owner may be cut off from the agent. It would run the task again 3.8 s after it lost the agent.
 const unclaimedRecordAge = 1100 * time.Millisecond
 
-const (
-	// doneEndTTL is how long the end of a completed task is kept, after its last report, for a job
-	// that may be adopted later. The agent may have failed since, and partitions can change owners
-	// several times in that time.
-	doneEndTTL = 20 * time.Second
-	// failedEndTTL is the same for a failure. The former owner may have counted it already, and
-	// agents repeat uncounted failures every 400 ms.
-	failedEndTTL = 600 * time.Millisecond
-)
-
-func (e *unclaimedEnd) ttl() time.Duration {
-	if e.report.State == wire.RunDone {
-		return doneEndTTL
-	}
-	return failedEndTTL
-}
+// unclaimedEndTTL is how long the end of a run is kept, after its last report, for a job that may be
+// adopted later. The agent may have failed since, and partitions can change owners several times in that
+// time.
+const unclaimedEndTTL = 20 * time.Second
 
 // keepUnclaimedEnd stores an unclaimed end, or updates the stored one of the same run.
 func (c *Coordinator) keepUnclaimedEnd(id string, e unclaimedEnd, now time.Time) {
@@ -266,7 +253,7 @@
 	delete(c.unclaimedEnds, j.spec.ID)
 	for _, e := range ends {
 		id, err := job.ParseTaskID(e.report.Run.Task)
-		if err == nil && now.Sub(e.lastReported) <= e.ttl() {
+		if err == nil && now.Sub(e.lastReported) <= unclaimedEndTTL {
 			c.applyRunEnd(j, id, e.agent, e.report) // even if the agent is unreachable now
 		}
 	}
@@ -282,7 +269,7 @@
 	}
 	c.unclaimedCheckedAt = now
 	for id, ends := range c.unclaimedEnds {
-		ends = slices.DeleteFunc(ends, func(e unclaimedEnd) bool { return now.Sub(e.lastReported) > e.ttl() })
+		ends = slices.DeleteFunc(ends, func(e unclaimedEnd) bool { return now.Sub(e.lastReported) > unclaimedEndTTL })
 		if len(ends) == 0 {
 			delete(c.unclaimedEnds, id)
 		} else {
@@ -302,7 +289,7 @@
 		return
 	}
 	if t.state == taskDone {
-		j.addRunEnd(t, agentName, r.Run.Number, 0)
+		j.addRunEnd(t, agentName, r.Run.Number, false)
 		return
 	}
 	if t.agent != nil {
@@ -329,21 +316,20 @@
 	return j.steps[id.Step][id.Index]
 }
 
-// countFailure counts a failed run of a stored task.
+// countFailure counts a failed run of a stored task, once for each run. The reports of a failure that a
+// former owner has recorded go on until an owner confirms it.
 func (c *Coordinator) countFailure(t *task, agentName string, number uint32) {
-	j := t.job
-	if t.failedRuns[number] {
-		return // reported again
-	}
-	if t.failedRuns == nil {
-		t.failedRuns = make(map[uint32]bool)
+	p := &t.job.stored.progress
+	if p.HasFailure(t.name, number) {
+		if !t.job.stored.hasUnconfirmed(agentName, wire.Run{Task: t.name, Number: number}) {
+			c.confirm(agentName, wire.Run{Task: t.name, Number: number})
+		}
+		return
 	}
-	t.failedRuns[number] = true
-	if j.stored.progress.Failures == nil {
-		j.stored.progress.Failures = make(map[string]int)
+	// An owner of an earlier version has counted runs without their numbers, which may include this one.
+	if unnumbered := p.Failures[t.name] - len(p.FailedRuns[t.name]); unnumbered <= 0 || number > t.adoptedNumber {
+		t.countedFailures++
 	}
-	t.countedFailures++
-	j.stored.progress.Failures = maps.Clone(j.stored.progress.Failures)
-	j.stored.progress.Failures[t.name] = t.countedFailures
-	j.addRunEnd(t, agentName, number, t.countedFailures)
+	p.AddFailure(t.name, number, t.countedFailures)
+	t.job.addRunEnd(t, agentName, number, true)
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -18,6 +18,9 @@
 	Done []TaskSet `cbor:"2,keyasint,omitempty"`
 	// Failures counts the failed runs, by task.
 	Failures map[string]int `cbor:"3,keyasint,omitempty"`
+	// FailedRuns holds the numbers of the counted runs, by task, so that no owner counts a repeated
+	// report again. Owners of earlier versions have recorded only Failures.
+	FailedRuns map[string][]uint32 `cbor:"5,keyasint,omitempty"`
 	// Crashes holds the runs during which their endpoint crashed, by task.
 	Crashes map[string][]CrashedRun `cbor:"4,keyasint,omitempty"`
 }
@@ -33,6 +36,25 @@
 	Alone bool `cbor:"5,keyasint,omitempty"`
 }
 
+// AddFailure records that a run of a task has failed; counted is the number of its failures that count.
+// Copies that share the maps of p are not changed.
+func (p *Progress) AddFailure(task string, run uint32, counted int) {
+	failures, runs := maps.Clone(p.Failures), maps.Clone(p.FailedRuns)
+	if failures == nil {
+		failures = make(map[string]int)
+	}
+	if runs == nil {
+		runs = make(map[string][]uint32)
+	}
+	failures[task], runs[task] = counted, append(slices.Clone(runs[task]), run)
+	p.Failures, p.FailedRuns = failures, runs
+}
+
+// HasFailure reports whether the failure of a run is recorded.
+func (p *Progress) HasFailure(task string, run uint32) bool {
+	return slices.Contains(p.FailedRuns[task], run)
+}
+
 // SetCrash records a crash during a run of a task, or replaces its record. Copies that share the map
 // of p are not changed.
 func (p *Progress) SetCrash(task string, r CrashedRun) {
@@ -75,7 +97,7 @@
 
 // Clone returns a deep copy of p.
 func (p Progress) Clone() Progress {
-	c := Progress{State: p.State, Failures: maps.Clone(p.Failures), Crashes: maps.Clone(p.Crashes)}
+	c := Progress{State: p.State, Failures: maps.Clone(p.Failures), FailedRuns: maps.Clone(p.FailedRuns), Crashes: maps.Clone(p.Crashes)}
 	for _, s := range p.Done {
 		c.Done = append(c.Done, slices.Clone(s))
 	}
