platform, relay, soak: a configuration is read although connections to the store hang

Cause: an entry learned the configuration from one read at a time, over connections that it shared with all other calls to the store. A connection that carries nothing any more holds a read up for 2.7 s, and the next read may get another one; reads of stored jobs that get no response can hold all 48 connections.

Change: topics are watched over connections of their own, and a read without an answer is repeated on new ones. An entry whose reads have had no answer for 2 s logs that and refuses unknown routes temporarily. Metrics tell the version and the age of the last read. The soak has an operator that changes the configuration, silent connections, and a judge of the rule.

--- a/emulator/system.go
+++ b/emulator/system.go
@@ -165,7 +165,7 @@
 			Member: fmt.Sprintf("%s.%d", n.name, incarnationNumber), Partitions: s.Store.Partitions, Store: s.Store, Runner: n.Coordinator,
 			Timing: ledger.DefaultTiming(time.Second, Timing().OrphanTimeout(), time.Minute), Log: s.logger(n.name),
 			Now:   func() time.Duration { return time.Since(time.Unix(0, 0)) },
-			Queue: func(string) (job.Queue, bool) { return job.Queue{}, false },
+			Queue: func(string) (job.Queue, uint64, bool) { return job.Queue{}, 0, false },
 		})
 		n.Coordinator.SetRecorder(n.Ledger)
 		go n.Ledger.Run(ctx)
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -50,6 +50,7 @@
 	QueueConfined            = define(673, Warn, "tasks of a queue crash endpoints and the queue is confined to a few of them, or it is released")
 	ConfigApplied            = define(643, Info, "configuration from the platform applied")
 	ConfigIgnored            = define(644, Warn, "invalid configuration from the platform ignored")
+	ConfigReadOverdue        = define(678, Warn, "configuration was not read for a while and may be old, or is read again")
 	StoreUnavailable         = define(645, Warn, "platform store does not answer")
 	StoreAvailable           = define(646, Info, "platform store answers again")
 	SettingsReloaded         = define(647, Info, "settings file changed")
--- a/job/job.go
+++ b/job/job.go
@@ -16,6 +16,8 @@
 type Submission struct {
 	ID    string
 	Queue Queue
+	// ConfigVersion is the version of the configuration that Queue is from; 0 if it is not known.
+	ConfigVersion uint64 `cbor:",omitempty"`
 	// Payload is passed to the endpoint with each task.
 	Payload string
 	Steps   []Step
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -282,7 +282,7 @@
 	case !e.running:
 		e.running = true
 		s := *e.submission
-		if q, ok := l.cfg.Queue(s.Queue.Name); ok {
+		if q, _, ok := l.cfg.Queue(s.Queue.Name); ok {
 			s.Queue = q
 		}
 		l.cfg.Log.Log(event.JobAdopted, "job", id, "partition", p.index, "epoch", p.epoch)
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -56,7 +56,7 @@
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		l, p := ownedPartition(nil, validatingRunner{t: t})
 		l.cfg.Log, l.cfg.Timing.StateRetention = event.NewLogger(io.Discard, "edge-1"), time.Hour
-		l.cfg.Queue = func(string) (job.Queue, bool) { return job.Queue{}, false }
+		l.cfg.Queue = func(string) (job.Queue, uint64, bool) { return job.Queue{}, 0, false }
 		p.jobs = make(map[string]*storedJob)
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -114,8 +114,9 @@
 	// Now returns the time of a monotonic clock that includes time during which the host is
 	// suspended.
 	Now func() time.Duration
-	// Queue returns the current configuration of the queue with the given name.
-	Queue func(name string) (job.Queue, bool)
+	// Queue returns the queue with the given name of the current configuration, and the version of
+	// that configuration.
+	Queue func(name string) (q job.Queue, version uint64, ok bool)
 }
 
 // Ledger gives one entry access to the stored jobs. It is safe for concurrent use.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -48,6 +48,7 @@
 	coordinator *coordinator.Coordinator
 	store       *platform.Store
 	config      atomic.Pointer[job.Config]
+	configReads configReads
 	// jobs manages the stored jobs; nil if the store has no partitions.
 	jobs    *ledger.Ledger
 	callers *callersServer
@@ -84,6 +85,7 @@
 		}),
 		store: platform.NewStore(s.StoreAddress, s.StorePartitions),
 	}
+	e.registerConfigMetrics()
 	e.republish = make(chan struct{}, 1)
 	e.router = router.New(router.Config{
 		Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Self: p.incarnation.String(), Region: s.Region, Log: p.log,
@@ -137,10 +139,8 @@
 		return nil
 	})
 	g.Go(func() error { return l.Serve(runCtx, e.newHandler) })
-	g.Go(func() error {
-		e.store.WatchOperator(runCtx, e.process.log, platform.OperatorHandler{Config: e.applyConfig, Evacuated: e.router.SetEvacuated})
-		return nil
-	})
+	g.Go(func() error { e.watchOperator(runCtx); return nil })
+	g.Go(func() error { e.logConfigAge(runCtx); return nil })
 	g.Go(func() error { e.publish(runCtx); return nil })
 	g.Go(func() error { e.newEntryProber().run(runCtx); return nil })
 	g.Go(func() error { syncLearned(runCtx, s.Node, e.coordinator, e.store, e.process.log); return nil })
@@ -298,18 +298,6 @@
 	return job.Queued, nil
 }
 
-// findQueue returns the queue with the given name of the current configuration.
-func (e *entry) findQueue(name string) (job.Queue, bool) {
-	if cfg := e.config.Load(); cfg != nil {
-		for _, q := range cfg.Queues {
-			if q.Name == name {
-				return q, true
-			}
-		}
-	}
-	return job.Queue{}, false
-}
-
 // boottime returns the time since the host was started, including the time for which it was
 // suspended.
 func boottime() time.Duration {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -68,8 +69,12 @@
 	*faultState
 	listener net.Listener
 	server   string
+	silences atomic.Int64 // number of calls of silence
 }
 
+// silence makes the open connections lose all that they carry from now on. They stay open.
+func (p *streamProxy) silence() { p.silences.Add(1) }
+
 func newStreamProxy(ctx context.Context, address, server string) (*streamProxy, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -101,8 +106,9 @@
 	defer stop()
 	context.AfterFunc(ctx, func() { closeWithReset(client); closeWithReset(server) })
 	var copiers sync.WaitGroup
-	copiers.Go(func() { defer stop(); p.copyBytes(ctx, server, client, true) })
-	copiers.Go(func() { defer stop(); p.copyBytes(ctx, client, server, false) })
+	silences := p.silences.Load()
+	copiers.Go(func() { defer stop(); p.copyBytes(ctx, server, client, true, silences) })
+	copiers.Go(func() { defer stop(); p.copyBytes(ctx, client, server, false, silences) })
 	copiers.Go(func() { p.watchReset(ctx, stop) })
 	copiers.Wait()
 }
@@ -123,7 +129,8 @@
 	}
 }
 
-func (p *streamProxy) copyBytes(ctx context.Context, dst io.Writer, src io.Reader, toServer bool) {
+// copyBytes forwards one direction of a connection that was opened after the given number of silences.
+func (p *streamProxy) copyBytes(ctx context.Context, dst io.Writer, src io.Reader, toServer bool, silences int64) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
@@ -131,6 +138,9 @@
 			if !p.waitForwardable(ctx, toServer) {
 				return
 			}
+			if p.silences.Load() != silences {
+				continue
+			}
 			if _, err := dst.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,6 +66,18 @@
 	// ChangingCapacity lets the capacities of the endpoints, which then do not enforce them,
 	// shrink and grow while faults are injected.
 	ChangingCapacity bool
+	// ChangingConfig changes the configuration in series, and injects only faults that affect how
+	// entries learn of it.
+	ChangingConfig bool
+}
+
+// partitions returns the number of partitions of the store. Each owned one has a connection of its own,
+// which can be in the way of the configuration.
+func (o *Options) partitions() int {
+	if o.ChangingConfig {
+		return 24
+	}
+	return 4
 }
 
 // Timing of a run.
@@ -104,6 +116,7 @@
 	answers       []emulator.Answer
 	unanswered    map[string][]time.Time // times of the submissions of each job that wait for an answer
 	submittedJobs map[string]*submittedJob
+	operator      operatorState
 }
 
 // submittedJob is a job and its state as the caller knows it.
@@ -124,15 +137,17 @@
 	// faults that were completed.
 	CompletedShare float64
 	Starts         int // process starts, including restarts
+	ConfigProbes   int // judged requests that show which configuration an entry uses
 }
 
 // Run executes one soak run.
 func Run(ctx context.Context, o Options) (Result, error) {
 	ctx, stop := context.WithCancel(ctx)
 	w := &soakRun{
-		Options: o, faultRNG: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: time.Now(), store: standin.NewStore(4),
+		Options: o, faultRNG: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: time.Now(), store: standin.NewStore(o.partitions()),
 		submittedJobs: make(map[string]*submittedJob), submissions: make(map[string][]string),
 		unanswered: make(map[string][]time.Time),
+		operator:   operatorState{version: 1, writtenAt: make(map[uint64]time.Time), disturbedUntil: make([]time.Time, o.Entries)},
 	}
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -150,6 +165,12 @@
 			running.Go(func() { w.changeCapacity(faultCtx, i) })
 		}
 	}
+	if w.ChangingConfig {
+		running.Go(func() { w.changeConfig(loadCtx) })
+		for i := range w.entries {
+			running.Go(func() { w.probeConfig(loadCtx, i) })
+		}
+	}
 	w.injectFaults(ctx)
 	stopFaults()
 	w.clearFaults()
@@ -230,7 +251,7 @@
 func (w *soakRun) commonSettings(node, ip string, firstPort int) relay.Settings {
 	return relay.Settings{
 		Node: node, Address: ip, Region: "region", DataCentre: "centre", PortRange: []int{firstPort, firstPort + 1},
-		StoreAddress: hostPort(ip, storeProxyPort), StorePartitions: 4, MinMembershipMS: 1000, KeepStateS: 120,
+		StoreAddress: hostPort(ip, storeProxyPort), StorePartitions: w.partitions(), MinMembershipMS: 1000, KeepStateS: 120,
 		MemoryMiB: 256, MaxLeaseMS: 1000, StopGraceS: stopGrace.Seconds(), FarFactor: 1.5,
 	}
 }
@@ -302,6 +323,7 @@
 		now := time.Now()
 		if late := now.Sub(last) - interval; late >= maxSchedulingDelay {
 			w.logEvent("this process was not scheduled for %v", late.Round(time.Millisecond))
+			w.disturb(now)
 		}
 		last = now
 	}
@@ -328,6 +350,10 @@
 	}
 	r := Result{Violations: emulator.Check(w.endpoints, w.answers), Events: w.events, Jobs: len(w.submittedJobs)}
 	r.Violations = append(r.Violations, w.checkTasks()...)
+	w.operator.mu.Lock()
+	r.Violations = append(r.Violations, w.operator.violations...)
+	r.ConfigProbes = w.operator.probes
+	w.operator.mu.Unlock()
 	for id, lines := range w.submissions {
 		if slices.ContainsFunc(r.Violations, func(v string) bool { return strings.Contains(v, id) }) {
 			for _, line := range lines {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,7 +67,34 @@
 	}
 }
 
+// Guards against entries that apply a configuration late or go back to an older one (rule CONFIG): the
+// operator changes it in series while entries are paused and while their connections to the store, and
+// the store itself, fail.
+func TestSoakWithConfigChanges(t *testing.T) {
+	for i := range *seeds {
+		seed := 3000 + *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := runSoakWith(t, Options{Seed: seed, Entries: 3, Agents: *agents, ChangingConfig: true})
+			if r.ConfigProbes < minConfigProbes {
+				t.Errorf("%d requests show the configuration, want %d", r.ConfigProbes, minConfigProbes)
+			}
+			t.Logf("%d requests show the configuration", r.ConfigProbes)
+		})
+	}
+}
+
+// minConfigProbes is the number of judged probes below which a run shows nothing. After the faults each
+// entry is calm for 9 s.
+const minConfigProbes = 50
+
 func runSoak(t *testing.T, seed uint64, entries, agents, crashingJobs int) {
+	runSoakWith(t, Options{Seed: seed, Entries: entries, Agents: agents, AllFaults: *all, PromptEphemeral: *prompt, ChangingCapacity: *changes, CrashingJobs: crashingJobs})
+}
+
+// runSoakWith runs a soak with the given options, to which it adds those of all runs.
+func runSoakWith(t *testing.T, o Options) Result {
+	t.Helper()
+	seed := o.Seed
 	dir := t.TempDir()
 	if logsDir := os.Getenv("SOAK_LOGS"); logsDir != "" {
 		dir = filepath.Join(logsDir, fmt.Sprint(seed))
@@ -75,10 +102,9 @@
 			t.Fatal(err)
 		}
 	}
-	r, err := Run(t.Context(), Options{
-		Seed: seed, Entries: entries, Agents: agents, FaultDuration: *length, AllFaults: *all, PromptEphemeral: *prompt, ChangingCapacity: *changes, CrashingJobs: crashingJobs, Binary: binary, Dir: dir,
-		Network: fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250),
-	})
+	o.FaultDuration, o.Binary, o.Dir = *length, binary, dir
+	o.Network = fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, 1+seed%250)
+	r, err := Run(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,4 +120,5 @@
 			t.Log(e)
 		}
 	}
+	return r
 }
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -34,6 +34,10 @@
 // injectFault starts one random fault.
 func (w *soakRun) injectFault() {
 	duration := time.Duration(100+w.faultRNG.IntN(int(maxFaultDuration.Milliseconds())-100)) * time.Millisecond
+	if w.ChangingConfig {
+		w.configFault()
+		return
+	}
 	kinds := processFaults
 	if w.AllFaults {
 		kinds = allFaults
@@ -116,6 +120,7 @@
 // processes. Killed processes restart by themselves.
 func (w *soakRun) clearFaults() {
 	w.logEvent("faults cleared")
+	w.disturb(time.Now())
 	w.store.SetFaults(standin.StoreFaults{})
 	for _, p := range w.storeProxies {
 		p.Set(ProxyFaults{})
