ledger: an owner with an older configuration keeps the queue of a job

A job that an entry has accepted under a new configuration could run at the service of an older one (rule CONFIG): its owner replaced the queue by that of its own configuration, whose version was not compared.

Jobs that earlier versions have stored have version 0, for which the owner's configuration is taken as before.

Test: TestOwnerWithOlderConfigKeepsQueueOfJob failed before the comparison was added (run without it: the job is adopted with the service of configuration 4 in place of 5).

--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -282,8 +282,9 @@
 	case !e.running:
 		e.running = true
 		s := *e.submission
-		if q, _, ok := l.cfg.Queue(s.Queue.Name); ok {
-			s.Queue = q
+		// The entry that accepted the job may know a newer configuration.
+		if q, version, ok := l.cfg.Queue(s.Queue.Name); ok && version >= s.ConfigVersion {
+			s.Queue, s.ConfigVersion = q, version
 		}
 		l.cfg.Log.Log(event.JobAdopted, "job", id, "partition", p.index, "epoch", p.epoch)
 		l.cfg.Runner.Adopt(s, e.progress, p.epoch)
--- a/ledger/ownership_test.go
+++ b/ledger/ownership_test.go
@@ -258,3 +258,29 @@
 		t.Errorf("owned %v, writable %v, next epoch %d", p.owned, p.writable, p.nextEpoch(1))
 	}
 }
+
+// adoptingRunner records the jobs that it adopts.
+type adoptingRunner struct {
+	Runner
+	adopted []job.Submission
+}
+
+func (r *adoptingRunner) Adopt(s job.Submission, _ job.Progress, _ uint64) {
+	r.adopted = append(r.adopted, s)
+}
+
+// Guards against a job that runs at the service of an older configuration than that under which it was
+// accepted, because its owner has not read the newer one yet (rule CONFIG).
+func TestOwnerWithOlderConfigKeepsQueueOfJob(t *testing.T) {
+	for version, want := range map[uint64]string{4: "accepted", 5: "current", 6: "current"} {
+		runner := &adoptingRunner{}
+		l, p := ownedPartition(&recordingStore{}, runner)
+		l.cfg.Queue = func(string) (job.Queue, uint64, bool) { return job.Queue{Name: "q", Service: "current"}, version, true }
+		e := &storedJob{submission: &job.Submission{ID: "k", Queue: job.Queue{Name: "q", Service: "accepted"}, ConfigVersion: 5}}
+		p.jobs["k"] = e
+		l.startJob(p, "k", e)
+		if len(runner.adopted) != 1 || runner.adopted[0].Queue.Service != want {
+			t.Errorf("configuration %d: adopted %+v, want service %q", version, runner.adopted, want)
+		}
+	}
+}
