coordinator: an adopted task is not started after its last attempt

Cause: only the failure of an owner's own run was compared with the attempts; a reported failure of a former owner's run, and the recorded count at an adoption, were not.

Change: one function compares, in all three places. Ends of completed tasks are applied before failures, so that a failure does not end the job of a task that is done.

Test: TestAdoptedTaskIsNotStartedAfterItsLastAttempt failed before the fix.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -347,7 +347,7 @@
 		t.countedFailures++
 	}
 	attempts := max(t.job.spec.Queue.Attempts, 1)
-	if t.job.stored != nil && t.countedFailures >= attempts {
+	if t.job.stored != nil && t.isExhausted() {
 		c.detach(t)
 		t.state = taskWaiting
 		c.finishStored(t.job, job.Failed)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -473,3 +473,30 @@
 		c.Check(r.reported["j"].Failures, quicktest.DeepEquals, map[string]int{"j.0.0.0": 2})
 	})
 }
+
+// Guards against a task that starts again although it has failed as often as its queue allows (review
+// case 5): the last failure was reported to the next owner of its job, which did not compare the count.
+func TestAdoptedTaskIsNotStartedAfterItsLastAttempt(t *testing.T) {
+	for name, reportedBefore := range map[string]bool{"reported before the adoption": true, "reported after it": false} {
+		t.Run(name, func(t *testing.T) {
+			withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, r *fakeRecorder) {
+				var recorded job.Progress
+				recorded.AddFailure("j.0.0.0", job.RunNumbersPerEpoch+1, 1)
+				last := wire.Run{Task: "j.0.0.0", Number: job.RunNumbersPerEpoch + 2}
+				if reportedBefore {
+					a.report(last, wire.RunFailed)
+				}
+				co.Adopt(submission("j", 1), recorded, 2)
+				synctest.Wait()
+				if !reportedBefore {
+					a.report(last, wire.RunFailed)
+					synctest.Wait()
+				}
+				c.Check(r.reported["j"].State, quicktest.Equals, job.Failed)
+				c.Check(a.confirms, quicktest.Contains, last)
+				c.Check(len(a.stops), quicktest.Equals, len(a.orders)) // what was ordered before the report is stopped
+				c.Check(len(a.orders) == 0 || !reportedBefore, quicktest.IsTrue)
+			})
+		})
+	}
+}
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -86,6 +87,10 @@
 			c.finishStored(j, job.Completed)
 			return
 		}
+		if j.hasExhaustedTask() {
+			c.finishStored(j, job.Failed)
+			return
+		}
 		c.adoptCrashes(j, time.Now())
 		c.failIfGivenUp(j, time.Now())
 	})
@@ -251,6 +256,8 @@
 func (c *Coordinator) applyUnclaimedEnds(j *activeJob, now time.Time) {
 	ends := c.unclaimedEnds[j.spec.ID]
 	delete(c.unclaimedEnds, j.spec.ID)
+	// A failure does not end the job of a task that is done.
+	slices.SortStableFunc(ends, func(a, b unclaimedEnd) int { return cmp.Compare(a.report.State, b.report.State) })
 	for _, e := range ends {
 		id, err := job.ParseTaskID(e.report.Run.Task)
 		if err == nil && now.Sub(e.lastReported) <= unclaimedEndTTL {
@@ -286,6 +293,9 @@
 	}
 	if r.State == wire.RunFailed {
 		c.countFailure(t, agentName, r.Run.Number)
+		if t.isExhausted() {
+			c.finishStored(j, job.Failed)
+		}
 		return
 	}
 	if t.state == taskDone {
@@ -316,6 +326,21 @@
 	return j.steps[id.Step][id.Index]
 }
 
+// isExhausted reports whether a task has failed as often as its queue allows.
+func (t *task) isExhausted() bool {
+	return t.state != taskDone && t.countedFailures >= max(t.job.spec.Queue.Attempts, 1)
+}
+
+// hasExhaustedTask reports whether a task of j has failed as often as the queue allows.
+func (j *activeJob) hasExhaustedTask() bool {
+	for _, tasks := range j.steps {
+		if slices.ContainsFunc(tasks, (*task).isExhausted) {
+			return true
+		}
+	}
+	return false
+}
+
 // countFailure counts a failed run of a stored task, once for each run. The reports of a failure that a
 // former owner has recorded go on until an owner confirms it.
 func (c *Coordinator) countFailure(t *task, agentName string, number uint32) {
