coordinator: an entry without stored jobs confirms ends to agents

Change: an entry without a ledger confirms such an end at once, as no job is stored there. Test: TestEndsAreConfirmedWithoutRecorder failed before the change (the code returned without a confirmation).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -500,3 +500,16 @@
 		})
 	}
 }
+
+// Guards against ends that an agent keeps for good where no jobs are stored: a restarted agent does not
+// know whether the runs that it finds are stored ones, and would reject all runs once the kept ends hold
+// up too many others.
+func TestEndsAreConfirmedWithoutRecorder(t *testing.T) {
+	withCoordinator(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent, _ *fakeRecorder) {
+		co.loop.Do(func() { co.recorder = nil })
+		run := wire.Run{Task: "j.0.0.0", Number: 1}
+		a.report(run, wire.RunDone)
+		synctest.Wait()
+		c.Check(a.confirms, quicktest.DeepEquals, []wire.Run{run})
+	})
+}
--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -178,11 +178,11 @@
 // handleUnclaimedEnd handles the report of a run that no task waits for: the end of a stored
 // run that a former owner of its job ordered.
 func (c *Coordinator) handleUnclaimedEnd(a *agent, r wire.Report) {
-	if c.recorder == nil || r.State != wire.RunDone && r.State != wire.RunFailed {
+	if r.State != wire.RunDone && r.State != wire.RunFailed {
 		return
 	}
 	id, err := job.ParseTaskID(r.Run.Task)
-	if err != nil {
+	if err != nil || c.recorder == nil { // without a recorder no job is stored, and nobody else confirms the end
 		c.confirm(a.name, r.Run)
 		return
 	}
