executor: the test of an endpoint restart has an endpoint that forgets its ends

TestUnrecordedEndOutlivesEndpointRestart passed without the release of ends at a restart, since the fake endpoint listed its former ends again. The fake forgets them now, as a new incarnation does; the test fails without the release (run) and passes with it.

No product code is changed.

--- a/executor/unconfirmed_test.go
+++ b/executor/unconfirmed_test.go
@@ -181,6 +181,9 @@
 func TestUnrecordedEndOutlivesEndpointRestart(t *testing.T) {
 	withUnrecordedEnd(t, func(c *quicktest.C, x *Executor, e *leaseRecorder, entry *fakeEntry, unrecorded wire.Run) {
 		sendHeartbeats(x, 200*time.Millisecond)
+		e.mu.Lock()
+		e.ended, e.lastSequence, e.acked, e.startMillis = nil, 0, 0, 2 // the next incarnation knows no ends
+		e.mu.Unlock()
 		x.Announce(announcementOfLife(2))
 		sendHeartbeats(x, time.Second)
 		second := &fakeEntry{reports: make(map[wire.Run]wire.RunState)}
