--- /dev/null
+++ b/review/rig/large_claim.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"hash/fnv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// partition returns the partition in which the system stores a job.
+func partition(id string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return int(h.Sum32() % partitions)
+}
+
+// spreadIDs returns one id for each partition, so that each entry gets an equal share of the jobs.
+func spreadIDs() []string {
+	ids := make([]string, partitions)
+	for left := partitions; left > 0; {
+		id := randomID()
+		if p := partition(id); ids[p] == "" {
+			ids[p] = id
+			left--
+		}
+	}
+	return ids
+}
+
+// inParallel calls f for each id and waits.
+func inParallel(ids []string, f func(i int, id string)) {
+	var g sync.WaitGroup
+	for i, id := range ids {
+		g.Go(func() { f(i, id) })
+	}
+	g.Wait()
+}
+
+// largeClaim fills three minions of 64 cores with 24 jobs of 150 small tasks, freezes one entry for a
+// second while they run, and then hands in small jobs.
+func largeClaim(rec *recorder, trouble bool) ([]string, error) {
+	const (
+		taskMS    = 3600
+		specBytes = 4000
+		freeze    = time.Second
+		finish    = 14 * time.Second
+	)
+	c, err := startCluster(rec, options{
+		entries: 3, minions: 3, room: resources{64_000, 262_144}, config: config(1, 4, true),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	if err := c.awaitReady(20 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(5 * time.Second) // the entries share the partitions
+	cl := newClients(c)
+	task := resources{50, 64}
+	inParallel(spreadIDs(), func(i int, id string) {
+		cl.submit(id, i%3, spec(taskMS, task, "done", specBytes), step{Count: 150, CPU: task.CPU, Mem: task.Mem, Estimate: taskMS})
+	})
+	time.Sleep(2 * time.Second)
+	if trouble {
+		rec.line("freeze entry=1 for %v", freeze)
+		c.entries[0].signal(syscall.SIGSTOP)
+		time.Sleep(freeze)
+		c.entries[0].signal(syscall.SIGCONT)
+		rec.line("entry=1 wakes")
+	} else {
+		time.Sleep(freeze)
+	}
+	time.Sleep(5 * time.Second)
+	small := resources{500, 256}
+	for range 2 {
+		inParallel(spreadIDs(), func(i int, id string) {
+			cl.submit(id, i%3, spec(200, small, "done", 0), step{Count: 2, CPU: small.CPU, Mem: small.Mem, Estimate: 200})
+		})
+		time.Sleep(2 * time.Second)
+	}
+	time.Sleep(finish)
+	for i, j := range cl.jobs {
+		cl.ask(j, i%3)
+	}
+	return cl.judgeLost(c.history()), nil
+}
