review/6: all entries hang after an outage of the store with many waiting jobs

A store that is down for 4.5 s makes each entry with more than about 4,200 waiting stored jobs hang for good (rule LOST): the ledger holds its lock while it posts to the coordinator's full queue, and the coordinator waits for the lock.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -86,12 +86,13 @@
 }
 
 type step struct {
-	Count    int    `json:"count"`
-	CPU      int    `json:"cpu"`
-	Mem      int    `json:"mem_mb"`
-	Estimate int    `json:"estimate_ms"`
-	After    []int  `json:"after,omitempty"`
-	Requires string `json:"requires,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu"`
+	Mem          int    `json:"mem_mb"`
+	Estimate     int    `json:"estimate_ms"`
+	After        []int  `json:"after,omitempty"`
+	Requires     string `json:"requires,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
 }
 
 // submit hands a stored job in at entry e, and at the others while it gets no answer.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by their names. Each returns the breaks of its rule that it saw.
 var cases = map[string]func(rec *recorder, trouble bool) (broken []string, err error){
+	"backlog":      backlog,
 	"large-claim":  largeClaim,
 	"lost-failure": lostFailure,
 	"explore":      explore,
