--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -106,6 +106,8 @@
 
 // crash ends the minion with all its runs. It is back after the given time, under its id if keepID is set.
 func (m *minion) crash(ctx context.Context, down time.Duration, keepID bool) {
+	m.crashing.Lock()
+	defer m.crashing.Unlock()
 	m.mu.Lock()
 	m.rec.line("crash minion=%d", m.index)
 	m.down = true
