--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -57,12 +57,13 @@
 	labels           []string
 	rec              *recorder
 
-	mu     sync.Mutex
-	id     string
-	born   time.Time
-	server *http.Server
-	down   bool
-	late   float64 // share of the orders that get no answer and are carried out late
+	crashing sync.Mutex // held while it is down
+	mu       sync.Mutex
+	id       string
+	born     time.Time
+	server   *http.Server
+	down     bool
+	late     float64 // share of the orders that get no answer and are carried out late
 	// lateHolds is set if calls that only extend the lease are among them.
 	lateHolds bool
 	wake      chan struct{} // sends a heartbeat now
