--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) (broken []string, err error){
 	"backlog":      backlog,
 	"large-claim":  largeClaim,
+	"lost-cancel":  lostCancel,
 	"lost-failure": lostFailure,
 	"explore":      explore,
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -106,7 +107,17 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		time.Sleep(2*time.Millisecond + f.slow)
+		time.Sleep(2*time.Millisecond + f.slow/2)
+		if f.slow > 0 { // the other half of the time passes on the way back
+			b := &buffered{header: http.Header{}, status: http.StatusOK}
+			defer func(w http.ResponseWriter) {
+				time.Sleep(f.slow / 2)
+				maps.Copy(w.Header(), b.header)
+				w.WriteHeader(b.status)
+				_, _ = w.Write(b.body.Bytes()) // the caller has gone
+			}(w)
+			w = b
+		}
 		write := r.URL.Path == "/log-append"
 		if write && f.lost > 0 && rand.Float64() < f.lost {
 			if f.late {
@@ -127,6 +138,17 @@
 	})
 }
 
+// buffered is a response that is sent later.
+type buffered struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *buffered) Header() http.Header         { return b.header }
+func (b *buffered) Write(p []byte) (int, error) { return b.body.Write(p) }
+func (b *buffered) WriteHeader(status int)      { b.status = status }
+
 // hang answers nothing and then ends the connection.
 func hang(r *http.Request, d time.Duration) {
 	select {
