--- a/review/rig/backlog.go
+++ b/review/rig/backlog.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// backlog hands in more stored jobs than the minions can run soon, lets the store be down for 4.5 s, and
+// backlog hands in more stored jobs than the workers can run soon, lets the store be down for 4.5 s, and
 // looks whether the jobs go on.
 func backlog(rec *recorder, trouble bool) ([]string, error) {
 	const (
@@ -17,7 +17,7 @@
 		calm   = 15 * time.Second
 	)
 	c, err := startCluster(rec, options{
-		entries: 3, minions: 4, room: resources{64_000, 262_144}, config: config(1, 4, true),
+		entries: 3, workers: 4, room: resources{64_000, 262_144}, config: config(1, 4, true),
 	})
 	if err != nil {
 		return nil, err
@@ -69,14 +69,14 @@
 		}
 	}
 	if c.started() == before && waiting > 0 {
-		return []string{fmt.Sprintf("LOST %d accepted jobs wait, no task has started for %v, and all minions are empty", waiting, quietTime)}, nil
+		return []string{fmt.Sprintf("LOST %d accepted jobs wait, no task has started for %v, and all workers are empty", waiting, quietTime)}, nil
 	}
 	return nil, nil
 }
 
-// started returns the number of runs that the minions have started.
+// started returns the number of runs that the workers have started.
 func (c *cluster) started() (n int) {
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		n += len(m.runs())
 	}
 	return n
--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -1,5 +1,5 @@
 // Command rig shows faults of the review's second part. It starts the programs of the deploy file as
-// separate processes on loopback addresses, with stand-ins of the store, the minions and the clients,
+// separate processes on loopback addresses, with stand-ins of the store, the workers and the clients,
 // applies one disruption, and judges what the stand-ins have seen.
 package main
 
@@ -43,11 +43,11 @@
 
 // options describe a small deployment.
 type options struct {
-	entries, minions int
+	entries, workers int
 	room             resources
 	// config is the operator's configuration.
 	config map[string]any
-	// labels returns the labels of minion i.
+	// labels returns the labels of worker i.
 	labels func(i int) []string
 }
 
@@ -59,7 +59,7 @@
 			"name": "route-a", "host": queueHost, "path_prefix": queuePrefix, "service": serviceName, "timeout_ms": 10_000,
 			"target_latency_ms": 100, "attempts": attempts, "stretch": 1.6, "priority": 1,
 		}},
-		"services": []map[string]any{{"name": serviceName, "admission_control": guards}},
+		"services": []map[string]any{{"name": serviceName, names.Guards: guards}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 	}
 }
@@ -75,7 +75,7 @@
 	store   *logStore
 	entries []*daemon
 	agents  []*daemon
-	minions []*minion
+	workers []*worker
 	// links[i][e] is the link from agent i to entry e.
 	links [][]*link
 	rec   *recorder
@@ -172,8 +172,8 @@
 		}
 		c.entries = append(c.entries, d)
 	}
-	for i := range c.options.minions {
-		if err := c.startMinion(i, seeds); err != nil {
+	for i := range c.options.workers {
+		if err := c.startWorker(i, seeds); err != nil {
 			return err
 		}
 	}
@@ -182,13 +182,13 @@
 			return err
 		}
 	}
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		c.wait.Go(func() { m.beat(c.ctx) })
 	}
 	return nil
 }
 
-func (c *cluster) startMinion(i int, seeds []string) error {
+func (c *cluster) startWorker(i int, seeds []string) error {
 	ip, first := c.ip(100+i), agentPort+2*i
 	address := hostPort(ip, storePort)
 	if err := c.serve(address, c.store.view("side-"+strconv.Itoa(i+1), entryPort, first)); err != nil {
@@ -207,8 +207,8 @@
 	if c.labels != nil {
 		labels = c.labels(i)
 	}
-	m := newMinion(i, hostPort(ip, appPort), hostPort(ip, controlPort), c.room, labels, c.rec)
-	c.minions = append(c.minions, m)
+	m := newWorker(i, hostPort(ip, appPort), hostPort(ip, controlPort), c.room, labels, c.rec)
+	c.workers = append(c.workers, m)
 	if err := m.up(c.ctx); err != nil {
 		return err
 	}
@@ -245,7 +245,7 @@
 // run starts d with the command of the deploy file.
 func (c *cluster) run(d *daemon) error {
 	cmd := exec.Command("target/oriole-relay", d.role)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "ORIOLERELAY_CONFIG=" + d.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), names.SettingsVariable + "=" + d.settings}
 	cmd.Stdout, cmd.Stderr = d.log, d.log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/rig/explore.go
+++ b/review/rig/explore.go
@@ -25,7 +25,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	rec.line("seed %d", seed)
 	c, err := startCluster(rec, options{
-		entries: number("ENTRIES", 3), minions: number("MINIONS", 5), labels: func(i int) []string { return []string{"ab"[i%2 : i%2+1], "r1-" + strconv.Itoa(i/2)} },
+		entries: number("ENTRIES", 3), workers: number("WORKERS", 5), labels: func(i int) []string { return []string{"ab"[i%2 : i%2+1], "r1-" + strconv.Itoa(i/2)} },
 		room: resources{8_000, 131_072}, config: config(1, exploreAttempts, os.Getenv("GUARDS") != "0"),
 	})
 	if err != nil {
@@ -37,7 +37,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	cl := newClients(c)
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		m.guards = os.Getenv("GUARDS") != "0"
 	}
 	stop := make(chan struct{})
@@ -117,7 +117,7 @@
 	history := c.history()
 	broken := append(judgeTwice(history), judgeBudget(history, exploreAttempts)...)
 	broken = append(broken, cl.judgeLost(history)...)
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		broken = append(broken, m.overRoom...)
 	}
 	broken = append(broken, c.judgeRoute(history, needs)...)
@@ -182,19 +182,19 @@
 	return n
 }
 
-// judgeRoute checks the labels and the bounds for each minion of the first steps.
+// judgeRoute checks the labels and the bounds for each worker of the first steps.
 func (c *cluster) judgeRoute(history map[string][]run, needs map[string]step) (broken []string) {
-	first := make(map[string][]run) // runs of first steps, by job and minion
+	first := make(map[string][]run) // runs of first steps, by job and worker
 	for task, runs := range history {
 		if strings.Split(task, ".")[2] != "0" {
 			continue
 		}
 		need := needs[jobOf(task)]
 		for _, r := range runs {
-			if need.Requires != "" && !slices.Contains(c.minions[r.minion].labels, need.Requires) {
-				broken = append(broken, fmt.Sprintf("ROUTE task %s on minion %d", task, r.minion))
+			if need.Requires != "" && !slices.Contains(c.workers[r.worker].labels, need.Requires) {
+				broken = append(broken, fmt.Sprintf("ROUTE task %s on worker %d", task, r.worker))
 			}
-			key := jobOf(task) + "/" + strconv.Itoa(r.minion)
+			key := jobOf(task) + "/" + strconv.Itoa(r.worker)
 			first[key] = append(first[key], r)
 		}
 	}
@@ -205,7 +205,7 @@
 		for i, a := range runs {
 			for _, b := range runs[i+1:] {
 				if a.start.Before(b.end) && b.start.Before(a.end) {
-					broken = append(broken, fmt.Sprintf("ROUTE tasks %s and %s beside each other on minion %d", a.task, b.task, a.minion))
+					broken = append(broken, fmt.Sprintf("ROUTE tasks %s and %s beside each other on worker %d", a.task, b.task, a.worker))
 				}
 			}
 		}
@@ -256,15 +256,15 @@
 				}
 				c.cutFor(d, links...)
 			case "late-orders", "late-all":
-				for _, m := range c.minions {
+				for _, m := range c.workers {
 					m.setLate(0.055, kind == "late-all")
 				}
 				time.Sleep(d)
-				for _, m := range c.minions {
+				for _, m := range c.workers {
 					m.setLate(0, false)
 				}
 			case "crash", "crash-keep":
-				c.minions[a].crash(c.ctx, d/2, kind == "crash-keep")
+				c.workers[a].crash(c.ctx, d/2, kind == "crash-keep")
 			case "rebalance":
 				c.store.rebalance()
 			case "forget":
@@ -286,7 +286,7 @@
 }
 
 // setLate sets the share of the orders that get no answer and are carried out late.
-func (m *minion) setLate(share float64, holds bool) {
+func (m *worker) setLate(share float64, holds bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.late, m.lateHolds = share, holds
--- a/review/rig/judge.go
+++ b/review/rig/judge.go
@@ -13,10 +13,10 @@
 	return id
 }
 
-// history returns the runs of all minions by task, in the order of their starts.
+// history returns the runs of all workers by task, in the order of their starts.
 func (c *cluster) history() map[string][]run {
 	out := make(map[string][]run)
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		for _, r := range m.runs() {
 			out[r.task] = append(out[r.task], r)
 		}
@@ -35,11 +35,11 @@
 			for _, b := range runs[i+1:] {
 				switch {
 				case a.end.IsZero() || b.start.Before(a.end):
-					broken = append(broken, fmt.Sprintf("TWICE task %s: run %d on minion %d and run %d on minion %d at the same time",
-						task, a.number, a.minion, b.number, b.minion))
+					broken = append(broken, fmt.Sprintf("TWICE task %s: run %d on worker %d and run %d on worker %d at the same time",
+						task, a.number, a.worker, b.number, b.worker))
 				case a.how == "done" && a.noted():
-					broken = append(broken, fmt.Sprintf("TWICE task %s: run %d on minion %d started %d ms after run %d on minion %d was done",
-						task, b.number, b.minion, b.start.Sub(a.end).Milliseconds(), a.number, a.minion))
+					broken = append(broken, fmt.Sprintf("TWICE task %s: run %d on worker %d started %d ms after run %d on worker %d was done",
+						task, b.number, b.worker, b.start.Sub(a.end).Milliseconds(), a.number, a.worker))
 				}
 			}
 		}
@@ -55,12 +55,12 @@
 			var failed []string
 			for _, a := range runs {
 				if a.how == "failed" && a.noted() && a.end.Before(b.start) {
-					failed = append(failed, fmt.Sprintf("run %d on minion %d", a.number, a.minion))
+					failed = append(failed, fmt.Sprintf("run %d on worker %d", a.number, a.worker))
 				}
 			}
 			if len(failed) >= attempts {
-				broken = append(broken, fmt.Sprintf("BUDGET task %s: run %d on minion %d started after %d failed ends taken note of (%s)",
-					task, b.number, b.minion, len(failed), strings.Join(failed, ", ")))
+				broken = append(broken, fmt.Sprintf("BUDGET task %s: run %d on worker %d started after %d failed ends taken note of (%s)",
+					task, b.number, b.worker, len(failed), strings.Join(failed, ", ")))
 			}
 		}
 	}
@@ -92,7 +92,7 @@
 			}
 		}
 	}
-	for _, m := range cl.c.minions {
+	for _, m := range cl.c.workers {
 		room += m.room.CPU
 	}
 	idle := used*2 < room
--- a/review/rig/link.go
+++ b/review/rig/link.go
@@ -97,7 +97,7 @@
 	record := append(append([]byte{byte(len(key))}, key...), value...)
 	body := append(binary.BigEndian.AppendUint32(nil, uint32(len(record))), record...)
 	q := url.Values{"topic": {topic}, "part": {"0"}}
-	r, err := http.Post(base+"/log-append?"+q.Encode(), "application/octet-stream", bytes.NewReader(body))
+	r, err := http.Post(base+names.Append+"?"+q.Encode(), "application/octet-stream", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/review/rig/lost_cancel.go
+++ b/review/rig/lost_cancel.go
@@ -27,7 +27,7 @@
 		steps    = 8
 	)
 	c, err := startCluster(rec, options{
-		entries: 3, minions: 5, room: resources{64_000, 262_144}, config: config(1, 4, true),
+		entries: 3, workers: 5, room: resources{64_000, 262_144}, config: config(1, 4, true),
 	})
 	if err != nil {
 		return nil, err
--- a/review/rig/lost_failure.go
+++ b/review/rig/lost_failure.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// lostFailure hands in jobs whose only task always fails, beside jobs that keep all minions busy, and cuts
+// lostFailure hands in jobs whose only task always fails, beside jobs that keep all workers busy, and cuts
 // the path between one agent and one entry for 5 s, three times. A task has two attempts.
 func lostFailure(rec *recorder, trouble bool) ([]string, error) {
 	const (
@@ -15,7 +15,7 @@
 		finish   = 14 * time.Second
 	)
 	c, err := startCluster(rec, options{
-		entries: 3, minions: 5, room: resources{64_000, 262_144}, config: config(1, attempts, true),
+		entries: 3, workers: 5, room: resources{64_000, 262_144}, config: config(1, attempts, true),
 	})
 	if err != nil {
 		return nil, err
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -118,7 +118,7 @@
 			}(w)
 			w = b
 		}
-		write := r.URL.Path == "/log-append"
+		write := r.URL.Path == names.Append
 		if write && f.lost > 0 && rand.Float64() < f.lost {
 			if f.late {
 				time.AfterFunc(lateMin+time.Duration(rand.Float64()*float64(lateSpread)), func() {
@@ -173,9 +173,9 @@
 
 func (s *logStore) handle(w http.ResponseWriter, r *http.Request, body []byte, rewrite func(string, []byte) []byte) {
 	switch r.URL.Path {
-	case "/log-append":
+	case names.Append:
 		s.append(w, r, body)
-	case "/log-read":
+	case names.Read:
 		s.read(w, r, rewrite)
 	case "/log-newest":
 		s.newest(w, r, rewrite)
--- a/review/rig/minion.go
+++ b/review/rig/worker.go
@@ -30,9 +30,9 @@
 	Mem int `json:"mem_mb"`
 }
 
-// run is a run of a task as the minion sees it.
+// run is a run of a task as the worker sees it.
 type run struct {
-	minion     int
+	worker     int
 	task       string
 	number     int
 	res        resources
@@ -49,8 +49,8 @@
 // noted reports whether the end is taken note of, as the rules say.
 func (r *run) noted() bool { return !r.ackedAt.IsZero() && !r.lapsed }
 
-// minion is a stand-in of a worker.
-type minion struct {
+// worker is a stand-in of a worker.
+type worker struct {
 	index            int
 	address, control string
 	room             resources
@@ -82,8 +82,8 @@
 	overRoom  []string // starts beyond the room
 }
 
-func newMinion(i int, address, control string, room resources, labels []string, rec *recorder) *minion {
-	return &minion{
+func newWorker(i int, address, control string, room resources, labels []string, rec *recorder) *worker {
+	return &worker{
 		index: i, address: address, control: control, room: room, labels: labels, rec: rec, id: fmt.Sprintf("i-%08x", rand.Uint32()),
 		born: time.Now(), running: make(map[string]*run), highest: make(map[string]int), changed: make(chan struct{}),
 		wake: make(chan struct{}, 1),
@@ -91,7 +91,7 @@
 }
 
 // up starts to listen.
-func (m *minion) up(ctx context.Context) error {
+func (m *worker) up(ctx context.Context) error {
 	l, err := net.Listen("tcp", m.address)
 	if err != nil {
 		return err
@@ -105,12 +105,12 @@
 	return nil
 }
 
-// crash ends the minion with all its runs. It is back after the given time, under its id if keepID is set.
-func (m *minion) crash(ctx context.Context, down time.Duration, keepID bool) {
+// crash ends the worker with all its runs. It is back after the given time, under its id if keepID is set.
+func (m *worker) crash(ctx context.Context, down time.Duration, keepID bool) {
 	m.crashing.Lock()
 	defer m.crashing.Unlock()
 	m.mu.Lock()
-	m.rec.line("crash minion=%d", m.index)
+	m.rec.line("crash worker=%d", m.index)
 	m.down = true
 	_ = m.server.Close()
 	for _, r := range m.running {
@@ -141,11 +141,11 @@
 	}
 }
 
-// clock returns the minion's clock, which starts at 1 s.
-func (m *minion) clock() int64 { return time.Since(m.born).Milliseconds() + 1000 }
+// clock returns the worker's clock, which starts at 1 s.
+func (m *worker) clock() int64 { return time.Since(m.born).Milliseconds() + 1000 }
 
 // beat sends heartbeats until ctx ends.
-func (m *minion) beat(ctx context.Context) {
+func (m *worker) beat(ctx context.Context) {
 	h := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
 		m.mu.Lock()
@@ -181,14 +181,14 @@
 	Task   string `json:"task"`
 	Run    int    `json:"run"`
 	Spec   string `json:"spec"`
-	Due    int64  `json:"due_ms"`
-	Fence  uint64 `json:"fencing_token"`
+	Due    int64  `json:"-"`
+	Fence  uint64 `json:"-"`
 	Ack    int    `json:"ack_offset"`
 	WaitMS int64  `json:"wait_ms"`
 }
 
 // ServeHTTP serves the calls of the agent.
-func (m *minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (m *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var b callBody
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -198,7 +198,7 @@
 	late := m.late > 0 && rand.Float64() < m.late && (r.URL.Path != "/hold" || m.lateHolds)
 	m.mu.Unlock()
 	if late {
-		m.rec.line("late call %s minion=%d task=%s run=%d", r.URL.Path, m.index, b.Task, b.Run)
+		m.rec.line("late call %s worker=%d task=%s run=%d", r.URL.Path, m.index, b.Task, b.Run)
 		again := &http.Request{URL: r.URL, Header: r.Header.Clone()}
 		time.AfterFunc(lateOrderMin+time.Duration(rand.Float64()*float64(lateOrderSpread)), func() {
 			m.serve(newDiscard(), again.WithContext(context.Background()), b)
@@ -209,14 +209,14 @@
 }
 
 // serve carries out a call.
-func (m *minion) serve(w http.ResponseWriter, r *http.Request, b callBody) {
+func (m *worker) serve(w http.ResponseWriter, r *http.Request, b callBody) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
 		return
 	}
-	if expected := r.Header.Get("X-Oriolerelay-Expected-Instance"); expected != "" && expected != m.id {
-		w.Header().Set("X-Oriolerelay-Instance-Id", m.id)
+	if expected := r.Header.Get(names.ExpectedHeader); expected != "" && expected != m.id {
+		w.Header().Set(names.InstanceHeader, m.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -227,13 +227,13 @@
 	}
 	m.fence = b.Fence
 	switch r.URL.Path {
-	case "/run-start":
+	case names.Start:
 		if reason := m.startRun(&b); reason != "" {
 			m.reply(w, http.StatusConflict, map[string]any{"reason": reason})
 			return
 		}
 		m.reply(w, http.StatusOK, map[string]any{})
-	case "/run-stop":
+	case names.Stop:
 		m.stopRun(&b)
 		m.reply(w, http.StatusOK, map[string]any{})
 	case "/hold":
@@ -244,15 +244,15 @@
 	}
 }
 
-func (m *minion) reply(w http.ResponseWriter, status int, body map[string]any) {
+func (m *worker) reply(w http.ResponseWriter, status int, body map[string]any) {
 	body["clock_ms"] = m.clock()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // the caller has gone
 }
 
-// extend extends the lease to a time on the minion's clock.
-func (m *minion) extend(due int64) {
+// extend extends the lease to a time on the worker's clock.
+func (m *worker) extend(due int64) {
 	if due <= 0 {
 		return
 	}
@@ -275,7 +275,7 @@
 }
 
 // expire ends all runs if the lease has lapsed.
-func (m *minion) expire() {
+func (m *worker) expire() {
 	if time.Now().Before(m.leaseEnd) {
 		return
 	}
@@ -287,7 +287,7 @@
 	}
 }
 
-func (m *minion) used() (u resources) {
+func (m *worker) used() (u resources) {
 	for _, r := range m.running {
 		u.CPU, u.Mem = u.CPU+r.res.CPU, u.Mem+r.res.Mem
 	}
@@ -295,7 +295,7 @@
 }
 
 // startRun starts a run, or returns why it does not.
-func (m *minion) startRun(b *callBody) string {
+func (m *worker) startRun(b *callBody) string {
 	if r := m.running[b.Task]; r != nil && r.number == b.Run {
 		m.extend(b.Due)
 		return ""
@@ -307,7 +307,7 @@
 	if b.Run <= m.highest[b.Task] || m.running[b.Task] != nil {
 		return "old"
 	}
-	r := &run{minion: m.index, task: b.Task, number: b.Run, start: time.Now()}
+	r := &run{worker: m.index, task: b.Task, number: b.Run, start: time.Now()}
 	var ms int
 	outcome := "done"
 	if _, err := fmt.Sscanf(b.Spec, "ms=%d cpu=%d mem=%d end=%s", &ms, &r.res.CPU, &r.res.Mem, &outcome); err != nil {
@@ -317,13 +317,13 @@
 		if m.guards {
 			return "room"
 		}
-		m.overRoom = append(m.overRoom, fmt.Sprintf("LIMIT minion %d: the start of task %s run %d brings it to %d of %d",
+		m.overRoom = append(m.overRoom, fmt.Sprintf("LIMIT worker %d: the start of task %s run %d brings it to %d of %d",
 			m.index, b.Task, b.Run, u.CPU+r.res.CPU, m.room.CPU))
 	}
 	r.work = time.Duration(ms) * time.Millisecond
 	m.running[b.Task] = r
 	m.history = append(m.history, r)
-	m.rec.line("start minion=%d task=%s run=%d", m.index, r.task, r.number)
+	m.rec.line("start worker=%d task=%s run=%d", m.index, r.task, r.number)
 	r.timer = time.AfterFunc(r.work, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -335,7 +335,7 @@
 	return ""
 }
 
-func (m *minion) endRun(r *run, how string) {
+func (m *worker) endRun(r *run, how string) {
 	r.timer.Stop()
 	delete(m.running, r.task)
 	m.ends++
@@ -345,10 +345,10 @@
 	m.ended = append(m.ended, r)
 	close(m.changed)
 	m.changed = make(chan struct{})
-	m.rec.line("end minion=%d task=%s run=%d how=%s", m.index, r.task, r.number, how)
+	m.rec.line("end worker=%d task=%s run=%d how=%s", m.index, r.task, r.number, how)
 }
 
-func (m *minion) stopRun(b *callBody) {
+func (m *worker) stopRun(b *callBody) {
 	m.highest[b.Task] = max(m.highest[b.Task], b.Run)
 	r := m.running[b.Task]
 	if r == nil || r.number > b.Run {
@@ -364,14 +364,14 @@
 }
 
 // hold extends the lease, forgets acknowledged ends and waits for an end.
-func (m *minion) hold(ctx context.Context, b *callBody) {
+func (m *worker) hold(ctx context.Context, b *callBody) {
 	m.extend(b.Due)
 	kept := m.ended[:0]
 	for _, r := range m.ended {
 		if r.sequence <= b.Ack {
 			r.ackedAt = time.Now()
 			if r.how == "done" || r.how == "failed" {
-				m.rec.line("noted minion=%d task=%s run=%d how=%s lapsed=%t", m.index, r.task, r.number, r.how, r.lapsed)
+				m.rec.line("noted worker=%d task=%s run=%d how=%s lapsed=%t", m.index, r.task, r.number, r.how, r.lapsed)
 			}
 			continue
 		}
@@ -393,7 +393,7 @@
 	m.expire()
 }
 
-func (m *minion) lists() map[string]any {
+func (m *worker) lists() map[string]any {
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range m.running {
 		percent := min(int(100*time.Since(r.start)/max(r.work, 1)), 99)
@@ -406,7 +406,7 @@
 }
 
 // runs returns a copy of the history.
-func (m *minion) runs() []run {
+func (m *worker) runs() []run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
