--- a/review/rig/large_claim.go
+++ b/review/rig/large_claim.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -36,13 +35,13 @@
 	g.Wait()
 }
 
-// largeClaim fills three workers of 64 cores with 24 jobs of 150 small tasks, freezes one entry for a
-// second while they run, and then hands in small jobs.
+// largeClaim fills three workers of 64 cores with 24 jobs of 150 small tasks, kills one agent and starts
+// it again while they run, and then hands in small jobs.
 func largeClaim(rec *recorder, trouble bool) ([]string, error) {
 	const (
 		taskMS    = 3600
 		specBytes = 4000
-		freeze    = time.Second
+		down      = 500 * time.Millisecond
 		finish    = 14 * time.Second
 	)
 	c, err := startCluster(rec, options{
@@ -63,13 +62,11 @@
 	})
 	time.Sleep(2 * time.Second)
 	if trouble {
-		rec.line("freeze entry=1 for %v", freeze)
-		c.entries[0].signal(syscall.SIGSTOP)
-		time.Sleep(freeze)
-		c.entries[0].signal(syscall.SIGCONT)
-		rec.line("entry=1 wakes")
+		rec.line("kill agent=1, start it after %v", down)
+		c.restart(c.agents[0], down)
+		rec.line("agent=1 starts")
 	} else {
-		time.Sleep(freeze)
+		time.Sleep(down)
 	}
 	time.Sleep(5 * time.Second)
 	small := resources{500, 256}
--- a/review/rig/lost_failure.go
+++ b/review/rig/lost_failure.go
@@ -6,11 +6,11 @@
 )
 
 // lostFailure hands in jobs whose only task always fails, beside jobs that keep all workers busy, and cuts
-// the path between one agent and one entry for 5 s, three times. A task has two attempts.
+// the path between one agent and one entry for 5 s, four times. A task has two attempts.
 func lostFailure(rec *recorder, trouble bool) ([]string, error) {
 	const (
 		attempts = 2
-		cuts     = 3
+		cuts     = 4
 		cut      = 5 * time.Second
 		finish   = 14 * time.Second
 	)
@@ -46,8 +46,8 @@
 	time.Sleep(3 * time.Second)
 	for i := range cuts {
 		if trouble {
-			rec.line("cut agent=%d entry=%d for %v", i+1, i+1, cut)
-			c.cutFor(cut, c.links[i][i])
+			rec.line("cut agent=%d entry=%d for %v", i+1, i%3+1, cut)
+			c.cutFor(cut, c.links[i][i%3])
 			rec.line("the cut heals")
 		} else {
 			time.Sleep(cut)
