policy: optional mechanisms, enabled by settings

Cause: two new customers need decisions under a lack of capacity that must not change how the present deployments are served. Mechanisms could only be disabled. Now some are optional: off unless policy.on names them or the deployment must bear the loss of a data centre.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -296,14 +296,6 @@
 	}
 }
 
-// queuedJob returns j in the form of package policy.
-func (c *Coordinator) queuedJob(j *activeJob) *policy.QueuedJob {
-	return &policy.QueuedJob{
-		Priority: j.spec.Queue.Priority, Arrived: j.arrived, Objective: j.objective,
-		ExpectedRunTime: j.expectedRunTime, Started: j.started || j.stored != nil,
-	}
-}
-
 // handleDone handles the success of the run of t.
 func (c *Coordinator) handleDone(t *task, now time.Time) {
 	a, number := t.agent, t.runNumber
--- /dev/null
+++ b/coordinator/queue.go
@@ -0,0 +1,23 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"oriolerelay/policy"
+)
+
+// sortQueue puts the queued jobs in the order in which they get capacity.
+func (c *Coordinator) sortQueue(now time.Time) {
+	slices.SortStableFunc(c.queued, func(a, b *activeJob) int {
+		return c.cfg.Policy.Compare(c.queuedJob(a), c.queuedJob(b), now)
+	})
+}
+
+// queuedJob returns j in the form of package policy.
+func (c *Coordinator) queuedJob(j *activeJob) *policy.QueuedJob {
+	return &policy.QueuedJob{
+		Priority: j.spec.Queue.Priority, Arrived: j.arrived, Objective: j.objective,
+		ExpectedRunTime: j.expectedRunTime, Started: j.started || j.stored != nil,
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,32 @@
 	Confinement Mechanism = "confinement"
 )
 
-// Mechanisms lists all mechanisms.
+// The optional mechanisms, which are disabled unless the settings enable them. They answer a lack of
+// capacity that lasts.
+const (
+	// FairShare places jobs of queues, data centres and sizes that get less than their share of the
+	// capacity before others: for overload in which the lowest priority would get nothing.
+	FairShare Mechanism = "fair_share"
+	// EarlyRefusal refuses a job at once if it is not expected to get capacity in time: for overload
+	// in which jobs wait in vain.
+	EarlyRefusal Mechanism = "early_refusal"
+	// Reservations keeps capacity that becomes free for a large waiting task, and lets smaller tasks
+	// use it until then: for large tasks that do not fit into the gaps that small ones leave.
+	Reservations Mechanism = "reservations"
+	// SpeedMatch places tasks that are in time on slow endpoints there: for tasks that are in time
+	// only on fast ones.
+	SpeedMatch Mechanism = "speed_match"
+	// Handover returns a job that cannot be placed while another placement entry has free capacity:
+	// for load that is spread unevenly over placement entries.
+	Handover Mechanism = "handover"
+)
+
+// Optional lists the optional mechanisms.
+func Optional() []Mechanism {
+	return []Mechanism{FairShare, EarlyRefusal, Reservations, SpeedMatch, Handover}
+}
+
+// Mechanisms lists the mechanisms that are enabled by default.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Moves, Patience, InTimeFirst, BegunFirst, UrgentFirst, CallerAge, Trust, Avoid, Spread, Local, TwoChoices, ByJob,
@@ -69,29 +94,48 @@
 	}
 }
 
-// Policy is the set of enabled mechanisms. The zero value enables all.
-type Policy struct{ disabled map[Mechanism]bool }
+// Policy is the set of enabled mechanisms. The zero value enables all that are not optional.
+type Policy struct{ disabled, enabled map[Mechanism]bool }
 
 // Without returns a Policy with the named mechanisms disabled.
-func Without(names ...string) (Policy, error) {
-	p := Policy{disabled: make(map[Mechanism]bool)}
-	for _, name := range names {
+func Without(names ...string) (Policy, error) { return New(nil, names) }
+
+// New returns a Policy in which the optional mechanisms named by on are enabled. Those named by off
+// are disabled in any case.
+func New(on, off []string) (Policy, error) {
+	p := Policy{disabled: make(map[Mechanism]bool), enabled: make(map[Mechanism]bool)}
+	for _, name := range on {
 		m := Mechanism(name)
-		if !slices.Contains(Mechanisms(), m) {
-			return Policy{}, fmt.Errorf("%q is not a mechanism of the policy; valid names are %s", name, mechanismNames())
+		if !slices.Contains(Optional(), m) {
+			return Policy{}, fmt.Errorf("%q is not an optional mechanism of the policy; valid names are %s", name, names(Optional()))
+		}
+		p.enabled[m] = true
+	}
+	for _, name := range off {
+		m := Mechanism(name)
+		if all := slices.Concat(Mechanisms(), Optional()); !slices.Contains(all, m) {
+			return Policy{}, fmt.Errorf("%q is not a mechanism of the policy; valid names are %s", name, names(all))
 		}
 		p.disabled[m] = true
 	}
 	return p, nil
 }
 
-func mechanismNames() string {
-	var names []string
-	for _, m := range Mechanisms() {
-		names = append(names, string(m))
+func names(mechanisms []Mechanism) string {
+	var list []string
+	for _, m := range mechanisms {
+		list = append(list, string(m))
 	}
-	return strings.Join(names, ", ")
+	return strings.Join(list, ", ")
 }
 
 // Uses reports whether a mechanism is enabled.
-func (p Policy) Uses(m Mechanism) bool { return !p.disabled[m] }
+func (p Policy) Uses(m Mechanism) bool { return !p.disabled[m] && (p.enabled[m] || !m.isOptional()) }
+
+func (m Mechanism) isOptional() bool {
+	switch m {
+	case FairShare, EarlyRefusal, Reservations, SpeedMatch, Handover:
+		return true
+	}
+	return false
+}
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,21 +46,32 @@
 	StopGraceS float64 `json:"stop_grace_s"`
 	// FarFactor is the factor by which the run time of a task grows away from its data.
 	FarFactor float64 `json:"far_factor"`
-	// Policy disables mechanisms of the scheduling policy.
+	// ToleratedDataCentres is the number of data centres whose loss the deployment must bear. If it is
+	// not 0, a lack of capacity is to be expected and the optional mechanisms of the policy are enabled.
+	ToleratedDataCentres int `json:"tolerated_data_centres"`
+	// Policy enables and disables mechanisms of the scheduling policy.
 	Policy PolicySettings `json:"policy"`
 	// Traces configures the export of trace spans, which is off by default.
 	Traces tracing.Settings `json:"traces"`
 }
 
-// PolicySettings disable mechanisms of the scheduling policy.
+// PolicySettings enable and disable mechanisms of the scheduling policy; package policy lists them.
 type PolicySettings struct {
-	// Off names the disabled mechanisms; package policy lists them.
+	// On names the enabled optional mechanisms.
+	On []string `json:"on"`
+	// Off names the disabled mechanisms. It takes precedence over On and ToleratedDataCentres.
 	Off []string `json:"off"`
 }
 
 // policy returns the scheduling policy. Check has rejected unknown names.
 func (s *Settings) policy() policy.Policy {
-	p, _ := policy.Without(s.Policy.Off...)
+	on := slices.Clone(s.Policy.On)
+	if s.ToleratedDataCentres > 0 {
+		for _, m := range policy.Optional() {
+			on = append(on, string(m))
+		}
+	}
+	p, _ := policy.New(on, s.Policy.Off)
 	return p
 }
 
@@ -110,9 +122,15 @@
 		p.Add("max_lease_ms", "%v is below 100 ms", s.MaxLeaseMS)
 	}
 	s.Traces.Check(p, "traces")
+	if _, err := policy.New(s.Policy.On, nil); err != nil {
+		p.Add("policy.on", "%v", err)
+	}
 	if _, err := policy.Without(s.Policy.Off...); err != nil {
 		p.Add("policy.off", "%v", err)
 	}
+	if s.ToleratedDataCentres < 0 {
+		p.Add("tolerated_data_centres", "%d is negative", s.ToleratedDataCentres)
+	}
 	if s.StopGraceS < 1 {
 		p.Add("stop_grace_s", "%v is below 1 s", s.StopGraceS)
 	}
--- a/relay/settings_test.go
+++ b/relay/settings_test.go
@@ -90,3 +90,24 @@
 		c.Check(err, quicktest.ErrorMatches, "(?s).*"+tc.path+".*", quicktest.Commentf("%.40s", tc.new))
 	}
 }
+
+// Guards against optional mechanisms that run in a deployment whose settings do not ask for them.
+func TestOptionalMechanismsAreOffByDefault(t *testing.T) {
+	c := quicktest.New(t)
+	for _, m := range policy.Optional() {
+		for _, tc := range []struct {
+			name string
+			s    Settings
+			want bool
+		}{
+			{"default", Settings{}, false},
+			{"named", Settings{Policy: PolicySettings{On: []string{string(m)}}}, true},
+			{"a data centre may be lost", Settings{ToleratedDataCentres: 1}, true},
+			{"switched off", Settings{ToleratedDataCentres: 1, Policy: PolicySettings{Off: []string{string(m)}}}, false},
+		} {
+			p := tc.s.policy()
+			c.Check(p.Uses(m), quicktest.Equals, tc.want, quicktest.Commentf("%s, %s", m, tc.name))
+		}
+		c.Check(policy.Policy{}.Uses(m), quicktest.IsFalse)
+	}
+}
