fair_share: divide capacity by queue, data centre and job size

Change: each placement entry counts the declared core-seconds of started and refused jobs by queue, by data centre of the caller and by size class within the queue, with exponential decay, and adds the counts of the other placement entries (PlacementStatus key 7). Jobs of a group whose share is below a floor relative to the best served group come before others; priority 0 stays first unless its queue is the best served one. A task is not placed where it would be late while another endpoint would run it in time: such a start counted as service that the caller did not get. Nothing changes with the mechanism off.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -45,6 +45,7 @@
 	stored          *storedState // nil for an ephemeral job
 	moves           int
 	activeAt        time.Time // when it was admitted, or a task was last ordered or completed
+	shares          *jobShares
 }
 
 // task is a task of an active job.
@@ -80,6 +81,7 @@
 		return
 	}
 	j := newActiveJob(s, now, w)
+	c.joinGroups(j, now)
 	c.admit(j, now)
 	c.failIfGivenUp(j, now)
 }
@@ -192,6 +194,7 @@
 // for the log: the values on which the decision is based.
 func (c *Coordinator) refuse(j *activeJob, err *errkind.Error, inputs ...any) {
 	c.cfg.Metrics.refused.WithLabelValues(string(err.Kind)).Inc()
+	c.countRefused(j, err.Kind, time.Now())
 	c.cfg.Log.Log(event.JobRefused, append([]any{"job", j.spec.ID, "queue", j.spec.Queue.Name, "kind", err.Kind,
 		"why", err.Detail, "waited_ms", time.Since(j.arrived).Milliseconds(), "waiting", len(c.queued)}, inputs...)...)
 	c.remove(j)
--- a/coordinator/capacity.go
+++ b/coordinator/capacity.go
@@ -30,6 +30,7 @@
 		}
 		err := errkind.New(errkind.QueueFull, "a task needs more than the capacity of each endpoint: %d millicores, %d MiB", st.Size.MilliCores, st.Size.MemoryMiB)
 		err.RetryAfter = growthDelay
+		j.shares = nil // it is not refused in favour of others
 		c.refuse(j, err, "step", i, "millicores", st.Size.MilliCores, "endpoints", len(v.endpoints))
 		return true
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -97,6 +97,7 @@
 	wanted             wantedState
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
+	shares             *shares // nil unless policy.FairShare is enabled
 }
 
 // New returns a Coordinator. It does nothing until Run is called.
@@ -117,6 +118,9 @@
 		wanted:         wantedState{neededAt: make(map[wire.TaskRequirement]time.Time)},
 		wantedChanged:  make(chan struct{}, 1),
 	}
+	if cfg.Policy.Uses(policy.FairShare) {
+		c.shares = newShares()
+	}
 	c.agentsUnreachable.Store(true) // until the first message from an agent
 	return c
 }
@@ -188,6 +192,7 @@
 // AfterBatch implements loop.Controller.
 func (c *Coordinator) AfterBatch(now time.Time) {
 	c.judgePending(now) // before the tasks that wait for it are placed
+	c.judgeShares(now)
 	if c.replan {
 		c.replan = false
 		c.placeQueuedJobs(now)
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"oriolerelay/policy"
 )
 
 // Metrics holds the metrics of a Coordinator. Create it with NewMetrics.
@@ -20,6 +22,8 @@
 	givenUp   prometheus.Counter
 	inFlight  prometheus.Gauge
 	queued    prometheus.Gauge
+	shares    *prometheus.GaugeVec
+	promoted  *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -62,9 +66,15 @@
 		queued: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "oriole_jobs_waiting", Help: "Jobs with tasks that wait for capacity.",
 		}),
+		shares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "oriole_started_share", Help: "Share of the declared core-seconds of decided jobs that has started, by group of jobs.",
+		}, []string{"service", "kind", "group"}),
+		promoted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oriole_jobs_promoted_total", Help: "Jobs that started before others because a group of theirs got less than its share.",
+		}, []string{"queue"}),
 	}
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
-		m.inFlight, m.queued)
+		m.inFlight, m.queued, m.shares, m.promoted)
 	return m
 }
 
@@ -85,3 +95,15 @@
 	m.inFlight.Set(float64(len(c.jobs)))
 	m.queued.Set(float64(len(c.queued)))
 }
+
+func (m *Metrics) updateShares(service string, kind policy.GroupKind, groups []*shareGroup) {
+	for _, g := range groups {
+		m.shares.WithLabelValues(service, kind.String(), g.name).Set(g.Counts.Share())
+	}
+}
+
+func (m *Metrics) removeShares(service string, kind policy.GroupKind, groups ...*shareGroup) {
+	for _, g := range groups {
+		m.shares.DeleteLabelValues(service, kind.String(), g.name)
+	}
+}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -160,6 +160,9 @@
 			if !ok {
 				break // the other tasks of the step have the same requirements
 			}
+			if !choice.InTime && j.shares != nil && p.CanBeInTime(endpoints) {
+				break // a run that ends late would count as service
+			}
 			e, a := &endpoints[choice.Index], agents[choice.Index]
 			e.Free = e.Free.Sub(t.step.Size)
 			if p.Suspect {
@@ -182,6 +185,9 @@
 func (c *Coordinator) orderTask(t *task, a *agent, now time.Time) {
 	t.runNumber++
 	t.state, t.agent, t.orderedAt = taskOrdered, a, now
+	if !t.job.started {
+		c.countStarted(t.job, now)
+	}
 	t.job.started, t.job.activeAt = true, now
 	a.tasks[t.name] = t
 	a.orderCount++
--- a/coordinator/queue.go
+++ b/coordinator/queue.go
@@ -9,6 +9,7 @@
 
 // sortQueue puts the queued jobs in the order in which they get capacity.
 func (c *Coordinator) sortQueue(now time.Time) {
+	c.setPrecedences(now)
 	slices.SortStableFunc(c.queued, func(a, b *activeJob) int {
 		return c.cfg.Policy.Compare(c.queuedJob(a), c.queuedJob(b), now)
 	})
@@ -16,8 +17,12 @@
 
 // queuedJob returns j in the form of package policy.
 func (c *Coordinator) queuedJob(j *activeJob) *policy.QueuedJob {
-	return &policy.QueuedJob{
+	q := &policy.QueuedJob{
 		Priority: j.spec.Queue.Priority, Arrived: j.arrived, Objective: j.objective,
 		ExpectedRunTime: j.expectedRunTime, Started: j.started || j.stored != nil,
 	}
+	if j.shares != nil {
+		q.Shares = j.shares.precedence
+	}
+	return q
 }
--- a/emulator/routed.go
+++ b/emulator/routed.go
@@ -56,9 +56,13 @@
 		s.connectSelected(placementEntries, 1)
 	}
 	for _, e := range s.entries {
-		e.Router = router.New(router.Config{
+		cfg := router.Config{
 			Local: e.Coordinator, Self: e.incarnation(), Policy: s.Policy, Log: s.logger(e.name), Metrics: router.NewMetrics(prometheus.NewRegistry()),
-		})
+		}
+		if s.Policy.Uses(policy.FairShare) {
+			cfg.Shares = e.Coordinator
+		}
+		e.Router = router.New(cfg)
 		e.Router.SetSharedAgents(shared)
 		e.Router.SetEnabled(len(milliCores) > 1)
 		go e.Router.Run(ctx)
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -11,6 +11,9 @@
 	TaskMoved    = define(606, Info, "slow run is stopped; task is moved to another endpoint")
 	TaskGivenUp  = define(616, Warn, "task is given up because endpoints crash while it runs")
 
+	PromotionBegan = define(690, Info, "jobs of a group that gets less than its share of the capacity are placed before others")
+	PromotionEnded = define(691, Info, "jobs of a group are no longer placed before others")
+
 	CallerDisconnected = define(614, Info, "caller disconnected before its job was started")
 
 	JobForwarded            = define(607, Info, "job forwarded to the entry that places its tasks")
--- a/job/job.go
+++ b/job/job.go
@@ -38,6 +38,12 @@
 	CallerDisconnected func() bool `cbor:"-"`
 	// Trace is the W3C traceparent of the parent span; empty if the job is not traced.
 	Trace string `cbor:",omitempty"`
+	// Origin is the data centre of the entry that received the job from its caller; empty without
+	// fair shares.
+	Origin string `cbor:",omitempty"`
+	// RefusedBefore is set if another placement entry has refused the job; it is not set without fair
+	// shares.
+	RefusedBefore bool `cbor:",omitempty"`
 }
 
 // Step is a group of tasks with the same requirements. It is encoded under the Go names of its
--- a/policy/order.go
+++ b/policy/order.go
@@ -17,6 +17,8 @@
 	UnplacedCores float64
 	// Started is set once one of its tasks was ordered; the job cannot be refused any more.
 	Started bool
+	// Shares is its precedence as a member of promoted groups; zero without FairShare.
+	Shares SharePrecedence
 }
 
 // wouldMissObjective reports whether the job would miss its objective if it started now.
@@ -26,8 +28,8 @@
 
 // Compare orders jobs by precedence for free capacity: jobs that can still meet their
 // objective come first; among them those that have started, since their partial results are
-// useless alone; then by the operator's priority, and then by the time at which they would be
-// refused. A job overtakes only jobs that can wait longer, and none that arrived earlier by
+// useless alone; then those of groups that get less than their share (see FairShare); then by the
+// operator's priority, and then by the time at which they would be refused. A job overtakes only jobs that can wait longer, and none that arrived earlier by
 // more than its own maximum wait, so no job starves. The result is negative if a comes
 // before b.
 func (p Policy) Compare(a, b *QueuedJob, now time.Time) int {
@@ -42,7 +44,7 @@
 	if p.Uses(UrgentFirst) {
 		urgent = a.refuseAt().Compare(b.refuseAt())
 	}
-	return cmp.Or(inTime, started, cmp.Compare(a.Priority, b.Priority), urgent, a.Arrived.Compare(b.Arrived))
+	return cmp.Or(inTime, started, a.Shares.compare(b.Shares), cmp.Compare(a.Priority, b.Priority), urgent, a.Arrived.Compare(b.Arrived))
 }
 
 func compareTrueFirst(a, b bool) int {
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -19,6 +19,7 @@
 	"oriolerelay/job"
 	"oriolerelay/ledger"
 	"oriolerelay/platform"
+	"oriolerelay/policy"
 	"oriolerelay/router"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
@@ -60,6 +61,7 @@
 	draining    atomic.Bool
 	republish   chan struct{} // makes publish write the record now
 	ready       atomic.Bool
+	fairShare   bool // policy.FairShare is enabled
 }
 
 // RunEntry runs an entry with the settings file at path until ctx is done and the entry has
@@ -85,11 +87,15 @@
 		}),
 		store: platform.NewStore(s.StoreAddress, s.StorePartitions),
 	}
+	var shares router.ShareExchange
+	if e.fairShare = s.policy().Uses(policy.FairShare); e.fairShare {
+		shares = e.coordinator
+	}
 	e.registerConfigMetrics()
 	e.republish = make(chan struct{}, 1)
 	e.router = router.New(router.Config{
 		Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Self: p.incarnation.String(), Region: s.Region, Log: p.log,
-		Metrics: router.NewMetrics(p.registry), Now: boottime,
+		Metrics: router.NewMetrics(p.registry), Shares: shares, Now: boottime,
 	})
 	e.peers = newPeerConns(p, e.router)
 	e.peers.conns.setSeeds(s.seedEntries())
@@ -273,6 +279,9 @@
 func (e *entry) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
 	if s.Ephemeral {
 		s.CallerDisconnected = callerDisconnected(ctx)
+		if e.fairShare {
+			s.Origin = e.process.settings.DataCentre
+		}
 	}
 	ctx, span := startJobSpan(ctx, e.process.tracer, spanJob, &s)
 	state, err := e.submit(ctx, s)
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -23,6 +23,7 @@
 	lastSent     time.Time
 	lastNumber   uint64                        // highest number of a received job
 	sentLabels   []wire.ServiceLabels          // last sent to it
+	sharesSentAt time.Time                     // when share counts were last sent to it
 	jobs         map[uint64]context.CancelFunc // cancel the jobs that run for it, by number
 	// echoedClock is the newest ClockMillis that it has returned; 0 if it returns none. It is
 	// written with Router.mu held.
@@ -208,9 +209,22 @@
 	if labels := r.cfg.Local.Labels(); !sameLabels(labels, f.sentLabels) {
 		m.Labels, f.sentLabels = labels, labels
 	}
+	if r.cfg.Shares != nil && now.Sub(f.sharesSentAt) >= sharesInterval && r.isPlacementEntry(f) {
+		m.Shares, f.sharesSentAt = r.cfg.Shares.ShareCounts(), now
+	}
 	r.sendToForwarder(f, m)
 }
 
+// isPlacementEntry reports whether f places jobs itself in this region. r.mu must be held.
+func (r *Router) isPlacementEntry(f *forwarder) bool {
+	for _, p := range r.placementEntries {
+		if p.incarnation == f.incarnation && !p.otherRegion {
+			return true
+		}
+	}
+	return false
+}
+
 // sameLabels reports whether a and b share their elements. JobRunner returns another slice when
 // the labels change.
 func sameLabels(a, b []wire.ServiceLabels) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,8 @@
 	minLoadInterval = 50 * time.Millisecond
 	maxLoadInterval = 80 * time.Millisecond
 	minLoadChange   = 0.05
+	// sharesInterval is the shortest time between two messages with share counts to a placement entry.
+	sharesInterval = 200 * time.Millisecond
 	// SuspectTimeout is the time without a message after which a placement entry is suspect
 	// and gets no more jobs. It has missed two load messages by then.
 	SuspectTimeout = 200 * time.Millisecond
@@ -55,6 +57,13 @@
 	checkInterval = 25 * time.Millisecond
 )
 
+// ShareExchange holds the decisions on jobs that placement entries tell each other.
+type ShareExchange interface {
+	// ShareCounts returns the decisions of this process, and SetShareCounts sets those of another one.
+	ShareCounts() []wire.ServiceShares
+	SetShareCounts(entry string, counts []wire.ServiceShares, receivedAt time.Time)
+}
+
 // Config holds the dependencies and settings of a Router.
 type Config struct {
 	Local   JobRunner
@@ -63,6 +72,8 @@
 	Policy  policy.Policy
 	Log     *event.Logger
 	Metrics *Metrics
+	// Shares exchanges decisions with other placement entries; nil if fair shares are disabled.
+	Shares ShareExchange
 	// Now returns a clock that also advances while the host is suspended; nil selects the
 	// process's own clock.
 	Now func() time.Duration
@@ -224,6 +235,9 @@
 		if m.Labels != nil {
 			p.labels = m.Labels
 		}
+		if r.cfg.Shares != nil && m.Shares != nil && !p.otherRegion {
+			r.cfg.Shares.SetShareCounts(p.incarnation, m.Shares, p.lastReceived)
+		}
 		r.notify()
 	case *wire.PlaceResult:
 		p.clockMillis = max(p.clockMillis, m.ClockMillis)
--- a/router/submit.go
+++ b/router/submit.go
@@ -30,6 +30,7 @@
 		p, ok, changed := r.chooseEntry(&s, triedIncarnation)
 		switch {
 		case ok:
+			s.RefusedBefore = refusal != nil && refusal.Kind == errkind.QueueFull && r.cfg.Shares != nil
 			o, sent := r.submitTo(ctx, p, s, arrived)
 			if !sent {
 				continue
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -82,7 +82,8 @@
 		&Orders{Groups: []OrderGroup{group}, OrderedRuns: math.MaxUint64}, &Claim{Groups: []OrderGroup{group}},
 		&Reports{Reports: []Report{{Run: run, State: 255, Reason: 255}}, Status: status}, status, &Stop{Runs: []Run{run}}, &Confirm{Runs: []Run{run}},
 		&Place{Number: math.MaxUint64, Job: []byte{0xf6}}, &PlaceResult{Number: 1, Kind: "x"}, &Withdraw{Numbers: []uint64{0, math.MaxUint64}},
-		&PlacementStatus{Services: []ServiceLoad{{Service: "s", Capacity: math.MaxUint64, Used: math.MaxUint64}}, Labels: []ServiceLabels{{Service: "s"}}},
+		&PlacementStatus{Services: []ServiceLoad{{Service: "s", Capacity: math.MaxUint64, Used: math.MaxUint64}}, Labels: []ServiceLabels{{Service: "s"}},
+			Shares: []ServiceShares{{Service: "s", Queues: []GroupCount{{Name: "q", SizeClass: 2, Started: math.MaxUint64}}}}},
 		&EntryDraining{}, &Evacuated{Version: math.MaxUint64, DataCentres: []string{""}},
 	}
 }
--- a/wire/placement.go
+++ b/wire/placement.go
@@ -61,6 +61,28 @@
 	// ClockMillis is the sender's clock in ms, which the receiver returns in its Place and
 	// Heartbeat messages. It is never 0.
 	ClockMillis uint64 `cbor:"6,keyasint,omitempty"`
+	// Shares holds the sender's decisions on jobs. It is sent only to placement entries, if fair
+	// shares are enabled and jobs are refused.
+	Shares []ServiceShares `cbor:"7,keyasint,omitempty"`
+}
+
+// ServiceShares holds the recent decisions of an entry on jobs of a service, by the groups between
+// which capacity is divided.
+type ServiceShares struct {
+	Service string       `cbor:"1,keyasint"`
+	Queues  []GroupCount `cbor:"2,keyasint,omitempty"` // one for each size class
+	// DataCentres are those of the entries that received the jobs from their callers.
+	DataCentres []GroupCount `cbor:"3,keyasint,omitempty"`
+}
+
+// GroupCount is the work of the decided jobs of a group, in thousandths of a declared core-second, and
+// the sum of its squares, in thousandths.
+type GroupCount struct {
+	Name      string `cbor:"1,keyasint"`
+	SizeClass uint8  `cbor:"2,keyasint,omitempty"`
+	Started   uint64 `cbor:"3,keyasint,omitempty"`
+	Refused   uint64 `cbor:"4,keyasint,omitempty"`
+	Squares   uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ServiceLabels lists the labels of the endpoints of a service.
