policy, coordinator: reservations and backfilling for large tasks

Cause: small tasks take each core that becomes free, so that a task that needs half of an endpoint or more finds no gap, also if its priority is higher. Ruled out: conservative backfilling of the whole queue and reservations held by the agents (docs/design/backfilling.md). Change: mechanism reservations. A task that fits on no endpoint now gets a reservation on the endpoint where it is expected to end first; later jobs use that endpoint if they fit beside the reservation or are planned to end before it. Planned run times are the 0.8 quantile of actual over expected run time, learned by queue. Jobs that come earlier in the order never see a reservation. Nothing is planned unless a task of a later job would fit into free capacity.

Conclusion: usable first version; off, nothing is computed.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -44,6 +44,7 @@
 	queued          bool         // in Coordinator.queued
 	stored          *storedState // nil for an ephemeral job
 	moves           int
+	expiredAt       []*agent  // agents where a reservation for the job has expired
 	activeAt        time.Time // when it was admitted, or a task was last ordered or completed
 }
 
@@ -67,6 +68,7 @@
 	holdUntil time.Time
 	// adoptedNumber is the run number below which runs of a stored task were ordered by former owners.
 	adoptedNumber uint32
+	heldBack      bool // it was not ordered at least once since the free capacity was reserved
 }
 
 // minDeclaredRunTime is the run time that is assumed for a task that declares none or a shorter
@@ -300,6 +302,7 @@
 func (c *Coordinator) handleDone(t *task, now time.Time) {
 	a, number := t.agent, t.runNumber
 	a.trialSuccesses++
+	c.observeRunTime(t, now)
 	c.detach(t)
 	c.completeTask(t, a.name, number, now)
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -97,6 +97,7 @@
 	wanted             wantedState
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
+	reservations       reservations
 }
 
 // New returns a Coordinator. It does nothing until Run is called.
@@ -116,6 +117,7 @@
 		confined:       make(map[string]*confinement),
 		wanted:         wantedState{neededAt: make(map[wire.TaskRequirement]time.Time)},
 		wantedChanged:  make(chan struct{}, 1),
+		reservations:   newReservations(cfg.Policy),
 	}
 	c.agentsUnreachable.Store(true) // until the first message from an agent
 	return c
@@ -181,6 +183,7 @@
 	c.expireUnclaimedEnds(now)
 	c.crashes.expire(now)
 	c.updateConfinements(now)
+	c.checkReservations(now)
 	c.updateLabels()
 	c.updateWanted(now)
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -20,6 +20,8 @@
 	givenUp   prometheus.Counter
 	inFlight  prometheus.Gauge
 	queued    prometheus.Gauge
+
+	reservations reservationMetrics
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -65,6 +67,7 @@
 	}
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued)
+	m.reservations = newReservationMetrics(reg)
 	return m
 }
 
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -64,6 +64,7 @@
 		Label:  t.step.Label, Stored: t.job.stored != nil, DataRack: t.step.DataRack, FarFactor: c.cfg.Timing.FarFactor,
 		MaxPerEndpoint: t.step.MaxPerEndpoint, Job: t.job.spec.ID,
 	}
+	p.RunTimeFactor = c.plannedFactor(t.job.spec.Queue.Name)
 	if p.Suspect, p.Identified = c.suspicion(t); p.Suspect {
 		p.SuspectRanks = suspectRanks(t, agents)
 	}
@@ -111,10 +112,11 @@
 			}
 			continue // a started job is abandoned when its last caller is
 		}
+		c.planReservations(v, j, now)
 		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
 			continue
 		}
-		c.placeJob(j, v.endpoints, v.agents, now)
+		c.placeJob(j, v, now)
 		v.coresAhead += float64(j.waitingMilliCores()) / 1000
 	}
 }
@@ -126,6 +128,8 @@
 	// coresAhead is the demand of the preceding jobs that could not be placed.
 	coresAhead float64
 	releases   policy.Releases
+	// reservations is set once a task fits on no endpoint, if the mechanism is enabled.
+	reservations *serviceReservations
 }
 
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
@@ -146,7 +150,8 @@
 }
 
 // placeJob orders the waiting tasks of j for which there is free capacity.
-func (c *Coordinator) placeJob(j *activeJob, endpoints []policy.Endpoint, agents []*agent, now time.Time) {
+func (c *Coordinator) placeJob(j *activeJob, v *serviceView, now time.Time) {
+	endpoints, agents := v.endpoints, v.agents
 	if len(endpoints) == 0 || j.stored != nil && !c.recorder.HoldsLease() {
 		return
 	}
@@ -158,10 +163,15 @@
 			p := c.policyTask(t, endpoints, agents, now)
 			choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, p, c.random.Uint64())
 			if !ok {
+				c.noteBlocked(v, t, p)
 				break // the other tasks of the step have the same requirements
 			}
 			e, a := &endpoints[choice.Index], agents[choice.Index]
-			e.Free = e.Free.Sub(t.step.Size)
+			if e.Reservations.Active {
+				c.cfg.Metrics.reservations.backfilled.Inc()
+			}
+			e.Take(p)
+			c.placedOn(t, a, now)
 			if p.Suspect {
 				e.Suspects++
 			}
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -66,7 +66,7 @@
 // fittingTasks returns how many tasks of a step the available endpoints can take now.
 func (c *Coordinator) fittingTasks(j *activeJob, step int, endpoints []policy.Endpoint) int {
 	st := &j.spec.Steps[step]
-	t := policy.Task{Size: st.Size}
+	t := policy.Task{Size: st.Size, DeclaredRunTime: max(st.Estimate, minDeclaredRunTime), RunTimeFactor: c.plannedFactor(j.spec.Queue.Name)}
 	t.Confine(endpoints, c.confinedLimit(j.spec.Queue.Name, len(endpoints)))
 	return policy.FittingTasks(endpoints, &t)
 }
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -32,6 +32,7 @@
 	// are those of the lowest ConfinementRank.
 	Confined        bool
 	ConfinementRank int
+	Reservations    EndpointReservations
 }
 
 // FreeCapacity is the part of a capacity that no task uses. It is negative where more was
@@ -69,6 +70,8 @@
 type Task struct {
 	Size            wire.Resources
 	DeclaredRunTime time.Duration
+	// RunTimeFactor multiplies the expected run time where the end of the run is planned.
+	RunTimeFactor float64
 	// Budget is the time left until the job misses its objective.
 	Budget   time.Duration
 	Label    string
@@ -140,7 +143,7 @@
 	for k := range n {
 		i := int((random + uint64(k)) % uint64(n))
 		e := &endpoints[i]
-		if !e.Available || !t.CanRunOn(e) || !e.Free.Fits(t.Size) || t.atEndpointLimit(i) || t.conflictsWithTrial(e) {
+		if !e.Available || !t.CanRunOn(e) || !t.fitsNow(e) || t.atEndpointLimit(i) || t.conflictsWithTrial(e) {
 			continue
 		}
 		c := Placement{Index: i, RunTime: t.RunTime(e)}
@@ -243,7 +246,11 @@
 	n := int64(0)
 	for i := range endpoints {
 		if e := &endpoints[i]; e.Available && t.mayUse(e) {
-			n += e.Free.fittingTasks(t.Size)
+			fitting := e.Free.fittingTasks(t.Size)
+			if e.Reservations.Active && !t.endsBeforeReservation(e) {
+				fitting = min(fitting, e.Reservations.Beside.fittingTasks(t.Size))
+			}
+			n += fitting
 		}
 	}
 	return int(n)
--- a/trial/outcome.go
+++ b/trial/outcome.go
@@ -13,6 +13,8 @@
 	// RefusalDelay is the mean time from submission to refusal of the refused jobs, as a
 	// share of their objective.
 	RefusalDelay float64 `json:"refused_late"`
+	// InTimeByQueue holds the share of the jobs of each queue that were answered in time.
+	InTimeByQueue map[string]float64 `json:"in_time_by_queue,omitempty"`
 	// Violations lists the violations of guarantees.
 	Violations []string `json:"broken,omitempty"`
 }
--- a/trial/play_test.go
+++ b/trial/play_test.go
@@ -67,7 +67,7 @@
 	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	var tally tally
+	tally := tally{jobsByQueue: make(map[string]int), inTimeByQueue: make(map[string]int)}
 	var answers []emulator.Answer
 	for i := range s.Arrivals {
 		a := &s.Arrivals[i]
@@ -141,10 +141,13 @@
 type tally struct {
 	Outcome
 	totalWorth, earnedWorth, refusalDelays float64
+
+	jobsByQueue, inTimeByQueue map[string]int
 }
 
 func (t *tally) add(a *Arrival, took time.Duration, state job.State, err *errkind.Error) {
 	t.Jobs++
+	t.jobsByQueue[a.Job.Queue.Name]++
 	t.totalWorth += a.Worth
 	objective := a.objective()
 	switch {
@@ -155,6 +158,7 @@
 		t.Failed++
 	case took <= objective:
 		t.InTime++
+		t.inTimeByQueue[a.Job.Queue.Name]++
 		t.earnedWorth += a.Worth
 	default:
 		t.Late++
@@ -169,6 +173,10 @@
 	if t.totalWorth > 0 {
 		out.EarnedShare = t.earnedWorth / t.totalWorth
 	}
+	out.InTimeByQueue = make(map[string]float64)
+	for queue, n := range t.jobsByQueue {
+		out.InTimeByQueue[queue] = float64(t.inTimeByQueue[queue]) / float64(n)
+	}
 	if t.Refused > 0 {
 		out.RefusalDelay = t.refusalDelays / float64(t.Refused)
 	}
