--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -98,6 +98,7 @@
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
 	shares             *shares // nil unless policy.FairShare is enabled
+	reservations       reservations
 }
 
 // New returns a Coordinator. It does nothing until Run is called.
@@ -117,6 +118,7 @@
 		confined:       make(map[string]*confinement),
 		wanted:         wantedState{neededAt: make(map[wire.TaskRequirement]time.Time)},
 		wantedChanged:  make(chan struct{}, 1),
+		reservations:   newReservations(cfg.Policy),
 	}
 	if cfg.Policy.Uses(policy.FairShare) {
 		c.shares = newShares()
@@ -185,6 +187,7 @@
 	c.expireUnclaimedEnds(now)
 	c.crashes.expire(now)
 	c.updateConfinements(now)
+	c.checkReservations(now)
 	c.updateLabels()
 	c.updateWanted(now)
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -24,6 +24,8 @@
 	queued    prometheus.Gauge
 	shares    *prometheus.GaugeVec
 	promoted  *prometheus.CounterVec
+
+	reservations reservationMetrics
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -75,6 +77,7 @@
 	}
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued, m.shares, m.promoted)
+	m.reservations = newReservationMetrics(reg)
 	return m
 }
 
