policy: speed_match keeps fast endpoints for the tasks that need them

Cause: each task takes the endpoint where it ends first. Under scarcity short tasks fill the fast endpoints, and long ones find only slow ones free, where they start late and occupy capacity in vain. Change: with speed_match, a task that is in time with a margin of 1.2 on a slow endpoint is placed there once more than 0.7 of the fast capacity is in use, and a task that could be late on a slow endpoint waits for a faster one while it can still be in time there. Off by default. Ruled out: placing short tasks on slow endpoints alone.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -290,8 +290,8 @@
 			} else {
 				c.refuse(j, errkind.New(errkind.DeadlineUnmet, "the job could not be placed before the caller's deadline"))
 			}
-		case j.queued && !j.started:
-			c.replan = true // placement refuses jobs that have waited too long
+		case j.queued && (!j.started || c.cfg.Policy.Uses(policy.SpeedMatch)):
+			c.replan = true // placement refuses jobs that have waited too long, and places tasks whose wait has ended
 		}
 	}
 }
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -133,10 +133,12 @@
 
 // ChooseEndpoint returns the endpoint with the least cost for t among those with enough free
 // capacity: the one where it is expected to end first, with those where it ends within its
-// budget before the others. ok is false if no endpoint has capacity for it. random breaks ties.
+// budget before the others. ok is false if no endpoint has capacity for it, or if it waits for a
+// faster one. random breaks ties.
 func (p Policy) ChooseEndpoint(endpoints []Endpoint, t *Task, random uint64) (best Placement, ok bool) {
 	bestCost := 0.0
 	n := len(endpoints)
+	speed := p.speedMatch(endpoints, t)
 	for k := range n {
 		i := int((random + uint64(k)) % uint64(n))
 		e := &endpoints[i]
@@ -145,12 +147,12 @@
 		}
 		c := Placement{Index: i, RunTime: t.RunTime(e)}
 		c.InTime = c.RunTime <= t.Budget
-		cost := p.costMillis(t, e, i, c)
+		cost := p.costMillis(t, e, i, c) + speed.costMillis(e, c)
 		if !ok || cost < bestCost {
 			best, bestCost, ok = c, cost, true
 		}
 	}
-	return best, ok
+	return best, ok && !speed.shouldWait(t, best)
 }
 
 // conflictsWithTrial reports whether t, a suspect or of a confined queue, must not run on e yet: a
