--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -59,6 +59,7 @@
 	orderSequence   uint64 // of the order on the agent's connection
 	orderedAt       time.Time
 	expectedRunTime time.Duration // from the order to the end of the run
+	waitsForSpeed   bool          // it has waited for a faster endpoint than those with free capacity
 	failures        int
 	countedFailures int      // failures that count against the queue's attempts
 	avoid           []*agent // agents where it has failed or was slow
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -20,6 +20,8 @@
 	givenUp   prometheus.Counter
 	inFlight  prometheus.Gauge
 	queued    prometheus.Gauge
+	// Tasks that have waited for a faster endpoint, and that were placed on a slow one.
+	speedWaits, speedSlow prometheus.Counter
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -63,6 +65,11 @@
 			Name: "oriole_jobs_waiting", Help: "Jobs with tasks that wait for capacity.",
 		}),
 	}
+	speedMatched := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "oriole_tasks_speed_matched_total", Help: "Tasks that were placed on a slow endpoint, or waited for a fast one, because fast ones were scarce.",
+	}, []string{"decision"})
+	m.speedWaits, m.speedSlow = speedMatched.WithLabelValues("wait"), speedMatched.WithLabelValues("slow")
+	reg.MustRegister(speedMatched)
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued)
 	return m
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -157,6 +157,7 @@
 			}
 			p := c.policyTask(t, endpoints, agents, now)
 			choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, p, c.random.Uint64())
+			c.noteSpeedDecision(t, choice, now)
 			if !ok {
 				break // the other tasks of the step have the same requirements
 			}
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -2,14 +2,15 @@
 
 // Events of jobs and of the runs of their tasks, codes 600 to 699.
 var (
-	JobAdmitted  = define(600, Info, "job admitted")
-	JobRefused   = define(601, Info, "job refused")
-	JobEnded     = define(602, Info, "job ended")
-	JobAbandoned = define(603, Info, "caller disconnected; job is stopped")
-	TaskPlaced   = define(604, Info, "task ordered")
-	TaskRetried  = define(605, Info, "task is queued for another run")
-	TaskMoved    = define(606, Info, "slow run is stopped; task is moved to another endpoint")
-	TaskGivenUp  = define(616, Warn, "task is given up because endpoints crash while it runs")
+	JobAdmitted       = define(600, Info, "job admitted")
+	JobRefused        = define(601, Info, "job refused")
+	JobEnded          = define(602, Info, "job ended")
+	JobAbandoned      = define(603, Info, "caller disconnected; job is stopped")
+	TaskPlaced        = define(604, Info, "task ordered")
+	TaskRetried       = define(605, Info, "task is queued for another run")
+	TaskMoved         = define(606, Info, "slow run is stopped; task is moved to another endpoint")
+	TaskWaitsForSpeed = define(685, Info, "task waits for a faster endpoint, since it would be late on those with free capacity")
+	TaskGivenUp       = define(616, Warn, "task is given up because endpoints crash while it runs")
 
 	CallerDisconnected = define(614, Info, "caller disconnected before its job was started")
 
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -129,6 +129,8 @@
 	RunTime time.Duration
 	// InTime is set when the task is expected to end within its budget.
 	InTime bool
+	// Speed says how SpeedMatch has changed the choice.
+	Speed SpeedDecision
 }
 
 // ChooseEndpoint returns the endpoint with the least cost for t among those with enough free
@@ -152,7 +154,10 @@
 			best, bestCost, ok = c, cost, true
 		}
 	}
-	return best, ok && !speed.shouldWait(t, best)
+	if ok {
+		best.Speed = speed.decision(endpoints, t, best)
+	}
+	return best, ok && best.Speed != SpeedWait
 }
 
 // conflictsWithTrial reports whether t, a suspect or of a confined queue, must not run on e yet: a
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -90,8 +90,31 @@
 	return s.weight * (max(s.slowMillis-float64(c.RunTime)/float64(time.Millisecond), 0) + fastPremiumMillis)
 }
 
+// SpeedDecision is how SpeedMatch has changed the choice of an endpoint.
+type SpeedDecision uint8
+
+// Speed decisions. The zero value means that it has not changed the choice.
+const (
+	// SpeedWait is a task that waits for a faster endpoint than those with free capacity.
+	SpeedWait SpeedDecision = iota + 1
+	// SpeedSlow is a task on a slow endpoint, where it is in time, while fast ones are scarce.
+	SpeedSlow
+)
+
+// decision returns the decision for c, the endpoint with the least cost.
+func (s *speedMatch) decision(endpoints []Endpoint, t *Task, c Placement) SpeedDecision {
+	switch {
+	case s.shouldWait(t, c):
+		return SpeedWait
+	case s.weight > 0 && endpoints[c.Index].Slowness >= s.fast && t.inTimeWithMargin(c.RunTime):
+		return SpeedSlow
+	}
+	return 0
+}
+
 // shouldWait reports whether t waits for a faster endpoint than that of c: it could be late there,
-// and is in time on a faster one if capacity becomes free soon. Its budget bounds the wait.
+// and is in time on a faster one if capacity becomes free soon. The wait ends when it would be late
+// on any.
 func (s *speedMatch) shouldWait(t *Task, c Placement) bool {
 	return s.shortest > 0 && s.shortest <= t.Budget && !t.inTimeWithMargin(c.RunTime) &&
 		float64(c.RunTime) >= minSpeedRatio*float64(s.shortest)
--- a/policy/speed_test.go
+++ b/policy/speed_test.go
@@ -28,13 +28,14 @@
 		{"scarce, without a margin", 9000, 1500, 60 * ms, 120 * ms, fast, fast},
 		{"late on the slow one", 9000, 0, 900 * ms, 1500 * ms, -1, slow},
 		{"late on both", 9000, 0, 900 * ms, 700 * ms, slow, slow},
+		{"fast one lost", 9000, -1, 900 * ms, 1500 * ms, slow, slow},
 		{"no slow one free", 0, 1500, 60 * ms, 150 * ms, fast, fast},
 	} {
 		size := wire.Resources{MilliCores: 1500}
 		capacity := wire.Resources{MilliCores: 12000}
 		endpoints := []Endpoint{
 			{Free: FreeCapacity{MilliCores: tc.slowFree}, Capacity: capacity, Slowness: 1.8, Available: true},
-			{Free: FreeCapacity{MilliCores: tc.fastFree}, Capacity: capacity, Slowness: 0.8, Available: true},
+			{Free: FreeCapacity{MilliCores: tc.fastFree}, Capacity: capacity, Slowness: 0.8, Available: tc.fastFree >= 0},
 		}
 		for want, p := range map[*int]Policy{&tc.want: on, &tc.wantOff: {}} {
 			task := Task{Size: size, DeclaredRunTime: tc.declared, Budget: tc.budget}
