--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -61,6 +61,7 @@
 	orderSequence   uint64 // of the order on the agent's connection
 	orderedAt       time.Time
 	expectedRunTime time.Duration // from the order to the end of the run
+	waitsForSpeed   bool          // it has waited for a faster endpoint than those with free capacity
 	failures        int
 	countedFailures int      // failures that count against the queue's attempts
 	avoid           []*agent // agents where it has failed or was slow
@@ -295,8 +296,8 @@
 			} else {
 				c.refuse(j, errkind.New(errkind.DeadlineUnmet, "the job could not be placed before the caller's deadline"))
 			}
-		case j.queued && !j.started:
-			c.replan = true // placement refuses jobs that have waited too long
+		case j.queued && (!j.started || c.cfg.Policy.Uses(policy.SpeedMatch)):
+			c.replan = true // placement refuses jobs that have waited too long, and places tasks whose wait has ended
 		}
 	}
 }
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -162,6 +162,7 @@
 			}
 			p := c.policyTask(t, endpoints, agents, now)
 			choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, p, c.random.Uint64())
+			c.noteSpeedDecision(t, choice, now)
 			if !ok {
 				c.noteBlocked(v, t, p)
 				break // the other tasks of the step have the same requirements
