coordinator: a waiting job costs no system call in a placement pass

Each message asks for a placement pass, and a pass asked for each of up to 140 waiting jobs whether its caller is still connected, which reads a clock or a socket; it also sorted the expected ends of all runs, and copied each job for each comparison of the sort. Change: the callers are asked once a task of the job can be placed, expected ends are computed when a refusal needs them, and jobs are copied once a pass. While 16 jobs or more wait, the next pass begins after twice the time of the last one.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -40,9 +40,10 @@
 	steps           [][]*task
 	tasksLeft       int // tasks that are not done
 	started         bool
-	waiters         []waiter     // of an ephemeral job
-	queued          bool         // in Coordinator.queued
-	stored          *storedState // nil for an ephemeral job
+	waiters         []waiter         // of an ephemeral job
+	queued          bool             // in Coordinator.queued
+	sortKey         policy.QueuedJob // in the current placement pass
+	stored          *storedState     // nil for an ephemeral job
 	moves           int
 	activeAt        time.Time // when it was admitted, or a task was last ordered or completed
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,8 +73,9 @@
 	queued         []*activeJob          // jobs with tasks that wait for capacity, in placement order
 	agentLostAt    time.Time             // when an agent was last forgotten
 	// replan is set when capacity, endpoints or waiting tasks have changed.
-	replan    bool
-	evacuated wire.Evacuated
+	replan        bool
+	nextPlacement time.Time // earliest time of the next placement pass
+	evacuated     wire.Evacuated
 	// draining is set when this process will stop.
 	draining bool
 	// recorder records stored jobs; nil without a ledger. startedJobs holds the ids of the stored
@@ -188,15 +189,37 @@
 // AfterBatch implements loop.Controller.
 func (c *Coordinator) AfterBatch(now time.Time) {
 	c.judgePending(now) // before the tasks that wait for it are placed
-	if c.replan {
+	if c.replan && !now.Before(c.nextPlacement) {
 		c.replan = false
 		c.placeQueuedJobs(now)
+		c.nextPlacement = nextPlacement(len(c.queued), now, time.Now())
 	}
 	c.sendPending(now)
 	c.updateServiceLoads(now)
 	c.cfg.Metrics.updateGauges(c)
 }
 
+const (
+	// placementPause is the time between two placement passes over a long queue, as a multiple of the
+	// time that the earlier one took. In overload every message asks for a pass, and without a pause
+	// the passes delay the messages that release capacity.
+	placementPause = 2
+	// maxPlacementPause bounds the pause if the process was not scheduled during a pass.
+	maxPlacementPause = 5 * time.Millisecond
+	// pausedQueueLength is the number of waiting jobs from which on passes are paused. So many jobs
+	// wait only while messages arrive all the time, which end the pause.
+	pausedQueueLength = 16
+)
+
+// nextPlacement returns the earliest time of the placement pass after one that began and ended at the
+// given times and left a number of jobs waiting.
+func nextPlacement(waiting int, began, ended time.Time) time.Time {
+	if waiting < pausedQueueLength {
+		return ended
+	}
+	return ended.Add(min(placementPause*ended.Sub(began), maxPlacementPause))
+}
+
 // TickInterval implements loop.Controller.
 func (c *Coordinator) TickInterval(time.Time) time.Duration {
 	if len(c.jobs) > 0 {
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -105,12 +105,6 @@
 			v = c.newServiceView(&j.spec.Queue, now)
 			views[j.spec.Queue.Service] = v
 		}
-		if j.allCallersDisconnected() {
-			if !j.started {
-				c.dropAbandoned(j, now)
-			}
-			continue // a started job is abandoned when its last caller is
-		}
 		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
 			continue
 		}
@@ -125,15 +119,24 @@
 	agents    []*agent
 	// coresAhead is the demand of the preceding jobs that could not be placed.
 	coresAhead float64
-	releases   policy.Releases
+	releases   *policy.Releases // set when it is first needed
 }
 
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
-	v := &serviceView{releases: c.expectedReleases(q.Service, now)}
+	v := new(serviceView)
 	v.endpoints, v.agents = c.snapshot(q.Service, now)
 	return v
 }
 
+// releasesOf returns the expected releases of the service with the view v.
+func (c *Coordinator) releasesOf(v *serviceView, service string, now time.Time) policy.Releases {
+	if v.releases == nil {
+		r := c.expectedReleases(service, now)
+		v.releases = &r
+	}
+	return *v.releases
+}
+
 func (j *activeJob) hasWaitingTask() bool {
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
@@ -150,6 +153,7 @@
 	if len(endpoints) == 0 || j.stored != nil && !c.recorder.HoldsLease() {
 		return
 	}
+	checked := false // whether the callers are still connected
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if t.state != taskWaiting || now.Before(t.holdUntil) || c.stopping[t.name] != nil {
@@ -160,6 +164,14 @@
 			if !ok {
 				break // the other tasks of the step have the same requirements
 			}
+			// The check makes a system call, so it is not made for jobs that keep waiting.
+			if !checked && j.allCallersDisconnected() {
+				if !j.started {
+					c.dropAbandoned(j, now)
+				}
+				return // a started job is abandoned when its last caller is
+			}
+			checked = true
 			e, a := &endpoints[choice.Index], agents[choice.Index]
 			e.Free = e.Free.Sub(t.step.Size)
 			if p.Suspect {
--- a/coordinator/queue.go
+++ b/coordinator/queue.go
@@ -9,8 +9,11 @@
 
 // sortQueue puts the queued jobs in the order in which they get capacity.
 func (c *Coordinator) sortQueue(now time.Time) {
+	for _, j := range c.queued {
+		j.sortKey = *c.queuedJob(j)
+	}
 	slices.SortStableFunc(c.queued, func(a, b *activeJob) int {
-		return c.cfg.Policy.Compare(c.queuedJob(a), c.queuedJob(b), now)
+		return c.cfg.Policy.Compare(&a.sortKey, &b.sortKey, now)
 	})
 }
 
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -26,7 +26,7 @@
 	}
 	need := v.coresAhead + queued.UnplacedCores
 	err := errkind.New(errkind.QueueFull, "no endpoint has free capacity in time: %.0f cores are needed for this job and those ahead of it", need)
-	err.RetryAfter = policy.RetryAfter(need, v.releases)
+	err.RetryAfter = policy.RetryAfter(need, c.releasesOf(v, j.spec.Queue.Service, now))
 	c.refuse(j, err, "slack_ms", j.objective.Sub(j.arrived.Add(j.expectedRunTime)).Milliseconds(),
 		"ahead_cores", v.coresAhead, "unplaced_cores", queued.UnplacedCores, "need_millicores", j.waitingMilliCores(),
 		"heard_ms", longestSinceReceived(v.agents, now).Milliseconds(),
