--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -106,12 +106,6 @@
 			v = c.newServiceView(&j.spec.Queue, now)
 			views[j.spec.Queue.Service] = v
 		}
-		if j.allCallersDisconnected() {
-			if !j.started {
-				c.dropAbandoned(j, now)
-			}
-			continue // a started job is abandoned when its last caller is
-		}
 		c.planReservations(v, j, now)
 		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
 			continue
@@ -127,17 +121,26 @@
 	agents    []*agent
 	// coresAhead is the demand of the preceding jobs that could not be placed.
 	coresAhead float64
-	releases   policy.Releases
+	releases   *policy.Releases // set when it is first needed
 	// reservations is set once a task fits on no endpoint, if the mechanism is enabled.
 	reservations *serviceReservations
 }
 
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
-	v := &serviceView{releases: c.expectedReleases(q.Service, now)}
+	v := new(serviceView)
 	v.endpoints, v.agents = c.snapshot(q.Service, now)
 	return v
 }
 
+// releasesOf returns the expected releases of the service with the view v.
+func (c *Coordinator) releasesOf(v *serviceView, service string, now time.Time) policy.Releases {
+	if v.releases == nil {
+		r := c.expectedReleases(service, now)
+		v.releases = &r
+	}
+	return *v.releases
+}
+
 func (j *activeJob) hasWaitingTask() bool {
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
@@ -155,6 +158,7 @@
 	if len(endpoints) == 0 || j.stored != nil && !c.recorder.HoldsLease() {
 		return
 	}
+	checked := false // whether the callers are still connected
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
 			if t.state != taskWaiting || now.Before(t.holdUntil) || c.stopping[t.name] != nil {
@@ -170,6 +174,14 @@
 			if !choice.InTime && j.shares != nil && p.CanBeInTime(endpoints) {
 				break // a run that ends late would count as service
 			}
+			// The check makes a system call, so it is not made for jobs that keep waiting.
+			if !checked && j.allCallersDisconnected() {
+				if !j.started {
+					c.dropAbandoned(j, now)
+				}
+				return // a started job is abandoned when its last caller is
+			}
+			checked = true
 			e, a := &endpoints[choice.Index], agents[choice.Index]
 			if e.Reservations.Active {
 				c.cfg.Metrics.reservations.backfilled.Inc()
