--- a/coordinator/shares.go
+++ b/coordinator/shares.go
@@ -89,6 +89,7 @@
 	queue       *shareGroup
 	groups      [3]*shareGroup // the last one is nil if the origin is not known
 	coreSeconds float64
+	draw        float64                // between 0 and 1; the job is promoted if it is below the fraction of a group
 	precedence  policy.SharePrecedence // in the current placement pass
 }
 
@@ -112,7 +113,7 @@
 		st := &j.spec.Steps[i]
 		size += float64(st.Count) * float64(st.Size.MilliCores) / 1000 * max(st.Estimate, minDeclaredRunTime).Seconds()
 	}
-	j.shares = &jobShares{service: s, queue: queue.shareGroup, coreSeconds: size}
+	j.shares = &jobShares{service: s, queue: queue.shareGroup, coreSeconds: size, draw: c.random.Float64()}
 	j.shares.groups = [3]*shareGroup{queue.shareGroup, queue.classes[queue.sizes.class(size)], nil}
 	if origin := j.spec.Origin; origin != "" {
 		j.shares.groups[2] = c.shares.dataCentre(s, origin, now)
@@ -209,7 +210,7 @@
 		}
 		shortfall := 0.0
 		for _, g := range j.shares.groups {
-			if g != nil {
+			if g != nil && j.shares.draw < g.Fraction {
 				shortfall = max(shortfall, g.Shortfall)
 			}
 		}
--- a/emulator/shares_test.go
+++ b/emulator/shares_test.go
@@ -25,6 +25,7 @@
 	sharesLoad   = flag.Float64("shares.load", 1.3, "work per capacity in sustained overload")
 	sharesOff    = flag.Bool("shares.off", false, "also print the shares without fair_share")
 	sharesLog    = flag.String("shares.log", "", "file for the log of the processes")
+	sharesDelay  = flag.Duration("shares.delay", 0, "time that jobs of one data centre take to their entry")
 	sharesLength = flag.Duration("shares.length", 12*time.Second, "simulated time of the overload")
 )
 
@@ -160,7 +161,7 @@
 		time.Sleep(time.Duration(random.ExpFloat64() / (total * scale) * float64(time.Second)))
 		k := Load{Kinds: overloadKinds}.pickKind(random, total)
 		d := decided{queue: k.Name, at: time.Since(start), worth: k.Worth, origin: "north"}
-		if x := random.Float64(); x < 0.2 {
+		if x := random.Float64(); x < 0.25 {
 			d.origin = "west"
 		} else if x < 0.5 {
 			d.origin = "south"
@@ -171,6 +172,9 @@
 			Payload: k.Work.String(), CallerTimeout: 1500 * time.Millisecond,
 			Steps: []job.Step{{Count: k.Tasks/2 + random.IntN(k.Tasks+1), Size: k.Size, Estimate: declared}},
 		}
+		if d.origin == "north" {
+			j.Elapsed = *sharesDelay
+		}
 		d.coreSeconds = float64(j.MilliCores()) / 1000 * declared.Seconds()
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, j.CallerTimeout)
--- a/policy/fairshare.go
+++ b/policy/fairshare.go
@@ -64,14 +64,16 @@
 	return [...]string{"queue", "data_centre", "size"}[k]
 }
 
-// shareFloors are the shares, relative to the best served group of the kind, below which the promotion
-// of a group begins and at which it ends. In overload callers are promised 0.85 of the best queue's
+// shareFloors are shares relative to the best served group of the kind. The promotion of a group begins
+// below begin and ends at end. All of its jobs are promoted up to full, and a part that decreases to
+// none between full and end: a group of the lowest priority gets nothing while none of its jobs are
+// promoted, so that its share would oscillate. In overload callers are promised 0.85 of the best queue's
 // share of jobs in time, and 0.95 of the best data centre's. The floors are above these, since some
 // jobs that start are late.
-var shareFloors = [...]struct{ begin, end float64 }{
-	QueueGroup:      {0.92, 0.96},
-	DataCentreGroup: {0.96, 0.985},
-	SizeGroup:       {0.90, 0.95},
+var shareFloors = [...]struct{ full, begin, end float64 }{
+	QueueGroup:      {0.90, 0.94, 0.99},
+	DataCentreGroup: {0.92, 0.96, 0.99},
+	SizeGroup:       {0.85, 0.90, 0.97},
 }
 
 const (
@@ -80,16 +82,18 @@
 	minShareJobs = 8
 	// shareMargin is the number of standard errors by which a share must be below the floor for a
 	// promotion to begin, so that chance alone seldom promotes a group of few jobs.
-	shareMargin = 1
+	shareMargin = 0.5
 )
 
 // ShareGroup is a group of jobs with its standing among the groups of its kind.
 type ShareGroup struct {
 	Counts ShareCounts
-	// Promoted is set while jobs of the group come before others.
+	// Promoted is set while some jobs of the group come before others.
 	Promoted bool
 	// Shortfall is the part of the best served group's share that a promoted group lacks; 0 for others.
 	Shortfall float64
+	// Fraction is the part of its jobs that are promoted.
+	Fraction float64
 	// Best is set for the best served group, and for groups that do not differ from it.
 	Best bool
 }
@@ -105,7 +109,7 @@
 	for _, g := range groups {
 		jobs, share := g.Counts.jobs(), g.Counts.Share()
 		if jobs < minShareJobs || bestShare == 0 {
-			g.Promoted, g.Shortfall, g.Best = false, 0, false
+			g.Promoted, g.Shortfall, g.Fraction, g.Best = false, 0, 0, false
 			continue
 		}
 		if g.Promoted {
@@ -113,9 +117,10 @@
 		} else {
 			g.Promoted = share+shareMargin*math.Sqrt(share*(1-share)/jobs) < floor.begin*bestShare
 		}
-		g.Best, g.Shortfall = share >= bestShare, 0
+		g.Best, g.Shortfall, g.Fraction = share >= bestShare, 0, 0
 		if g.Promoted {
 			g.Shortfall = 1 - share/bestShare
+			g.Fraction = min((floor.end-share/bestShare)/(floor.end-floor.full), 1)
 		}
 	}
 	return bestShare
@@ -139,7 +144,7 @@
 func (s SharePrecedence) Promoted() bool { return s.shortfall > 0 }
 
 // Precedence returns the precedence of j if a group of its service is promoted. shortfall is the largest
-// of its groups, and bestQueue is set if its queue is the best served one. A job that would miss its
+// of those of its groups that promote it, and bestQueue is set if its queue is the best served one. A job that would miss its
 // objective is not promoted, since its answer would be of no use.
 func (j *QueuedJob) Precedence(shortfall float64, bestQueue bool, now time.Time) SharePrecedence {
 	s := SharePrecedence{tier: tierOther}
