policy, coordinator: early refusal by a calibrated forecast

Cause: under overload a job waits for half of its slack and is then refused, and its caller learns so late. A fixed forecast was tried before and refused jobs that would have run. Change (mechanism early_refusal, off by default): policy.Forecast predicts the time at which each waiting job has all its capacity, in the order of the queue, from the expected ends of the runs, without the jobs ahead that will be refused themselves and with the demand of queues whose future jobs overtake. policy.Calibration keeps the outcomes of the last seconds for each queue and sets the margin; a tenth to a quarter of the jobs that would be refused are admitted as samples. A caller is told when there is capacity for it, after the callers refused before it (policy.Promises). Events 618 and 619, five metrics by queue.

Limit: in steady overload of one queue the jobs that are served are hardly told from those that are not, so only the queue that gets least is refused early in numbers.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -44,6 +44,7 @@
 	queued          bool         // in Coordinator.queued
 	stored          *storedState // nil for an ephemeral job
 	moves           int
+	forecast        jobForecast
 	activeAt        time.Time // when it was admitted, or a task was last ordered or completed
 }
 
@@ -255,7 +256,7 @@
 	if o.err != nil {
 		kind = o.err.Kind
 	}
-	c.cfg.Metrics.observeJobEnd(o, now.Sub(j.arrived), inTime)
+	c.cfg.Metrics.observeJobEnd(j.spec.Queue.Name, o, now.Sub(j.arrived), inTime)
 	c.cfg.Log.Log(event.JobEnded, "job", j.spec.ID, "queue", j.spec.Queue.Name, "state", o.state, "kind", kind,
 		"took_ms", now.Sub(j.arrived).Milliseconds(), "objective_ms", j.objective.Sub(j.arrived).Milliseconds(),
 		"in_time", inTime, "moves", j.moves)
@@ -288,6 +289,7 @@
 			if j.started {
 				c.finish(j, outcome{err: errkind.New(errkind.DeadlinePassed, "the job did not end before the caller's deadline")}, now)
 			} else {
+				c.observeOutcome(j, false, now)
 				c.refuse(j, errkind.New(errkind.DeadlineUnmet, "the job could not be placed before the caller's deadline"))
 			}
 		case j.queued && !j.started:
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -92,8 +92,11 @@
 	serviceLabels      atomic.Pointer[[]wire.ServiceLabels]
 	callerTimeouts     map[string]*policy.CallerTimeoutModel // by queue
 	crashes            crashHistory
-	confined           map[string]*confinement // by queue
-	confinementsAt     time.Time               // when confined was last updated
+	confined           map[string]*confinement    // by queue
+	confinementsAt     time.Time                  // when confined was last updated
+	forecasts          map[string]*queueForecast  // by queue
+	promises           map[string]policy.Promises // by service
+	forecastBuffer     []policy.Release           // memory of the last forecast
 	wanted             wantedState
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
@@ -114,6 +117,8 @@
 		callerTimeouts: make(map[string]*policy.CallerTimeoutModel),
 		crashes:        crashHistory{tasks: make(map[string]*taskCrashes)},
 		confined:       make(map[string]*confinement),
+		forecasts:      make(map[string]*queueForecast),
+		promises:       make(map[string]policy.Promises),
 		wanted:         wantedState{neededAt: make(map[wire.TaskRequirement]time.Time)},
 		wantedChanged:  make(chan struct{}, 1),
 	}
@@ -181,6 +186,7 @@
 	c.expireUnclaimedEnds(now)
 	c.crashes.expire(now)
 	c.updateConfinements(now)
+	c.expireForecasts(now)
 	c.updateLabels()
 	c.updateWanted(now)
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -20,6 +20,7 @@
 	givenUp   prometheus.Counter
 	inFlight  prometheus.Gauge
 	queued    prometheus.Gauge
+	forecastMetrics
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -63,12 +64,13 @@
 			Name: "oriole_jobs_waiting", Help: "Jobs with tasks that wait for capacity.",
 		}),
 	}
+	m.forecastMetrics = newForecastMetrics(reg)
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued)
 	return m
 }
 
-func (m *Metrics) observeJobEnd(o outcome, took time.Duration, inTime bool) {
+func (m *Metrics) observeJobEnd(queue string, o outcome, took time.Duration, inTime bool) {
 	state := string(o.state)
 	if o.err != nil {
 		state = string(o.err.Kind)
@@ -76,6 +78,8 @@
 	in := "no"
 	if inTime {
 		in = "yes"
+	} else {
+		m.answeredLate.WithLabelValues(queue).Inc()
 	}
 	m.answered.WithLabelValues(state, in).Inc()
 	m.latency.WithLabelValues(state).Observe(took.Seconds())
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -111,12 +111,14 @@
 			}
 			continue // a started job is abandoned when its last caller is
 		}
-		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
+		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) || c.refuseEarly(j, v, now) {
 			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
+		c.observePlacement(j, now)
 		v.coresAhead += float64(j.waitingMilliCores()) / 1000
 	}
+	c.reuseForecastBuffer(views)
 }
 
 // serviceView is the state of the endpoints of a service during a placement pass.
@@ -126,6 +128,7 @@
 	// coresAhead is the demand of the preceding jobs that could not be placed.
 	coresAhead float64
 	releases   policy.Releases
+	forecastView
 }
 
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
@@ -197,6 +200,7 @@
 	}
 	c.pendingOrders[a] = groups
 	c.cfg.Metrics.ordered.Inc()
+	c.observeOrder(t, now)
 	c.cfg.Log.Log(event.TaskPlaced, "task", t.name, "run", t.runNumber, "agent", a.name,
 		"waited_ms", now.Sub(t.job.arrived).Milliseconds(), "heard_ms_ago", now.Sub(a.lastReceived).Milliseconds(),
 		"slowness", a.status.SlownessPermille)
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -21,16 +21,82 @@
 func (c *Coordinator) refuseIfOverdue(j *activeJob, v *serviceView, now time.Time) bool {
 	queued := c.queuedJob(j)
 	queued.UnplacedCores = c.unplacedCores(j, v.endpoints)
+	v.judged, v.unplacedCores = j, queued.UnplacedCores
 	if !c.cfg.Policy.ShouldRefuse(queued, now) {
 		return false
 	}
-	need := v.coresAhead + queued.UnplacedCores
+	c.observeOutcome(j, false, now)
+	c.cfg.Metrics.refusedLate.WithLabelValues(j.spec.Queue.Name).Inc()
+	c.refuseForCapacity(j, v, queued.UnplacedCores, now)
+	return true
+}
+
+// refuseForCapacity refuses a job for lack of capacity. inputs are further inputs of the decision for
+// the log.
+func (c *Coordinator) refuseForCapacity(j *activeJob, v *serviceView, unplacedCores float64, now time.Time, inputs ...any) {
+	need := v.coresAhead + unplacedCores
 	err := errkind.New(errkind.QueueFull, "no endpoint has free capacity in time: %.0f cores are needed for this job and those ahead of it", need)
-	err.RetryAfter = policy.RetryAfter(need, v.releases)
-	c.refuse(j, err, "slack_ms", j.objective.Sub(j.arrived.Add(j.expectedRunTime)).Milliseconds(),
-		"ahead_cores", v.coresAhead, "unplaced_cores", queued.UnplacedCores, "need_millicores", j.waitingMilliCores(),
+	err.RetryAfter = c.retryAfter(j, v, unplacedCores, now)
+	c.refuse(j, err, append([]any{"slack_ms", j.objective.Sub(j.arrived.Add(j.expectedRunTime)).Milliseconds(),
+		"ahead_cores", v.coresAhead, "unplaced_cores", unplacedCores, "need_millicores", j.waitingMilliCores(),
 		"heard_ms", longestSinceReceived(v.agents, now).Milliseconds(),
-		"free_millicores", c.fittingTasks(j, 0, v.endpoints)*int(j.spec.Steps[0].Size.MilliCores))
+		"free_millicores", c.fittingTasks(j, 0, v.endpoints) * int(j.spec.Steps[0].Size.MilliCores)}, inputs...)...)
+}
+
+// retryAfter returns the time after which the caller of j should retry. With early refusal each
+// caller is told a time of its own, since many are refused at once.
+func (c *Coordinator) retryAfter(j *activeJob, v *serviceView, unplacedCores float64, now time.Time) (after time.Duration) {
+	if !c.cfg.Policy.Uses(policy.EarlyRefusal) {
+		return policy.RetryAfter(v.coresAhead+unplacedCores, v.releases)
+	}
+	service, rate := j.spec.Queue.Service, 0.0
+	for _, f := range c.forecasts {
+		if f.service == service {
+			rate += f.flow.CoresPerSecond(now)
+		}
+	}
+	after, c.promises[service] = c.promises[service].RetryAfter(v.coresAhead, unplacedCores, rate, now)
+	return after
+}
+
+// refuseEarly predicts when j gets its capacity and refuses it if that will be too late. A small
+// sample of such jobs is admitted to calibrate the forecast. The jobs of a placement pass must be
+// passed in the order of the queue. It reports whether the job was refused.
+func (c *Coordinator) refuseEarly(j *activeJob, v *serviceView, now time.Time) bool {
+	if !c.cfg.Policy.Uses(policy.EarlyRefusal) {
+		return false
+	}
+	queued := c.queuedJob(j)
+	if v.judged == j {
+		queued.UnplacedCores = v.unplacedCores
+	} else {
+		queued.UnplacedCores = c.unplacedCores(j, v.endpoints)
+	}
+	if queued.UnplacedCores == 0 {
+		return false
+	}
+	if !v.hasForecast {
+		v.forecast, v.hasForecast = policy.NewForecast(v.releases, c.forecastBuffer), true
+		c.forecastBuffer = nil // until the end of the pass
+	}
+	c.updateOvertaking(v, &j.spec.Queue, now)
+	wait, ok := v.forecast.Add(queued, v.overtaking, queued.LongestWait(now))
+	if !ok || queued.Started {
+		return false
+	}
+	f, share := c.forecastOf(j, now), queued.WaitShare(wait, now)
+	margin := c.currentMargin(f, j.spec.Queue.Name, now)
+	j.forecast.judged, j.forecast.waitShare = true, max(j.forecast.waitShare, share)
+	if j.forecast.sampleWeight > 0 || !c.cfg.Policy.RefusesEarly(share, margin) {
+		return false
+	}
+	if c.random.Float64() < margin.SampleShare {
+		j.forecast.sampleWeight = 1 / margin.SampleShare
+		return false
+	}
+	c.cfg.Metrics.refusedEarly.WithLabelValues(j.spec.Queue.Name).Inc()
+	c.refuseForCapacity(j, v, queued.UnplacedCores, now, "early", true, "forecast_ms", wait.Milliseconds(),
+		"wait_share", share, "margin", margin.WaitShare)
 	return true
 }
 
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -13,6 +13,9 @@
 
 	CallerDisconnected = define(614, Info, "caller disconnected before its job was started")
 
+	EarlyRefusalChanged = define(618, Info, "early refusal of the jobs of a queue begins, or ends")
+	SampledJobDecided   = define(619, Info, "job that was admitted to check the forecast got its capacity, or did not")
+
 	JobForwarded            = define(607, Info, "job forwarded to the entry that places its tasks")
 	ForwardedJobAnswered    = define(608, Info, "forwarded job answered")
 	ForwardedJobAccepted    = define(609, Info, "forwarded job of another entry accepted")
