--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -45,7 +45,8 @@
 	sortKey         policy.QueuedJob // in the current placement pass
 	stored          *storedState     // nil for an ephemeral job
 	moves           int
-	expiredAt       []*agent  // agents where a reservation for the job has expired
+	expiredAt       []*agent // agents where a reservation for the job has expired
+	forecast        jobForecast
 	activeAt        time.Time // when it was admitted, or a task was last ordered or completed
 	shares          *jobShares
 }
@@ -262,7 +263,7 @@
 	if o.err != nil {
 		kind = o.err.Kind
 	}
-	c.cfg.Metrics.observeJobEnd(o, now.Sub(j.arrived), inTime)
+	c.cfg.Metrics.observeJobEnd(j.spec.Queue.Name, o, now.Sub(j.arrived), inTime)
 	c.cfg.Log.Log(event.JobEnded, "job", j.spec.ID, "queue", j.spec.Queue.Name, "state", o.state, "kind", kind,
 		"took_ms", now.Sub(j.arrived).Milliseconds(), "objective_ms", j.objective.Sub(j.arrived).Milliseconds(),
 		"in_time", inTime, "moves", j.moves)
@@ -295,6 +296,7 @@
 			if j.started {
 				c.finish(j, outcome{err: errkind.New(errkind.DeadlinePassed, "the job did not end before the caller's deadline")}, now)
 			} else {
+				c.observeOutcome(j, false, now)
 				c.refuse(j, errkind.New(errkind.DeadlineUnmet, "the job could not be placed before the caller's deadline"))
 			}
 		case j.queued && (!j.started || c.cfg.Policy.Uses(policy.SpeedMatch)):
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -28,6 +28,7 @@
 	reservations reservationMetrics
 	// Tasks that have waited for a faster endpoint, and that were placed on a slow one.
 	speedWaits, speedSlow prometheus.Counter
+	forecastMetrics
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -82,13 +83,14 @@
 	}, []string{"decision"})
 	m.speedWaits, m.speedSlow = speedMatched.WithLabelValues("wait"), speedMatched.WithLabelValues("slow")
 	reg.MustRegister(speedMatched)
+	m.forecastMetrics = newForecastMetrics(reg)
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued, m.shares, m.promoted)
 	m.reservations = newReservationMetrics(reg)
 	return m
 }
 
-func (m *Metrics) observeJobEnd(o outcome, took time.Duration, inTime bool) {
+func (m *Metrics) observeJobEnd(queue string, o outcome, took time.Duration, inTime bool) {
 	state := string(o.state)
 	if o.err != nil {
 		state = string(o.err.Kind)
@@ -96,6 +98,8 @@
 	in := "no"
 	if inTime {
 		in = "yes"
+	} else {
+		m.answeredLate.WithLabelValues(queue).Inc()
 	}
 	m.answered.WithLabelValues(state, in).Inc()
 	m.latency.WithLabelValues(state).Observe(took.Seconds())
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -107,12 +107,14 @@
 			views[j.spec.Queue.Service] = v
 		}
 		c.planReservations(v, j, now)
-		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
+		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) || c.refuseEarly(j, v, now) {
 			continue
 		}
 		c.placeJob(j, v, now)
+		c.observePlacement(j, now)
 		v.coresAhead += float64(j.waitingMilliCores()) / 1000
 	}
+	c.reuseForecastBuffer(views)
 }
 
 // serviceView is the state of the endpoints of a service during a placement pass.
@@ -124,6 +126,7 @@
 	releases   *policy.Releases // set when it is first needed
 	// reservations is set once a task fits on no endpoint, if the mechanism is enabled.
 	reservations *serviceReservations
+	forecastView
 }
 
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
@@ -226,6 +229,7 @@
 	}
 	c.pendingOrders[a] = groups
 	c.cfg.Metrics.ordered.Inc()
+	c.observeOrder(t, now)
 	c.cfg.Log.Log(event.TaskPlaced, "task", t.name, "run", t.runNumber, "agent", a.name,
 		"waited_ms", now.Sub(t.job.arrived).Milliseconds(), "heard_ms_ago", now.Sub(a.lastReceived).Milliseconds(),
 		"slowness", a.status.SlownessPermille)
