--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -37,10 +38,11 @@
 // Its methods are safe for concurrent use.
 type Process struct {
 	Name     string
-	Program  string // path of the binary
-	Settings string // path of the settings file
-	LogFile  string // standard output and error of all runs, appended
-	ReadyURL string // responds with a 2xx status when the process is ready; empty if it has none
+	Program  string   // path of the binary
+	Args     []string // arguments before the settings flag
+	Settings string   // path of the settings file
+	LogFile  string   // standard output and error of all runs, appended
+	ReadyURL string   // responds with a 2xx status when the process is ready; empty if it has none
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -79,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.Program, "-settings", p.Settings)
+	cmd := exec.Command(p.Program, append(slices.Clone(p.Args), "-settings", p.Settings)...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	err = startOnLockedThread(cmd)
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -37,6 +37,8 @@
 	KeepStateS float64 `json:"keep_state_s"`
 	// MemoryMiB is the memory limit of the process; 0 for no limit.
 	MemoryMiB int `json:"memory_mib"`
+	// MaxOpenFiles is the limit of open file descriptors of the process; 0 if it is not known.
+	MaxOpenFiles int `json:"max_open_files"`
 	// ProcessorShare is the processor time that the host may use, in cores; 0 if it is not
 	// known. Where there are many entries, those on the largest hosts place jobs.
 	ProcessorShare float64 `json:"processor_share"`
@@ -115,6 +117,9 @@
 			p.Add(path, "is not between 0 and %d s", maxSeconds)
 		}
 	}
+	if s.MaxOpenFiles < 0 {
+		p.Add("max_open_files", "%d is negative", s.MaxOpenFiles)
+	}
 	if s.ProcessorShare < 0 {
 		p.Add("processor_share", "%v is negative", s.ProcessorShare)
 	}
