httplimit: bound what HTTP clients of oriole-relay can use

Ruled out: http.Server.ReadTimeout on the callers' port, whose deadline stays set while a job runs and then looks like a caller that has disconnected.

Change: package httplimit holds one budget for bodies in flight and one for decoded requests and the tasks of admitted jobs (1/8 of memory_mib each), a deadline for bodies that progress renews, bounds on connections from memory_mib and max_open_files, a count of header bytes beyond 4 KiB, and a small receive buffer of the kernel, which is raised and counted while a large body arrives. When a limit is reached, bodies and connections without progress for 250 ms are ended before a request is refused. New error kinds overloaded and body_timeout (503, not run, Retry-After), event 680, metrics oriole_http_*. The ports for readiness, metrics and announcements use the same listener, with at most 64 connections each.

Tasks of stored jobs count only until the job is stored, and those of forwarded jobs only at the entry that received them.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -54,6 +54,8 @@
 	DeadlinePassed    Kind = "deadline_passed"
 	RecordFull        Kind = "record_full"
 	Draining          Kind = "draining"
+	Overloaded        Kind = "overloaded"
+	BodyTimeout       Kind = "body_timeout"
 	IDConflict        Kind = "id_conflict"
 	SubmissionStale   Kind = "submission_stale"
 	SubmissionFuture  Kind = "submission_future"
@@ -105,6 +107,8 @@
 	DeadlinePassed:    {504, MayHaveRun, RetryNever, 0},
 	RecordFull:        {503, NotRun, RetryNewID, 5 * time.Second},
 	Draining:          {503, NotRun, RetryNewID, time.Second},
+	Overloaded:        {503, NotRun, RetryNewID, time.Second},
+	BodyTimeout:       {503, NotRun, RetryNewID, time.Second},
 	IDConflict:        {409, NotRun, RetryNever, 0},
 	SubmissionStale:   {410, MayHaveRun, RetryNever, 0},
 	SubmissionFuture:  {400, NotRun, RetryNever, 0},
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -76,6 +76,7 @@
 	PartitionTakenOver       = define(670, Info, "takeover of a partition of stored jobs ended; all its jobs are run")
 	MembershipRenewedLate    = define(671, Warn, "membership in the group of owners was not renewed when due; the process was suspended or not scheduled")
 	CallerLimitsChanged      = define(659, Info, "limits of caller connections changed")
+	HTTPLimitReached         = define(680, Warn, "limit of HTTP connections or of the memory of their requests reached")
 	AcceptFailed             = define(660, Warn, "caller connection could not be accepted")
 	EvacuationChanged        = define(667, Info, "set of evacuated data centres changed")
 	CountsPublished          = define(666, Info, "counts of queued jobs cannot be published, or can be again")
--- a/relay/agent.go
+++ b/relay/agent.go
@@ -63,12 +63,13 @@
 		return nil
 	})
 	g.Go(func() error { p.serveMetrics(runCtx); return nil })
+	g.Go(func() error { p.limiter.Run(runCtx); return nil })
 	g.Go(func() error {
 		p.watchSettings(runCtx, reload, func(s Settings) { conns.setSeeds(s.seedEntries()) })
 		return nil
 	})
 	g.Go(func() error {
-		return serveHTTP(runCtx, s.AnnounceAddress, platform.NewAnnouncementHandler(exec, p.log))
+		return p.serveHTTP(runCtx, s.AnnounceAddress, platform.NewAnnouncementHandler(exec, p.log))
 	})
 	g.Go(func() error {
 		select {
--- a/relay/callers.go
+++ b/relay/callers.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/job"
 )
 
@@ -62,7 +63,7 @@
 
 // newCallersServer returns a server with the default limits.
 func newCallersServer(h http.Handler, log *event.Logger) *callersServer {
-	return &callersServer{handler: h, log: log, limits: connLimitsOf(job.Limits{})}
+	return &callersServer{handler: httplimit.Handler(h), log: log, limits: connLimitsOf(job.Limits{})}
 }
 
 func connLimitsOf(l job.Limits) connLimits {
@@ -206,7 +207,8 @@
 }
 
 // trackState subtracts closed connections from openConns.
-func (ls *limitedServer) trackState(_ net.Conn, state http.ConnState) {
+func (ls *limitedServer) trackState(c net.Conn, state http.ConnState) {
+	httplimit.TrackState(c, state)
 	if state == http.StateClosed || state == http.StateHijacked {
 		ls.openConns.Add(-1)
 	}
--- a/relay/disconnect.go
+++ b/relay/disconnect.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"oriolerelay/httplimit"
 )
 
 // connContextKey is the context key for the connection of a request.
@@ -13,7 +15,7 @@
 
 // contextWithConn returns the context for the requests on a connection.
 func contextWithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connContextKey{}, c)
+	return context.WithValue(httplimit.ContextWithConn(ctx, c), connContextKey{}, c)
 }
 
 // callerDisconnected returns a function that reports whether the caller's connection, on
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -145,20 +144,22 @@
 	g.Go(func() error { e.newEntryProber().run(runCtx); return nil })
 	g.Go(func() error { syncLearned(runCtx, s.Node, e.coordinator, e.store, e.process.log); return nil })
 	g.Go(func() error { e.process.serveMetrics(runCtx); return nil })
+	g.Go(func() error { e.process.limiter.Run(runCtx); return nil })
 	g.Go(func() error {
 		e.process.watchSettings(runCtx, reload, func(s Settings) { e.peers.conns.setSeeds(s.seedEntries()) })
 		return nil
 	})
-	g.Go(func() error { return serveHTTP(runCtx, s.ReadyAddress, platform.NewReadyHandler(e.isReady)) })
+	g.Go(func() error { return e.process.serveHTTP(runCtx, s.ReadyAddress, platform.NewReadyHandler(e.isReady)) })
 	g.Go(func() error { return e.serveCallers(ctx, runCtx, stop) })
 	return g.Wait()
 }
 
 // serveCallers serves callers until ctx is done and the entry has drained.
 func (e *entry) serveCallers(ctx, runCtx context.Context, stop context.CancelFunc) error {
-	l, err := net.Listen("tcp", e.process.settings.CallersAddress)
+	limiter := e.process.limiter
+	l, err := limiter.Group(limiter.MaxConns()).Listen(e.process.settings.CallersAddress)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", e.process.settings.CallersAddress, err)
+		return err
 	}
 	go func() {
 		defer stop()
--- a/relay/process.go
+++ b/relay/process.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	stdlog "log"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -18,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 	"oriolerelay/settings"
 	"oriolerelay/tracing"
@@ -31,6 +31,12 @@
 	gcMemoryFraction = 0.7
 	// settingsPollInterval is the time between two reads of the settings file.
 	settingsPollInterval = time.Second
+	// otherIdleTimeout and otherWriteTimeout are those of ports that callers do not use. Metrics may be
+	// read once a minute.
+	otherIdleTimeout  = 2 * time.Minute
+	otherWriteTimeout = 30 * time.Second
+	// maxMetricsRequests bounds the responses with metrics that are built at the same time.
+	maxMetricsRequests = 4
 )
 
 // process holds what both daemons share: settings, log, metrics and identity.
@@ -43,6 +49,7 @@
 	registry     *prometheus.Registry
 	stats        *transport.Stats
 	tracer       trace.Tracer
+	limiter      *httplimit.Limiter
 	// shutdownTracing exports the spans that are still buffered.
 	shutdownTracing func()
 }
@@ -63,6 +70,9 @@
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.stats = transport.NewStats(p.registry)
+	p.limiter = httplimit.New(httplimit.Config{
+		MemoryMiB: p.settings.MemoryMiB, MaxOpenFiles: p.settings.MaxOpenFiles, Log: p.log, Registerer: p.registry,
+	})
 	provider, shutdownTracing, err := tracing.Open(p.settings.Traces, "oriole-relay", p.incarnation.String())
 	if err != nil {
 		return nil, err
@@ -83,19 +93,23 @@
 // serveMetrics serves the metrics over HTTP until ctx is done.
 func (p *process) serveMetrics(ctx context.Context) {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
-	if err := serveHTTP(ctx, p.settings.metricsAddress(), mux); err != nil {
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
+	if err := p.serveHTTP(ctx, p.settings.metricsAddress(), mux); err != nil {
 		p.log.Log(event.EntryListenerFailed, "address", p.settings.metricsAddress(), "error", err)
 	}
 }
 
-// serveHTTP serves h at address until ctx is done.
-func serveHTTP(ctx context.Context, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+// serveHTTP serves h at address, which callers do not use, until ctx is done.
+func (p *process) serveHTTP(ctx context.Context, address string, h http.Handler) error {
+	l, err := p.limiter.Group(httplimit.OtherConns).Listen(address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return err
+	}
+	s := &http.Server{
+		Handler: httplimit.Handler(h), ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
+		IdleTimeout: otherIdleTimeout, WriteTimeout: otherWriteTimeout,
+		ConnState: httplimit.TrackState, ConnContext: httplimit.ContextWithConn,
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 3 * time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
