--- a/relay/settings_test.go
+++ b/relay/settings_test.go
@@ -57,7 +57,7 @@
 	b, err := os.ReadFile(filepath.Join("..", "platform", "settings.json.tmpl"))
 	c.Assert(err, quicktest.IsNil)
 	for _, field := range []string{"node", "address", "region", "data_centre", "port_range", "seeds", "callers_address", "ready_address",
-		"announce_address", "endpoint_address", "store_address", "store_partitions", "min_membership_ms", "keep_state_s", "memory_mib",
+		"announce_address", "endpoint_address", "store_address", "store_partitions", "min_membership_ms", "keep_state_s", "memory_mib", "max_open_files",
 		"max_lease_ms", "stop_grace_s", "far_factor"} {
 		c.Check(strings.Contains(string(b), `"`+field+`":`), quicktest.IsTrue, quicktest.Commentf("%s", field))
 	}
