coordinator: runs that are being stopped count as ending soon

Cause: a run whose caller has gone is detached from its endpoint but uses its capacity until its end is reported. Reservations took that capacity as used for good, so that one stopped run released the reservation of a whole endpoint. Change: such runs are expected to end in 20 ms (a chosen value, not measured).

--- a/coordinator/reservations.go
+++ b/coordinator/reservations.go
@@ -19,6 +19,8 @@
 	reservationInterval = 10 * time.Millisecond
 	// maxRunTimeModels bounds the number of queues whose run times are learned.
 	maxRunTimeModels = 256
+	// stopTime is the expected time until the end of a run that is being stopped is reported.
+	stopTime = 20 * time.Millisecond
 )
 
 // Outcomes of reservations, the values of the label of the metric.
@@ -65,8 +67,9 @@
 	largestFree policy.FreeCapacity
 	schedules   []policy.Schedule
 	scheduled   []bool // whether the schedule of an endpoint is set
-	endpoints   int    // number of endpoints with reservations
-	tasks       int    // number of tasks with reservations
+	stopping    []stoppingRun
+	endpoints   int // number of endpoints with reservations
+	tasks       int // number of tasks with reservations
 }
 
 // blockedStep is a step with waiting tasks that fit on no endpoint.
@@ -149,6 +152,9 @@
 	}
 	if r.planned == 0 {
 		r.resetSchedules(len(v.endpoints))
+		for _, s := range c.stopping {
+			r.stopping = append(r.stopping, *s)
+		}
 	}
 	search := now.Sub(r.searchedAt) >= reservationInterval
 	for ; r.planned < len(r.blocked); r.planned++ {
@@ -184,9 +190,11 @@
 	r.schedules = slices.Grow(r.schedules[:0], endpoints)[:endpoints]
 	r.scheduled = slices.Grow(r.scheduled[:0], endpoints)[:endpoints]
 	clear(r.scheduled)
+	clear(r.stopping)
+	r.stopping = r.stopping[:0]
 }
 
-// schedule returns what is expected of the runs at an endpoint.
+// schedule returns what is expected of the runs at an endpoint, including those that are being stopped.
 func (c *Coordinator) schedule(v *serviceView, i int, now time.Time) *policy.Schedule {
 	r, a := v.reservations, v.agents[i]
 	s := &r.schedules[i]
@@ -197,7 +205,16 @@
 	*s = policy.Schedule{Ends: s.Ends[:0], Excluded: a.onProbation}
 	for _, t := range a.tasks {
 		planned := time.Duration(c.plannedFactor(t.job.spec.Queue.Name) * float64(t.expectedRunTime))
-		s.Ends = append(s.Ends, policy.RunEnd{After: policy.RemainingRunTime(planned, now.Sub(t.orderedAt)), Size: t.step.Size})
+		after := policy.RemainingRunTime(planned, now.Sub(t.orderedAt))
+		if t.state == taskStopping {
+			after = stopTime
+		}
+		s.Ends = append(s.Ends, policy.RunEnd{After: after, Size: t.step.Size})
+	}
+	for i := range r.stopping {
+		if stop := &r.stopping[i]; stop.agent == a {
+			s.Ends = append(s.Ends, policy.RunEnd{After: stopTime, Size: stop.task.step.Size})
+		}
 	}
 	s.Sort()
 	return s
--- a/coordinator/reservations_test.go
+++ b/coordinator/reservations_test.go
@@ -166,6 +166,18 @@
 	})
 }
 
+// Guards against an endpoint that counts as full for good because a run there is being stopped.
+func TestReservationAfterStoppedRun(t *testing.T) {
+	withReservations(t, 1, true, func(x *reservationTest) {
+		a, gone := x.agents[0], x.submit("gone", 1, 2, 1000, time.Minute)
+		x.co.loop.Do(func() { x.co.remove(gone) })
+		x.co.Handle(a.name, a.connection, &wire.Status{OrderedRuns: a.count, Used: wire.Resources{MilliCores: 2000, MemoryMiB: 20}})
+		x.submit("large", 1, 1, 8000, 100*time.Millisecond)
+		x.Check(x.placed(x.submit("held", 2, 1, 1000, time.Minute)), quicktest.IsFalse)
+		x.Check(x.reserved(), quicktest.HasLen, 1)
+	})
+}
+
 // Guards against a large job that small ones of lower priority starve: they take each core as it
 // becomes free, so that the endpoint is never idle.
 func TestManySmallJobsDoNotStarveLargeOne(t *testing.T) {
