router, coordinator: handover to a placement entry with free capacity

Cause: a job that cannot be placed at its placement entry waits there for half of its slack, and is tried at another one too late. Change: with handover, a placement entry returns such a job at once and names another entry that has reported free capacity for all its tasks in the last 200 ms. It keeps the target, so that later copies join there. ReturnedBy in the submission keeps a job from being returned twice. ServiceLoad gets keys 5 and 6, PlaceResult key 7. Off by default.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -80,6 +80,9 @@
 		c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "resent", true, "callers", len(old.waiters))
 		return
 	}
+	if c.answerCopy(&s, w, now) {
+		return
+	}
 	j := newActiveJob(s, now, w)
 	c.admit(j, now)
 	c.failIfGivenUp(j, now)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -94,6 +94,8 @@
 	crashes            crashHistory
 	confined           map[string]*confinement // by queue
 	confinementsAt     time.Time               // when confined was last updated
+	handover           handover
+	peers              atomic.Pointer[policy.Peers]
 	wanted             wantedState
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -22,6 +22,7 @@
 	queued    prometheus.Gauge
 	// Tasks that have waited for a faster endpoint, and that were placed on a slow one.
 	speedWaits, speedSlow prometheus.Counter
+	handedOver            prometheus.Counter
 }
 
 // NewMetrics registers the metrics of a Coordinator with reg.
@@ -69,7 +70,10 @@
 		Name: "oriole_tasks_speed_matched_total", Help: "Tasks that were placed on a slow endpoint, or waited for a fast one, because fast ones were scarce.",
 	}, []string{"decision"})
 	m.speedWaits, m.speedSlow = speedMatched.WithLabelValues("wait"), speedMatched.WithLabelValues("slow")
-	reg.MustRegister(speedMatched)
+	m.handedOver = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "oriole_jobs_handed_over_total", Help: "Jobs that were returned unstarted to be placed at another placement entry.",
+	})
+	reg.MustRegister(speedMatched, m.handedOver)
 	reg.MustRegister(m.admitted, m.refused, m.answered, m.latency, m.abandoned, m.ordered, m.repeated, m.moved, m.crashes, m.givenUp,
 		m.inFlight, m.queued)
 	return m
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -111,7 +111,7 @@
 			}
 			continue // a started job is abandoned when its last caller is
 		}
-		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) {
+		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.handOver(j, v, now) || c.refuseIfOverdue(j, v, now)) {
 			continue
 		}
 		c.placeJob(j, v.endpoints, v.agents, now)
@@ -198,6 +198,7 @@
 	}
 	c.pendingOrders[a] = groups
 	c.cfg.Metrics.ordered.Inc()
+	c.noteSize(t)
 	c.cfg.Log.Log(event.TaskPlaced, "task", t.name, "run", t.runNumber, "agent", a.name,
 		"waited_ms", now.Sub(t.job.arrived).Milliseconds(), "heard_ms_ago", now.Sub(a.lastReceived).Milliseconds(),
 		"slowness", a.status.SlownessPermille)
--- a/coordinator/service_loads.go
+++ b/coordinator/service_loads.go
@@ -73,6 +73,7 @@
 		l := load(a.profile.Service)
 		l.Capacity += uint64(e.Capacity.MilliCores)
 		l.Used += uint64(max(int64(e.Capacity.MilliCores)-e.Free.MilliCores, 0))
+		c.addUsable(l, &e)
 	}
 	for _, j := range c.queued {
 		load(j.spec.Queue.Service).Waiting += j.waitingMilliCores()
--- a/event/jobs.go
+++ b/event/jobs.go
@@ -4,6 +4,7 @@
 var (
 	JobAdmitted       = define(600, Info, "job admitted")
 	JobRefused        = define(601, Info, "job refused")
+	JobHandedOver     = define(686, Info, "job returned unstarted, to be placed at another placement entry")
 	JobEnded          = define(602, Info, "job ended")
 	JobAbandoned      = define(603, Info, "caller disconnected; job is stopped")
 	TaskPlaced        = define(604, Info, "task ordered")
--- a/job/job.go
+++ b/job/job.go
@@ -33,6 +33,9 @@
 	// Elapsed is the time since the caller's request arrived, for a job that another entry has
 	// forwarded.
 	Elapsed time.Duration `cbor:",omitempty"`
+	// ReturnedBy is the incarnation of the placement entry that has returned the job unstarted; empty if
+	// none has. A job is returned once at most.
+	ReturnedBy string `cbor:",omitempty"`
 	// CallerDisconnected reports, without blocking, whether the caller's connection has closed.
 	// It is nil if that is unknown, as at an entry to which another one has forwarded the job.
 	CallerDisconnected func() bool `cbor:"-"`
@@ -40,6 +43,13 @@
 	Trace string `cbor:",omitempty"`
 }
 
+// Returned is the cause of the error of a job that a placement entry has returned unstarted because the
+// placement entry To has free capacity.
+type Returned struct{ To string }
+
+// Error implements error.
+func (r *Returned) Error() string { return "entry " + r.To + " has free capacity" }
+
 // Step is a group of tasks with the same requirements. It is encoded under the Go names of its
 // fields.
 type Step struct {
--- a/relay/peers_test.go
+++ b/relay/peers_test.go
@@ -25,6 +25,7 @@
 func (noAgents) ServiceLoads() []wire.ServiceLoad { return nil }
 func (noAgents) Labels() []wire.ServiceLabels     { return nil }
 func (noAgents) SetEvacuated(wire.Evacuated)      {}
+func (noAgents) SetPeers(*policy.Peers)           {}
 
 // Guards against callers that are refused while all placement entries are stopped at the same
 // time: the next in rank must replace them before they are gone.
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -139,6 +139,7 @@
 	m := &wire.PlaceResult{Number: number, State: string(o.state), ClockMillis: r.clockMillis()}
 	if o.err != nil {
 		m.Kind, m.Detail, m.RetryAfterMillis = string(o.err.Kind), o.err.Detail, uint32(o.err.RetryAfter.Milliseconds())
+		m.HandoverTo = returnedTo(o.err)
 	}
 	r.sendToForwarder(f, m)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -29,6 +29,8 @@
 	// ServiceLoads returns the load of these endpoints by service, and Labels their labels.
 	ServiceLoads() []wire.ServiceLoad
 	Labels() []wire.ServiceLabels
+	// SetPeers sets the other placement entries and their loads.
+	SetPeers(p *policy.Peers)
 	// SetEvacuated sets the data centres at which no task may start.
 	SetEvacuated(m wire.Evacuated)
 }
@@ -99,11 +101,13 @@
 	clockMillis  uint64    // newest that it has sent
 	lastEchoed   time.Time // when its clock was last returned to it
 	// retired is set when the connection is no longer used for new jobs.
-	retired    bool
-	loads      wire.PlacementStatus
-	labels     []wire.ServiceLabels
-	lastNumber uint64 // of the last forwarded job
-	forwarded  map[uint64]*forwardedJob
+	retired bool
+	loads   wire.PlacementStatus
+	// loadsReceived is when loads was received.
+	loadsReceived time.Time
+	labels        []wire.ServiceLabels
+	lastNumber    uint64 // of the last forwarded job
+	forwarded     map[uint64]*forwardedJob
 }
 
 // forwardedJob is a job that was forwarded and has no outcome yet.
@@ -198,6 +202,7 @@
 // dropPlacementEntry removes p and fails the jobs forwarded to it. r.mu must be held.
 func (r *Router) dropPlacementEntry(p *placementEntry, why string) {
 	delete(r.placementEntries, p.connection)
+	r.publishPeers()
 	r.cfg.Log.Log(event.PlacementEntryLost, "entry", p.incarnation, "why", why, "jobs", len(p.forwarded),
 		"heard_ms_ago", time.Since(p.lastReceived).Milliseconds())
 	for n, f := range p.forwarded {
@@ -219,11 +224,12 @@
 	p.lastReceived = time.Now()
 	switch m := m.(type) {
 	case *wire.PlacementStatus:
-		p.loads = *m
+		p.loads, p.loadsReceived = *m, p.lastReceived
 		p.clockMillis = max(p.clockMillis, m.ClockMillis)
 		if m.Labels != nil {
 			p.labels = m.Labels
 		}
+		r.publishPeers()
 		r.notify()
 	case *wire.PlaceResult:
 		p.clockMillis = max(p.clockMillis, m.ClockMillis)
@@ -242,6 +248,9 @@
 	}
 	err := errkind.New(errkind.Kind(m.Kind), "%s", m.Detail)
 	err.RetryAfter = time.Duration(m.RetryAfterMillis) * time.Millisecond
+	if m.HandoverTo != "" {
+		err.Err = &job.Returned{To: m.HandoverTo}
+	}
 	return outcome{err: err}
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -18,6 +18,7 @@
 	"oriolerelay/errkind"
 	"oriolerelay/internal/bubble"
 	"oriolerelay/job"
+	"oriolerelay/policy"
 	"oriolerelay/wire"
 )
 
@@ -26,7 +27,8 @@
 	mu        sync.Mutex
 	capacity  uint64
 	labels    []string
-	full      bool // refuse all jobs
+	full      bool   // refuse all jobs
+	returnTo  string // entry for which the refused jobs are returned; empty if they are not
 	submitted []job.Submission
 	cancelled int
 	evacuated wire.Evacuated
@@ -56,6 +58,8 @@
 	return []wire.ServiceLabels{{Service: "s", Labels: f.labels}}
 }
 
+func (f *fakeRunner) SetPeers(*policy.Peers) {}
+
 func (f *fakeRunner) SetEvacuated(m wire.Evacuated) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -70,6 +74,9 @@
 	if full {
 		err := errkind.New(errkind.QueueFull, "full")
 		err.RetryAfter = 3 * time.Second
+		if f.returnTo != "" {
+			err.Err = &job.Returned{To: f.returnTo}
+		}
 		return "", err
 	}
 	select {
--- a/wire/placement.go
+++ b/wire/placement.go
@@ -37,6 +37,9 @@
 	RetryAfterMillis uint32 `cbor:"5,keyasint,omitempty"`
 	// ClockMillis is the sender's clock as in PlacementStatus.
 	ClockMillis uint64 `cbor:"6,keyasint,omitempty"`
+	// HandoverTo is the incarnation of the placement entry at which a job that was returned unstarted is
+	// to be placed; empty for other outcomes.
+	HandoverTo string `cbor:"7,keyasint,omitempty"`
 }
 
 // Withdraw stops forwarded jobs whose callers disconnected.
@@ -77,6 +80,11 @@
 	// Used is the demand of the current runs, Waiting that of the queued tasks.
 	Used    uint64 `cbor:"3,keyasint"`
 	Waiting uint64 `cbor:"4,keyasint"`
+	// Usable is the free capacity on endpoints with room for a task of a typical size, in whole tasks,
+	// and LargestFree the largest free capacity on one of them. Both are 0 if the sender takes no jobs
+	// that others return.
+	Usable      uint64 `cbor:"5,keyasint,omitempty"`
+	LargestFree uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // EntryDraining tells agents that the sending entry will stop, so that they serve
