--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -85,6 +85,9 @@
 		c.cfg.Log.Log(event.JobAdmitted, "job", s.ID, "resent", true, "callers", len(old.waiters))
 		return
 	}
+	if c.answerCopy(&s, w, now) {
+		return
+	}
 	j := newActiveJob(s, now, w)
 	c.joinGroups(j, now)
 	c.admit(j, now)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -98,6 +98,8 @@
 	forecasts          map[string]*queueForecast  // by queue
 	promises           map[string]policy.Promises // by service
 	forecastBuffer     []policy.Release           // memory of the last forecast
+	handover           handover
+	peers              atomic.Pointer[policy.Peers]
 	wanted             wantedState
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -107,7 +107,7 @@
 			views[j.spec.Queue.Service] = v
 		}
 		c.planReservations(v, j, now)
-		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.refuseIfOverdue(j, v, now)) || c.refuseEarly(j, v, now) {
+		if !j.started && (c.refuseIfTooLarge(j, v, now) || c.handOver(j, v, now) || c.refuseIfOverdue(j, v, now)) || c.refuseEarly(j, v, now) {
 			continue
 		}
 		c.placeJob(j, v, now)
@@ -230,6 +230,7 @@
 	c.pendingOrders[a] = groups
 	c.cfg.Metrics.ordered.Inc()
 	c.observeOrder(t, now)
+	c.noteSize(t)
 	c.cfg.Log.Log(event.TaskPlaced, "task", t.name, "run", t.runNumber, "agent", a.name,
 		"waited_ms", now.Sub(t.job.arrived).Milliseconds(), "heard_ms_ago", now.Sub(a.lastReceived).Milliseconds(),
 		"slowness", a.status.SlownessPermille)
