--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -174,8 +174,8 @@
 				c.noteBlocked(v, t, p)
 				break // the other tasks of the step have the same requirements
 			}
-			if !choice.InTime && j.shares != nil && p.CanBeInTime(endpoints) {
-				break // a run that ends late would count as service
+			if !choice.InTime && j.waitsForTimelyStart(p, endpoints) {
+				break
 			}
 			// The check makes a system call, so it is not made for jobs that keep waiting.
 			if !checked && j.allCallersDisconnected() {
