coordinator: waiting jobs are not judged again while nothing is free

Cause: each pass looked for an endpoint and counted what fits for each waiting job, and a forecast or a handover sorted the expected ends of all runs in each pass. Change: a pass knows the largest free capacity, and a task above it is not looked at; what a job lacks is computed once a pass, and expected ends are used for 5 ms. The decisions are the same but for ends that are up to 5 ms old. The test of unplacedCores follows its new argument.

--- a/coordinator/calibration.go
+++ b/coordinator/calibration.go
@@ -49,9 +49,6 @@
 	overtaking        []policy.Overtaking
 	overtakenPriority int
 	hasOvertaking     bool
-	// unplacedCores is the demand of the judged job that cannot be placed.
-	judged        *activeJob
-	unplacedCores float64
 }
 
 // forecastMetrics are the metrics of early refusal, by queue.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -100,6 +100,7 @@
 	forecastBuffer     []policy.Release           // memory of the last forecast
 	handover           handover
 	peers              atomic.Pointer[policy.Peers]
+	releases           map[string]expectedReleases // by service
 	wanted             wantedState
 	publishedWanted    atomic.Pointer[[]wire.TaskRequirement]
 	wantedChanged      chan struct{}
@@ -124,6 +125,7 @@
 		confined:       make(map[string]*confinement),
 		forecasts:      make(map[string]*queueForecast),
 		promises:       make(map[string]policy.Promises),
+		releases:       make(map[string]expectedReleases),
 		wanted:         wantedState{neededAt: make(map[wire.TaskRequirement]time.Time)},
 		wantedChanged:  make(chan struct{}, 1),
 		reservations:   newReservations(cfg.Policy),
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -319,9 +319,9 @@
 				t.state = taskWaiting
 			}
 		}
-		c.Check(co.unplacedCores(j, nil), quicktest.Equals, 9.0)
+		c.Check(co.unplacedCores(j, new(serviceView)), quicktest.Equals, 9.0)
 		four := policy.Endpoint{Available: true, Free: policy.FreeCapacity{MilliCores: 4000}, Capacity: wire.Resources{MilliCores: 4000}}
-		c.Check(co.unplacedCores(j, []policy.Endpoint{four}), quicktest.Equals, 4.0)
+		c.Check(co.unplacedCores(j, &serviceView{endpoints: []policy.Endpoint{four}, largestFree: four.Free}), quicktest.Equals, 4.0)
 	})
 }
 
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -74,7 +74,7 @@
 	if peers == nil || !c.cfg.Policy.Uses(policy.Handover) || j.stored != nil || j.spec.ReturnedBy != "" || len(c.handover.targets) >= maxHandedOver {
 		return false
 	}
-	unplaced := c.unplacedCores(j, v.endpoints)
+	unplaced := c.unplacedCores(j, v)
 	if unplaced == 0 {
 		return false
 	}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -123,7 +123,12 @@
 	agents    []*agent
 	// coresAhead is the demand of the preceding jobs that could not be placed.
 	coresAhead float64
-	releases   *policy.Releases // set when it is first needed
+	// largestFree is at least the largest free capacity of an endpoint, in each resource.
+	largestFree policy.FreeCapacity
+	// unplacedCores is the demand of the job judged last that cannot be placed.
+	judged        *activeJob
+	unplacedCores float64
+	releases      *policy.Releases // set when it is first needed
 	// reservations is set once a task fits on no endpoint, if the mechanism is enabled.
 	reservations *serviceReservations
 	forecastView
@@ -132,18 +137,33 @@
 func (c *Coordinator) newServiceView(q *job.Queue, now time.Time) *serviceView {
 	v := new(serviceView)
 	v.endpoints, v.agents = c.snapshot(q.Service, now)
+	v.largestFree = policy.LargestFree(v.endpoints)
 	return v
 }
 
 // releasesOf returns the expected releases of the service with the view v.
 func (c *Coordinator) releasesOf(v *serviceView, service string, now time.Time) policy.Releases {
 	if v.releases == nil {
-		r := c.expectedReleases(service, now)
-		v.releases = &r
+		r, ok := c.releases[service]
+		if !ok || now.Sub(r.at) >= releasesInterval {
+			r = expectedReleases{c.expectedReleases(service, now), now}
+			c.releases[service] = r
+		}
+		v.releases = &r.Releases
 	}
 	return *v.releases
 }
 
+// releasesInterval is the time for which the expected releases of a service are used again. They are
+// computed from all its runs, and forecasts need them in each pass.
+const releasesInterval = 5 * time.Millisecond
+
+// expectedReleases are the releases that were expected at a time.
+type expectedReleases struct {
+	policy.Releases
+	at time.Time
+}
+
 func (j *activeJob) hasWaitingTask() bool {
 	for _, tasks := range j.steps {
 		for _, t := range tasks {
@@ -167,11 +187,15 @@
 			if t.state != taskWaiting || now.Before(t.holdUntil) || c.stopping[t.name] != nil {
 				continue
 			}
+			if !v.largestFree.Fits(t.step.Size) && !c.reservations.enabled {
+				break
+			}
 			p := c.policyTask(t, endpoints, agents, now)
 			choice, ok := c.cfg.Policy.ChooseEndpoint(endpoints, p, c.random.Uint64())
 			c.noteSpeedDecision(t, choice, now)
 			if !ok {
 				c.noteBlocked(v, t, p)
+				v.largestFree = policy.LargestFree(endpoints)
 				break // the other tasks of the step have the same requirements
 			}
 			if !choice.InTime && j.waitsForTimelyStart(p, endpoints) {
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -20,8 +20,7 @@
 // whether the job was refused.
 func (c *Coordinator) refuseIfOverdue(j *activeJob, v *serviceView, now time.Time) bool {
 	queued := c.queuedJob(j)
-	queued.UnplacedCores = c.unplacedCores(j, v.endpoints)
-	v.judged, v.unplacedCores = j, queued.UnplacedCores
+	queued.UnplacedCores = c.unplacedCores(j, v)
 	if !c.cfg.Policy.ShouldRefuse(queued, now) {
 		return false
 	}
@@ -67,11 +66,7 @@
 		return false
 	}
 	queued := c.queuedJob(j)
-	if v.judged == j {
-		queued.UnplacedCores = v.unplacedCores
-	} else {
-		queued.UnplacedCores = c.unplacedCores(j, v.endpoints)
-	}
+	queued.UnplacedCores = c.unplacedCores(j, v)
 	if queued.UnplacedCores == 0 {
 		return false
 	}
@@ -113,7 +108,10 @@
 
 // unplacedCores returns the demand of the waiting tasks of j that fit on no endpoint now. All
 // tasks of a step have the size that the step declares.
-func (c *Coordinator) unplacedCores(j *activeJob, endpoints []policy.Endpoint) (cores float64) {
+func (c *Coordinator) unplacedCores(j *activeJob, v *serviceView) (cores float64) {
+	if v.judged == j { // none of its tasks was placed since
+		return v.unplacedCores
+	}
 	for si, tasks := range j.steps {
 		waiting := 0
 		for _, t := range tasks {
@@ -122,10 +120,15 @@
 			}
 		}
 		st := &j.spec.Steps[si]
-		if n := waiting - c.fittingTasks(j, si, endpoints); n > 0 {
+		fitting := 0
+		if v.largestFree.Fits(st.Size) {
+			fitting = c.fittingTasks(j, si, v.endpoints)
+		}
+		if n := waiting - fitting; n > 0 {
 			cores += float64(n) * float64(st.Size.MilliCores) / 1000
 		}
 	}
+	v.judged, v.unplacedCores = j, cores
 	return cores
 }
 
