policy, relay: a tolerated loss of a data centre enables three mechanisms

Change: fair_share, early_refusal and handover follow from tolerated_data_centres, the other two are enabled by name. Result: go test ./relay passes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,6 +86,11 @@
 	return []Mechanism{FairShare, EarlyRefusal, Reservations, SpeedMatch, Handover}
 }
 
+// ForShortage lists the optional mechanisms for deployments that expect a lack of capacity. The others
+// depend on the tasks and endpoints: Reservations answers tasks of very different sizes, and SpeedMatch
+// tasks that cannot be in time on slow endpoints.
+func ForShortage() []Mechanism { return []Mechanism{FairShare, EarlyRefusal, Handover} }
+
 // Mechanisms lists the mechanisms that are enabled by default.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -49,7 +49,7 @@
 	// FarFactor is the factor by which the run time of a task grows away from its data.
 	FarFactor float64 `json:"far_factor"`
 	// ToleratedDataCentres is the number of data centres whose loss the deployment must bear. If it is
-	// not 0, a lack of capacity is to be expected and the optional mechanisms of the policy are enabled.
+	// not 0, a lack of capacity is to be expected and the mechanisms of policy.ForShortage are enabled.
 	ToleratedDataCentres int `json:"tolerated_data_centres"`
 	// Policy enables and disables mechanisms of the scheduling policy.
 	Policy PolicySettings `json:"policy"`
@@ -69,7 +69,7 @@
 func (s *Settings) policy() policy.Policy {
 	on := slices.Clone(s.Policy.On)
 	if s.ToleratedDataCentres > 0 {
-		for _, m := range policy.Optional() {
+		for _, m := range policy.ForShortage() {
 			on = append(on, string(m))
 		}
 	}
