router: share counts of many groups are sent less often

Cause: with 20 queues the counts would use 8.6 KB/s for each placement entry (an estimate from the 354 bytes of three queues), above the 4 KB/s of a host. Change: the interval is 8 ms for each group, between 200 and 700 ms, so that 66 groups need 528 ms and the counts stay younger than a second.

--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -211,11 +211,22 @@
 		m.Labels, f.sentLabels = labels, labels
 	}
 	if r.cfg.Shares != nil && now.Sub(f.sharesSentAt) >= sharesInterval && r.isPlacementEntry(f) {
-		m.Shares, f.sharesSentAt = r.cfg.Shares.ShareCounts(), now
+		if counts := r.cfg.Shares.ShareCounts(); now.Sub(f.sharesSentAt) >= intervalOf(counts) {
+			m.Shares, f.sharesSentAt = counts, now
+		}
 	}
 	r.sendToForwarder(f, m)
 }
 
+// intervalOf returns the shortest time between two messages with the given share counts.
+func intervalOf(counts []wire.ServiceShares) time.Duration {
+	groups := 0
+	for i := range counts {
+		groups += len(counts[i].Queues) + len(counts[i].DataCentres)
+	}
+	return min(max(sharesInterval, time.Duration(groups)*groupInterval), maxSharesInterval)
+}
+
 // isPlacementEntry reports whether f places jobs itself in this region. r.mu must be held.
 func (r *Router) isPlacementEntry(f *forwarder) bool {
 	for _, p := range r.placementEntries {
--- a/router/router.go
+++ b/router/router.go
@@ -50,8 +50,12 @@
 	minLoadInterval = 50 * time.Millisecond
 	maxLoadInterval = 80 * time.Millisecond
 	minLoadChange   = 0.05
-	// sharesInterval is the shortest time between two messages with share counts to a placement entry.
-	sharesInterval = 200 * time.Millisecond
+	// sharesInterval is the shortest time between two messages with share counts to a placement entry,
+	// and groupInterval that for each group in them: the counts of 20 queues, some 70 groups, then use
+	// less than 4 KB/s. They stay below the age of a second from which counts are ignored.
+	sharesInterval    = 200 * time.Millisecond
+	groupInterval     = 8 * time.Millisecond
+	maxSharesInterval = 700 * time.Millisecond
 	// SuspectTimeout is the time without a message after which a placement entry is suspect
 	// and gets no more jobs. It has missed two load messages by then.
 	SuspectTimeout = 200 * time.Millisecond
--- a/router/shares_test.go
+++ b/router/shares_test.go
@@ -58,3 +58,15 @@
 		}
 	})
 }
+
+// Guards against share counts of many groups that exceed the traffic budget of a host, or arrive so
+// seldom that they are ignored.
+func TestIntervalOfShareCounts(t *testing.T) {
+	c := qt.New(t)
+	counts := func(groups int) []wire.ServiceShares {
+		return []wire.ServiceShares{{Queues: make([]wire.GroupCount, groups)}}
+	}
+	c.Check(intervalOf(counts(12)), qt.Equals, sharesInterval)
+	c.Check(intervalOf(counts(66)), qt.Equals, 528*time.Millisecond)
+	c.Check(intervalOf(counts(500)) < time.Second, qt.IsTrue)
+}
