httplimit: close evicted connections without holding the lock

Close waits until a concurrent Read of the connection has returned. On a busy machine all requests of the process waited for that while the lock was held.

--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -173,7 +173,11 @@
 			return nil, err
 		}
 		c := &Conn{TCPConn: t, group: l.group}
-		if l.group.admit(c, time.Now()) {
+		admitted, evicted := l.group.admit(c, time.Now())
+		if evicted != nil {
+			_ = evicted.TCPConn.Close()
+		}
+		if admitted {
 			return c, nil
 		}
 		_ = t.Close()
@@ -181,47 +185,47 @@
 }
 
 // admit adds c to g. If g is full, it closes a connection in favour of c: one that takes long to send
-// its header, one whose body makes no progress, or the one that is idle for the longest time. It returns
-// false if there is none.
-func (g *Group) admit(c *Conn, now time.Time) bool {
+// its header, one whose body makes no progress, or the one that is idle for the longest time. The caller
+// closes the socket of evicted: that waits for a concurrent Read to return, and l.mu must not be held.
+func (g *Group) admit(c *Conn, now time.Time) (admitted bool, evicted *Conn) {
 	l := g.l
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if g.max > 0 && g.open >= g.max && !g.makeRoom(now) {
-		l.counts[causeConnections]++
-		return false
+	if g.max > 0 && g.open >= g.max {
+		if evicted = g.makeRoom(now); evicted == nil {
+			l.counts[causeConnections]++
+			return false, nil
+		}
 	}
 	g.open++
 	c.setPhase(pending, &g.pending, now)
-	return true
+	return true, evicted
 }
 
-// makeRoom closes a connection, or ends its request. l.mu is held.
-func (g *Group) makeRoom(now time.Time) bool {
+// makeRoom removes a connection from g and returns it, or nil if there is none to remove. l.mu is held.
+func (g *Group) makeRoom(now time.Time) *Conn {
 	l := g.l
 	if c := g.pending.first; c != nil && now.Sub(c.since) >= evictableAfter {
-		return l.closeConn(c, causeIdle)
+		return c.evict(causeIdle)
 	}
 	for c := l.receiving.first; c != nil && now.Sub(c.since) >= evictableAfter; c = c.next {
 		if c.group == g {
-			l.bodies.used -= c.body
-			c.body = 0
-			return l.closeConn(c, causeStalled)
+			return c.evict(causeStalled)
 		}
 	}
 	if c := g.idle.first; c != nil {
-		return l.closeConn(c, causeIdle)
+		return c.evict(causeIdle)
 	}
-	return false
+	return nil
 }
 
-// closeConn closes c, whose server then ends its goroutine. It returns true. l.mu is held.
-func (l *Limiter) closeConn(c *Conn, why cause) bool {
+// evict removes c from its group and returns c. Its server ends its goroutine once the socket is closed.
+// l.mu is held.
+func (c *Conn) evict(why cause) *Conn {
 	c.ended = why
-	l.counts[why]++
+	c.group.l.counts[why]++
 	c.forget()
-	_ = c.TCPConn.Close()
-	return true
+	return c
 }
 
 // forget removes c from its group. l.mu is held.
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -21,7 +21,7 @@
 // newConn returns an admitted connection without a socket, on which no deadline can be set.
 func newConn(g *Group, now time.Time) *Conn {
 	c := &Conn{TCPConn: new(net.TCPConn), group: g}
-	if !g.admit(c, now) {
+	if admitted, _ := g.admit(c, now); !admitted {
 		return nil
 	}
 	return c
@@ -159,7 +159,13 @@
 // server serves h with the limits of l on a loopback address.
 func server(t *testing.T, l *Limiter, conns int, h http.HandlerFunc) string {
 	t.Helper()
-	listener, err := l.Group(conns).Listen("127.0.0.1:0")
+	return serve(t, l.Group(conns), h)
+}
+
+// serve serves h to the connections of g on a loopback address.
+func serve(t *testing.T, g *Group, h http.HandlerFunc) string {
+	t.Helper()
+	listener, err := g.Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	s := &http.Server{Handler: Handler(h), ConnState: TrackState, ConnContext: ContextWithConn}
 	go func() { _ = s.Serve(listener) }()
@@ -246,3 +252,41 @@
 	manySteps := `{"steps":[` + strings.Repeat(`{"count":1},`, 20_000) + `{}]}`
 	qt.Check(t, DecodedCost([]byte(manySteps)) > 10<<20, qt.IsTrue)
 }
+
+// Guards against a connection that is removed from its group in favour of another one while its socket
+// stays open, and against one that is closed with l.mu held, which blocks all requests until its reader
+// has returned.
+func TestEvictedConnectionIsClosed(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	g := l.Group(1)
+	address := serve(t, g, echoLength)
+	post := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = c.Close() })
+		qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		qt.Assert(t, err, qt.IsNil)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.Copy(io.Discard, resp.Body)
+		qt.Assert(t, err, qt.IsNil)
+		return c, r
+	}
+	_, first := post()
+	for waiting := true; waiting; time.Sleep(time.Millisecond) { // the server enters the idle state after the response
+		l.mu.Lock()
+		waiting = g.idle.first == nil
+		l.mu.Unlock()
+	}
+	post()
+	_, err := first.ReadByte()
+	qt.Check(t, err, qt.Equals, io.EOF)
+
+	g = l.Group(1)
+	c := newConn(g, time.Unix(1000, 0))
+	admitted, evicted := g.admit(&Conn{TCPConn: new(net.TCPConn), group: g}, time.Unix(2000, 0))
+	qt.Check(t, admitted, qt.IsTrue)
+	qt.Check(t, evicted, qt.Equals, c) // for the caller to close
+}
