httplimit: limit the wait for an unread body before a long response

net/http reads the rest of a request body before it writes the first 2 KiB of a response. A GET of /metrics that announced a body and did not send it held its handler for good; four of them blocked the metrics of a process.

--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -123,6 +123,7 @@
 	if !small {
 		c.raised = c.SetReadBuffer(largeReceiveBufferBytes) == nil
 	}
+	_ = c.SetReadDeadline(time.Time{}) // of limitUnread; fails if the connection is closed
 	c.started, c.received = now, 0
 	c.setPhase(receiving, &l.receiving, now)
 	return nil
@@ -175,8 +176,8 @@
 	}
 }
 
-// finish limits the time in which the rest of a body arrives that the handler has not read.
-func (c *Conn) finish() {
+// limitUnread limits the time in which the rest of a body arrives that the handler has not read.
+func (c *Conn) limitUnread() {
 	l := c.group.l
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -320,6 +320,7 @@
 		return
 	}
 	c.release()
+	c.lowerReceiveBuffer() // the body of an ended request may have been complete
 	c.ended, c.bodyRead = causeNone, false
 	c.setPhase(idle, &c.group.idle, time.Now())
 }
@@ -339,15 +340,18 @@
 	return c
 }
 
-// Handler returns a handler that calls h and then limits the time in which the server waits for the
-// rest of a body that h has not read.
+// Handler returns a handler that calls h and limits the time in which the server waits for the rest of a
+// body that h has not read. The limit also applies while h runs, since net/http reads that rest before it
+// writes the first 2 KiB of a response. ReadBody lifts it.
 func Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(w, r)
-		if r.ContentLength != 0 {
-			if c := connOf(r.Context()); c != nil {
-				c.finish()
-			}
+		c := connOf(r.Context())
+		if r.ContentLength == 0 || c == nil {
+			h.ServeHTTP(w, r)
+			return
 		}
+		c.limitUnread()
+		h.ServeHTTP(w, r)
+		c.limitUnread()
 	})
 }
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -290,3 +290,21 @@
 	qt.Check(t, admitted, qt.IsTrue)
 	qt.Check(t, evicted, qt.Equals, c) // for the caller to close
 }
+
+// Guards against a handler that never returns: net/http reads the rest of a body before it writes the
+// first 2 KiB of a response, and the client never sends that body.
+func TestLongResponseDoesNotWaitForBody(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	response := strings.Repeat("x", 16<<10)
+	c, err := net.Dial("tcp", server(t, l, 0, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, response) }))
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = io.WriteString(c, "GET /metrics HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil)
+	b, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(b), qt.Equals, response)
+}
