httplimit: queue up to 512 connections that are not accepted yet

With 256, the 258th of several hundred callers that connect at once finds the queue full if the process is not scheduled meanwhile, and tries again after 1 s of the 1.5 s for which it waits.

--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -22,9 +22,11 @@
 	// larger than that buffer.
 	largeReceiveBufferBytes = 64 << 10
 	// minBacklog and maxBacklog bound the queue of connections that are not accepted yet. With the
-	// system's 4096, 1436 connections held 32 MiB of unread bytes at a port of 64 connections.
+	// system's 4096, 1436 connections held 32 MiB of unread bytes at a port of 64 connections. Several
+	// hundred callers connect at once after all entries have been away, and the kernel repeats an attempt
+	// that finds the queue full only after 1 s.
 	minBacklog = 64
-	maxBacklog = 256
+	maxBacklog = 512
 	// freeHeaderBytes of each header are part of connBytes. Further ones are counted headerFactor times:
 	// many short fields use about 100 bytes of memory for 6 bytes.
 	freeHeaderBytes = 4 << 10
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -343,3 +343,18 @@
 	many.release()
 	qt.Check(t, len(p.free), qt.Equals, p.max)
 }
+
+// Guards against a queue that drops connections while the process is not scheduled: several hundred
+// callers connect at once when all entries have been away. The kernel tries again only after 1 s, and
+// callers wait 1.5 s for an answer.
+func TestBurstOfConnectionsIsQueued(t *testing.T) {
+	const callers = 500
+	listener, err := New(Config{MemoryMiB: 64}).Group(600).Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	for i := range callers { // nothing accepts them, so that a repeated attempt fails too
+		c, err := net.DialTimeout("tcp", listener.Addr().String(), 10*time.Second)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("connection %d", i))
+		defer c.Close()
+	}
+}
