--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -48,6 +48,10 @@
 
 // Group is a set of connections with a common bound on their number.
 type Group struct {
+	// WriteTimeout bounds each write to a connection; 0 for no bound. It is to be set before Listen. The one
+	// of http.Server starts with the request and would end those that take longer to carry out.
+	WriteTimeout time.Duration
+
 	l    *Limiter
 	max  int // 0 for no bound
 	open int // guarded by l.mu, as are the lists
@@ -278,6 +282,14 @@
 	return n, err
 }
 
+// Write writes to the connection within the WriteTimeout of its group.
+func (c *Conn) Write(b []byte) (int, error) {
+	if d := c.group.WriteTimeout; d > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(d)) // if it fails, the connection is closed and so does the write
+	}
+	return c.TCPConn.Write(b)
+}
+
 func (c *Conn) headerStarted(n int64) {
 	l := c.group.l
 	l.mu.Lock()
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -358,3 +360,23 @@
 		defer c.Close()
 	}
 }
+
+// Guards against a connection that is held for good by a client that sends requests one after another and
+// reads no response.
+func TestClientThatDoesNotReadIsClosed(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	g := l.Group(0)
+	g.WriteTimeout = 100 * time.Millisecond
+	c, err := net.Dial("tcp", serve(t, g, echoLength))
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	requests := []byte(strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1000))
+	for err == nil {
+		_, err = c.Write(requests)
+	}
+	qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("%v", err))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	qt.Check(t, g.open, qt.Equals, 0)
+}
--- a/relay/callers.go
+++ b/relay/callers.go
@@ -23,6 +23,8 @@
 	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 16 << 10
+	// callerWriteTimeout bounds a write of a response. A link may lose packets for seconds.
+	callerWriteTimeout = 30 * time.Second
 )
 
 // acceptRetryDelay is the delay after a failed accept. It keeps the process from spinning
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -157,7 +157,9 @@
 // serveCallers serves callers until ctx is done and the entry has drained.
 func (e *entry) serveCallers(ctx, runCtx context.Context, stop context.CancelFunc) error {
 	limiter := e.process.limiter
-	l, err := limiter.Group(limiter.MaxConns()).Listen(e.process.settings.CallersAddress)
+	callers := limiter.Group(limiter.MaxConns())
+	callers.WriteTimeout = callerWriteTimeout
+	l, err := callers.Listen(e.process.settings.CallersAddress)
 	if err != nil {
 		return err
 	}
