--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -22,9 +22,11 @@
 	// larger than that buffer.
 	largeReceiveBufferBytes = 64 << 10
 	// minBacklog and maxBacklog bound the queue of connections that are not accepted yet. With the
-	// system's 4096, 1436 connections held 32 MiB of unread bytes at a port of 64 connections.
+	// system's 4096, 1436 connections held 32 MiB of unread bytes at a port of 64 connections. Several
+	// hundred callers connect at once after all entries have been away, and the kernel repeats an attempt
+	// that finds the queue full only after 1 s.
 	minBacklog = 64
-	maxBacklog = 256
+	maxBacklog = 512
 	// freeHeaderBytes of each header are part of connBytes. Further ones are counted headerFactor times:
 	// many short fields use about 100 bytes of memory for 6 bytes.
 	freeHeaderBytes = 4 << 10
@@ -46,6 +48,10 @@
 
 // Group is a set of connections with a common bound on their number.
 type Group struct {
+	// WriteTimeout bounds each write to a connection; 0 for no bound. It is to be set before Listen. The one
+	// of http.Server starts with the request and would end those that take longer to carry out.
+	WriteTimeout time.Duration
+
 	l    *Limiter
 	max  int // 0 for no bound
 	open int // guarded by l.mu, as are the lists
@@ -173,7 +179,11 @@
 			return nil, err
 		}
 		c := &Conn{TCPConn: t, group: l.group}
-		if l.group.admit(c, time.Now()) {
+		admitted, evicted := l.group.admit(c, time.Now())
+		if evicted != nil {
+			_ = evicted.TCPConn.Close()
+		}
+		if admitted {
 			return c, nil
 		}
 		_ = t.Close()
@@ -181,47 +191,47 @@
 }
 
 // admit adds c to g. If g is full, it closes a connection in favour of c: one that takes long to send
-// its header, one whose body makes no progress, or the one that is idle for the longest time. It returns
-// false if there is none.
-func (g *Group) admit(c *Conn, now time.Time) bool {
+// its header, one whose body makes no progress, or the one that is idle for the longest time. The caller
+// closes the socket of evicted: that waits for a concurrent Read to return, and l.mu must not be held.
+func (g *Group) admit(c *Conn, now time.Time) (admitted bool, evicted *Conn) {
 	l := g.l
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if g.max > 0 && g.open >= g.max && !g.makeRoom(now) {
-		l.counts[causeConnections]++
-		return false
+	if g.max > 0 && g.open >= g.max {
+		if evicted = g.makeRoom(now); evicted == nil {
+			l.counts[causeConnections]++
+			return false, nil
+		}
 	}
 	g.open++
 	c.setPhase(pending, &g.pending, now)
-	return true
+	return true, evicted
 }
 
-// makeRoom closes a connection, or ends its request. l.mu is held.
-func (g *Group) makeRoom(now time.Time) bool {
+// makeRoom removes a connection from g and returns it, or nil if there is none to remove. l.mu is held.
+func (g *Group) makeRoom(now time.Time) *Conn {
 	l := g.l
 	if c := g.pending.first; c != nil && now.Sub(c.since) >= evictableAfter {
-		return l.closeConn(c, causeIdle)
+		return c.evict(causeIdle)
 	}
 	for c := l.receiving.first; c != nil && now.Sub(c.since) >= evictableAfter; c = c.next {
 		if c.group == g {
-			l.bodies.used -= c.body
-			c.body = 0
-			return l.closeConn(c, causeStalled)
+			return c.evict(causeStalled)
 		}
 	}
 	if c := g.idle.first; c != nil {
-		return l.closeConn(c, causeIdle)
+		return c.evict(causeIdle)
 	}
-	return false
+	return nil
 }
 
-// closeConn closes c, whose server then ends its goroutine. It returns true. l.mu is held.
-func (l *Limiter) closeConn(c *Conn, why cause) bool {
+// evict removes c from its group and returns c. Its server ends its goroutine once the socket is closed.
+// l.mu is held.
+func (c *Conn) evict(why cause) *Conn {
 	c.ended = why
-	l.counts[why]++
+	c.group.l.counts[why]++
 	c.forget()
-	_ = c.TCPConn.Close()
-	return true
+	return c
 }
 
 // forget removes c from its group. l.mu is held.
@@ -272,6 +282,14 @@
 	return n, err
 }
 
+// Write writes to the connection within the WriteTimeout of its group.
+func (c *Conn) Write(b []byte) (int, error) {
+	if d := c.group.WriteTimeout; d > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(d)) // if it fails, the connection is closed and so does the write
+	}
+	return c.TCPConn.Write(b)
+}
+
 func (c *Conn) headerStarted(n int64) {
 	l := c.group.l
 	l.mu.Lock()
@@ -316,6 +334,7 @@
 		return
 	}
 	c.release()
+	c.lowerReceiveBuffer() // the body of an ended request may have been complete
 	c.ended, c.bodyRead = causeNone, false
 	c.setPhase(idle, &c.group.idle, time.Now())
 }
@@ -335,15 +354,18 @@
 	return c
 }
 
-// Handler returns a handler that calls h and then limits the time in which the server waits for the
-// rest of a body that h has not read.
+// Handler returns a handler that calls h and limits the time in which the server waits for the rest of a
+// body that h has not read. The limit also applies while h runs, since net/http reads that rest before it
+// writes the first 2 KiB of a response. ReadBody lifts it.
 func Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(w, r)
-		if r.ContentLength != 0 {
-			if c := connOf(r.Context()); c != nil {
-				c.finish()
-			}
+		c := connOf(r.Context())
+		if r.ContentLength == 0 || c == nil {
+			h.ServeHTTP(w, r)
+			return
 		}
+		c.limitUnread()
+		h.ServeHTTP(w, r)
+		c.limitUnread()
 	})
 }
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +23,7 @@
 // newConn returns an admitted connection without a socket, on which no deadline can be set.
 func newConn(g *Group, now time.Time) *Conn {
 	c := &Conn{TCPConn: new(net.TCPConn), group: g}
-	if !g.admit(c, now) {
+	if admitted, _ := g.admit(c, now); !admitted {
 		return nil
 	}
 	return c
@@ -159,7 +161,13 @@
 // server serves h with the limits of l on a loopback address.
 func server(t *testing.T, l *Limiter, conns int, h http.HandlerFunc) string {
 	t.Helper()
-	listener, err := l.Group(conns).Listen("127.0.0.1:0")
+	return serve(t, l.Group(conns), h)
+}
+
+// serve serves h to the connections of g on a loopback address.
+func serve(t *testing.T, g *Group, h http.HandlerFunc) string {
+	t.Helper()
+	listener, err := g.Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	s := &http.Server{Handler: Handler(h), ConnState: TrackState, ConnContext: ContextWithConn}
 	go func() { _ = s.Serve(listener) }()
@@ -246,3 +254,129 @@
 	manySteps := `{"steps":[` + strings.Repeat(`{"count":1},`, 20_000) + `{}]}`
 	qt.Check(t, DecodedCost([]byte(manySteps)) > 10<<20, qt.IsTrue)
 }
+
+// Guards against a connection that is removed from its group in favour of another one while its socket
+// stays open, and against one that is closed with l.mu held, which blocks all requests until its reader
+// has returned.
+func TestEvictedConnectionIsClosed(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	g := l.Group(1)
+	address := serve(t, g, echoLength)
+	post := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = c.Close() })
+		qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		qt.Assert(t, err, qt.IsNil)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.Copy(io.Discard, resp.Body)
+		qt.Assert(t, err, qt.IsNil)
+		return c, r
+	}
+	_, first := post()
+	for waiting := true; waiting; time.Sleep(time.Millisecond) { // the server enters the idle state after the response
+		l.mu.Lock()
+		waiting = g.idle.first == nil
+		l.mu.Unlock()
+	}
+	post()
+	_, err := first.ReadByte()
+	qt.Check(t, err, qt.Equals, io.EOF)
+
+	g = l.Group(1)
+	c := newConn(g, time.Unix(1000, 0))
+	admitted, evicted := g.admit(&Conn{TCPConn: new(net.TCPConn), group: g}, time.Unix(2000, 0))
+	qt.Check(t, admitted, qt.IsTrue)
+	qt.Check(t, evicted, qt.Equals, c) // for the caller to close
+}
+
+// Guards against a handler that never returns: net/http reads the rest of a body before it writes the
+// first 2 KiB of a response, and the client never sends that body.
+func TestLongResponseDoesNotWaitForBody(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	response := strings.Repeat("x", 16<<10)
+	c, err := net.Dial("tcp", server(t, l, 0, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, response) }))
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = io.WriteString(c, "GET /metrics HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil)
+	b, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(b), qt.Equals, response)
+}
+
+// Guards against a free buffer that is part of a body in use, against refused bodies that leave garbage
+// in place of free buffers, and against free buffers beyond the bound.
+func TestBuffersAreReused(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	p := &l.buffers
+	qt.Check(t, l.bodies.limit+int64(p.max*bufferBytes), qt.Equals, int64(64<<20/bodyShare))
+	fill := func(b *bodyBuffer, n int, x byte) {
+		for range n {
+			for !b.full() {
+				b.space()[0] = x
+				b.added(1)
+			}
+			b.grow()
+		}
+	}
+	one := bodyBuffer{pool: p, first: make([]byte, 0, 5)}
+	fill(&one, 3, 'a')
+	body := one.bytes()
+	qt.Check(t, string(body), qt.Equals, strings.Repeat("a", 5+2*bufferBytes))
+	used := one.pooled
+	one.release()
+	qt.Check(t, len(p.free), qt.Equals, 3)
+	two := bodyBuffer{pool: p, first: make([]byte, 0, 7)}
+	fill(&two, 3, 'b')
+	qt.Check(t, len(p.free), qt.Equals, 0)
+	qt.Check(t, &two.pooled[0][:1][0], qt.Equals, &used[2][:1][0])
+	qt.Check(t, string(two.bytes()), qt.Equals, strings.Repeat("b", 7+2*bufferBytes))
+	qt.Check(t, string(body), qt.Equals, strings.Repeat("a", 5+2*bufferBytes))
+	two.release()
+	many := bodyBuffer{pool: p, first: make([]byte, 0, 1)}
+	fill(&many, p.max+10, 'c')
+	many.release()
+	qt.Check(t, len(p.free), qt.Equals, p.max)
+}
+
+// Guards against a queue that drops connections while the process is not scheduled: several hundred
+// callers connect at once when all entries have been away. The kernel tries again only after 1 s, and
+// callers wait 1.5 s for an answer.
+func TestBurstOfConnectionsIsQueued(t *testing.T) {
+	const callers = 500
+	listener, err := New(Config{MemoryMiB: 64}).Group(600).Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	for i := range callers { // nothing accepts them, so that a repeated attempt fails too
+		c, err := net.DialTimeout("tcp", listener.Addr().String(), 10*time.Second)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("connection %d", i))
+		defer c.Close()
+	}
+}
+
+// Guards against a connection that is held for good by a client that sends requests one after another and
+// reads no response.
+func TestClientThatDoesNotReadIsClosed(t *testing.T) {
+	l := New(Config{MemoryMiB: 64})
+	g := l.Group(0)
+	g.WriteTimeout = 100 * time.Millisecond
+	c, err := net.Dial("tcp", serve(t, g, echoLength))
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	requests := []byte(strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1000))
+	for err == nil {
+		_, err = c.Write(requests)
+	}
+	qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("%v", err))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	qt.Check(t, g.open, qt.Equals, 0)
+}
