coordinator, router: a job is not tried elsewhere while its earlier copy is being stopped

Cause (review): a resent job was returned, or refused early and tried again, while the run of its first copy was still being stopped at this entry, so that a task could run twice at a time. A copy of a returned job that came as a second try was answered as not run although the first copy may run. Above 10,000 targets none was removed. Change: such a job waits; a returned job that reaches neither entry is answered home_unreachable; old targets are removed before they are counted. The pause between placement passes counts the jobs that still wait.

--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -238,6 +238,22 @@
 	agent *agent
 }
 
+// hasStoppingRun reports whether a run of an earlier copy of j may not have ended. Another entry that gets
+// the job would run the task at the same time.
+func (c *Coordinator) hasStoppingRun(j *activeJob) bool {
+	if len(c.stopping) == 0 || j.started {
+		return false
+	}
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if c.stopping[t.name] != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // runStopped handles a report of a run that no task waits for.
 func (c *Coordinator) runStopped(a *agent, r wire.Report) {
 	s := c.stopping[r.Run.Task]
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -210,13 +210,23 @@
 	if c.replan && !now.Before(c.nextPlacement) {
 		c.replan = false
 		c.placeQueuedJobs(now)
-		c.nextPlacement = nextPlacement(len(c.queued), now, time.Now())
+		c.nextPlacement = nextPlacement(c.waitingJobs(), now, time.Now())
 	}
 	c.sendPending(now)
 	c.updateServiceLoads(now)
 	c.cfg.Metrics.updateGauges(c)
 }
 
+// waitingJobs returns the number of queued jobs with tasks that wait for capacity.
+func (c *Coordinator) waitingJobs() (n int) {
+	for _, j := range c.queued {
+		if j.tasksLeft > 0 && j.hasWaitingTask() {
+			n++
+		}
+	}
+	return n
+}
+
 const (
 	// placementPause is the time between two placement passes over a long queue, as a multiple of the
 	// time that the earlier one took. In overload every message asks for a pass, and without a pause
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -71,7 +71,10 @@
 // entry has free capacity for it. It reports whether it has done so.
 func (c *Coordinator) handOver(j *activeJob, v *serviceView, now time.Time) bool {
 	peers := c.peers.Load()
-	if peers == nil || !c.cfg.Policy.Uses(policy.Handover) || j.stored != nil || j.spec.ReturnedBy != "" || len(c.handover.targets) >= maxHandedOver {
+	if peers == nil || !c.cfg.Policy.Uses(policy.Handover) || j.stored != nil || j.spec.ReturnedBy != "" || c.hasStoppingRun(j) {
+		return false
+	}
+	if c.handover.forgetOld(now); len(c.handover.targets) >= maxHandedOver {
 		return false
 	}
 	unplaced := c.unplacedCores(j, v)
@@ -92,7 +95,6 @@
 	if h.Wait, known = c.releasesOf(v, h.Service, now).TimeUntilFree(v.coresAhead + unplaced); !known {
 		h.Wait = h.Slack
 	}
-	c.handover.forgetOld(now)
 	i, ok := c.cfg.Policy.ChooseHandover(&h, peers.Entries, c.handover.recent, now)
 	if !ok {
 		return false
--- a/coordinator/refusal.go
+++ b/coordinator/refusal.go
@@ -62,7 +62,8 @@
 // sample of such jobs is admitted to calibrate the forecast. The jobs of a placement pass must be
 // passed in the order of the queue. It reports whether the job was refused.
 func (c *Coordinator) refuseEarly(j *activeJob, v *serviceView, now time.Time) bool {
-	if !c.cfg.Policy.Uses(policy.EarlyRefusal) {
+	// A job that is refused may be tried elsewhere at once, where it must not run beside an earlier copy.
+	if !c.cfg.Policy.Uses(policy.EarlyRefusal) || c.hasStoppingRun(j) {
 		return false
 	}
 	queued := c.queuedJob(j)
--- a/router/handover.go
+++ b/router/handover.go
@@ -21,8 +21,8 @@
 }
 
 // submitReturned runs a job that p has returned at the entry to. If that cannot be reached, p gets the job
-// again and keeps it. refusal is the outcome if neither can be reached.
-func (r *Router) submitReturned(ctx context.Context, p *placementEntry, to string, s job.Submission, arrived time.Time, refusal *errkind.Error) (job.State, *errkind.Error) {
+// again and keeps it. If neither can be reached, another copy of the job may run.
+func (r *Router) submitReturned(ctx context.Context, p *placementEntry, to string, s job.Submission, arrived time.Time) (job.State, *errkind.Error) {
 	s.ReturnedBy = p.incarnation
 	for _, incarnation := range []string{to, p.incarnation} {
 		if next := r.entryOf(incarnation); next != nil {
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	return "", refusal
+	return "", errkind.New(errkind.HomeUnreachable, "the entry at which the job is placed cannot be reached")
 }
 
 // entryOf returns the connected placement entry of an incarnation, which may be the local one; nil if there
--- a/router/submit.go
+++ b/router/submit.go
@@ -35,8 +35,8 @@
 			if !sent {
 				continue
 			}
-			if to := returnedTo(o.err); to != "" && triedIncarnation == "" {
-				return r.submitReturned(ctx, p, to, s, arrived, o.err)
+			if to := returnedTo(o.err); to != "" {
+				return r.submitReturned(ctx, p, to, s, arrived)
 			}
 			if triedIncarnation != "" || !r.deservesSecondTry(o.err) {
 				return o.state, o.err
