--- a/coordinator/active_job.go
+++ b/coordinator/active_job.go
@@ -318,7 +318,7 @@
 				c.observeOutcome(j, false, now)
 				c.refuse(j, errkind.New(errkind.DeadlineUnmet, "the job could not be placed before the caller's deadline"))
 			}
-		case j.queued && (!j.started || c.cfg.Policy.Uses(policy.SpeedMatch)):
+		case j.queued && (!j.started || c.shares != nil || c.cfg.Policy.Uses(policy.SpeedMatch)):
 			c.replan = true // placement refuses jobs that have waited too long, and places tasks whose wait has ended
 		}
 	}
--- a/coordinator/plan.go
+++ b/coordinator/plan.go
@@ -198,7 +198,7 @@
 				v.largestFree = policy.LargestFree(endpoints)
 				break // the other tasks of the step have the same requirements
 			}
-			if !choice.InTime && j.waitsForTimelyStart(p, endpoints) {
+			if !choice.InTime && c.waitsForTimelyStart(j, p, endpoints, now) {
 				break
 			}
 			// The check makes a system call, so it is not made for jobs that keep waiting.
--- a/coordinator/queue.go
+++ b/coordinator/queue.go
@@ -12,6 +12,9 @@
 	c.setPrecedences(now)
 	for _, j := range c.queued {
 		j.sortKey = *c.queuedJob(j)
+		if j.shares == nil && c.isPromoting(j.spec.Queue.Service) { // a stored job, for instance
+			j.sortKey.Shares = j.sortKey.Precedence(0, false, now)
+		}
 	}
 	slices.SortStableFunc(c.queued, func(a, b *activeJob) int {
 		return c.cfg.Policy.Compare(&a.sortKey, &b.sortKey, now)
--- a/coordinator/shares.go
+++ b/coordinator/shares.go
@@ -219,9 +219,15 @@
 }
 
 // waitsForTimelyStart reports whether a task that would be late on the endpoints with free capacity waits
-// for another one. A run that ends late would count as service that its caller did not get.
-func (j *activeJob) waitsForTimelyStart(t *policy.Task, endpoints []policy.Endpoint) bool {
-	return j.shares != nil && t.CanBeInTime(endpoints)
+// for another one. A run that ends late would count as service that its caller did not get. A job that has
+// not started waits no longer than one without capacity, which is refused then.
+func (c *Coordinator) waitsForTimelyStart(j *activeJob, t *policy.Task, endpoints []policy.Endpoint, now time.Time) bool {
+	return j.shares != nil && c.cfg.Policy.TimeToRefusal(&j.sortKey, now) > 0 && t.CanBeInTime(endpoints)
+}
+
+// isPromoting reports whether a group of a service is promoted.
+func (c *Coordinator) isPromoting(service string) bool {
+	return c.shares != nil && c.shares.services[service] != nil && c.shares.services[service].promoting
 }
 
 // ShareCounts returns the decisions of this process for other placement entries; nil while no job is
--- a/coordinator/shares_test.go
+++ b/coordinator/shares_test.go
@@ -180,3 +180,22 @@
 		c.Check(co.ShareCounts(), quicktest.IsNil)
 	})
 }
+
+// Guards against stored jobs, which belong to no group, that come before all others while a group is promoted.
+func TestStoredJobsKeepTheirPriorityDuringPromotion(t *testing.T) {
+	withFairShares(t, func(c *quicktest.C, co *Coordinator, a *fakeAgent) {
+		a.c.Handle(a.name, a.connection, &wire.Status{Used: wire.Resources{MilliCores: 32000}})
+		urgent, stored := submission("urgent", 1), submission("stored", 1)
+		urgent.Ephemeral, urgent.Queue.Name, urgent.Queue.TargetLatency, stored.Queue.Priority = true, "high", time.Minute, 5
+		co.loop.Do(func() {
+			co.submit(urgent, newWaiter(), time.Now())
+			j := newActiveJob(stored, time.Now())
+			j.stored = &storedState{}
+			co.queued, j.objective = append(co.queued, j), time.Now().Add(time.Minute)
+			co.shares.services["s"].promoting, co.shares.services["s"].queues["high"].Best = true, true
+			co.sortQueue(time.Now())
+			c.Check(co.queued[0].sortKey.Shares, quicktest.Equals, co.queued[1].sortKey.Shares)
+			co.queued = co.queued[:0]
+		})
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,8 +88,8 @@
 
 // ForShortage lists the optional mechanisms for deployments that expect a lack of capacity. The others
 // depend on the tasks and endpoints: Reservations answers tasks of very different sizes, and SpeedMatch
-// tasks that cannot be in time on slow endpoints.
-func ForShortage() []Mechanism { return []Mechanism{FairShare, EarlyRefusal, Handover} }
+// tasks that cannot be in time on slow endpoints. No gain of Handover was shown.
+func ForShortage() []Mechanism { return []Mechanism{FairShare, EarlyRefusal} }
 
 // Mechanisms lists the mechanisms that are enabled by default.
 func Mechanisms() []Mechanism {
