loop, coordinator: the ledger's calls of the runner do not wait for the loop

Cause: the ledger releases partitions with its lock held and calls StopJob for each job, which waited for a place in the queue of the coordinator's loop (4,096). The loop in turn waited for that lock in HoldsLease.

Change: the four methods of ledger.Runner that are called with the lock held use Loop.PostNonBlocking, which appends to a list without a bound of its own; it holds at most a few functions for each stored job of this entry. The order among them stays.

--- a/coordinator/stored.go
+++ b/coordinator/stored.go
@@ -61,9 +61,12 @@
 // SetRecorder sets the recorder of stored jobs. It must be called before Run.
 func (c *Coordinator) SetRecorder(r Recorder) { c.recorder = r }
 
+// The ledger calls the methods of ledger.Runner with its lock held, which functions on the loop wait for
+// when they call c.recorder. Hence PostNonBlocking.
+
 // Adopt runs a stored job from its recorded progress. epoch rises with each owner of the job.
 func (c *Coordinator) Adopt(s job.Submission, p job.Progress, epoch uint64) {
-	c.loop.Post(func() {
+	c.loop.PostNonBlocking(func() {
 		if c.jobs[s.ID] != nil {
 			return
 		}
@@ -98,7 +101,7 @@
 
 // StopJob stops a stored job that was cancelled or has another owner.
 func (c *Coordinator) StopJob(id string) {
-	c.loop.Post(func() {
+	c.loop.PostNonBlocking(func() {
 		if j := c.jobs[id]; j != nil && j.stored != nil {
 			c.cfg.Log.Log(event.JobAbandoned, "job", id, "stored", true, "left", j.tasksLeft)
 			if j.stored.dirty && j.stored.progress.State == "" {
@@ -118,7 +121,7 @@
 // ProgressRecorded confirms the ends that the recorded progress of a job includes to their
 // agents, and removes the job if it has ended.
 func (c *Coordinator) ProgressRecorded(id string, p job.Progress) {
-	c.loop.Post(func() {
+	c.loop.PostNonBlocking(func() {
 		j := c.jobs[id]
 		if j == nil || j.stored == nil {
 			return
@@ -203,7 +206,7 @@
 
 // RunEnded handles the success of a run on the given agent, which another entry has recorded.
 func (c *Coordinator) RunEnded(agentName string, run wire.Run) {
-	c.loop.Post(func() {
+	c.loop.PostNonBlocking(func() {
 		id, err := job.ParseTaskID(run.Task)
 		if err != nil {
 			return
--- a/coordinator/stored_test.go
+++ b/coordinator/stored_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -26,3 +28,25 @@
 		})
 	}
 }
+
+// Guards against a deadlock: the ledger stops the jobs of all its partitions with its lock held, for which
+// the loop waits when it places a task.
+func TestRunnerDoesNotBlockWhileTheLoopIsBusy(t *testing.T) {
+	c := New(Config{}) // its loop does not run
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 10_000 {
+			id := fmt.Sprintf("%016x", i)
+			c.Adopt(job.Submission{ID: id}, job.Progress{}, 1)
+			c.RunEnded("agent", wire.Run{Task: id + ".0.0.0", Number: 1})
+			c.ProgressRecorded(id, job.Progress{})
+			c.StopJob(id)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Error("a method of ledger.Runner blocks")
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -24,11 +25,15 @@
 type Loop struct {
 	queue chan func()
 	done  chan struct{}
+
+	mu        sync.Mutex
+	unbounded []func()      // of PostNonBlocking, in order
+	wake      chan struct{} // has an element if unbounded may not be empty
 }
 
 // New returns a Loop, to be started with Run.
 func New() *Loop {
-	return &Loop{queue: make(chan func(), queueLength), done: make(chan struct{})}
+	return &Loop{queue: make(chan func(), queueLength), done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Run executes queued functions and the ticks of c until ctx is done.
@@ -42,6 +47,8 @@
 		case f := <-l.queue:
 			f()
 			l.runQueued()
+		case <-l.wake:
+			l.runQueued()
 		case <-timer.C:
 			// Functions queued before the tick run first: after a pause of the process,
 			// the messages that wait would otherwise be treated as missing by timeouts.
@@ -64,6 +71,13 @@
 	for n := len(l.queue); n > 0; n-- {
 		(<-l.queue)()
 	}
+	l.mu.Lock()
+	functions := l.unbounded
+	l.unbounded = nil
+	l.mu.Unlock()
+	for _, f := range functions {
+		f()
+	}
 }
 
 // Done returns a channel that is closed when Run returns.
@@ -85,6 +99,19 @@
 	}
 }
 
+// PostNonBlocking queues f without waiting for a place in the queue. It is for callers that hold a lock which
+// functions on the loop acquire too; these would wait for each other while the queue is full. The
+// functions of PostNonBlocking run in their order, but not in one order with those of Post.
+func (l *Loop) PostNonBlocking(f func()) {
+	l.mu.Lock()
+	l.unbounded = append(l.unbounded, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Do runs f on the loop and waits until f returns. The result is false if Run returned
 // meanwhile or before; f may then have run or not.
 func (l *Loop) Do(f func()) bool {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,3 +39,26 @@
 		}
 	})
 }
+
+// Guards against a deadlock of a caller that holds a lock for which the loop waits, while the queue is full.
+func TestPostNonBlockingWithFullQueue(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		l, c := New(), &counter{}
+		for range queueLength {
+			l.Post(func() {})
+		}
+		var order []int
+		for i := range 3 {
+			l.PostNonBlocking(func() { order = append(order, i) })
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		go l.Run(ctx, c)
+		l.Do(func() {})
+		synctest.Wait()
+		if !slices.Equal(order, []int{0, 1, 2}) {
+			t.Errorf("the functions ran as %v", order)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
