ledger, policy, platform: bound the memory of stored jobs

Cause: nothing bounded what outlives a request. The owner of a partition holds each job until it has ended, every entry that is asked for a state holds the partition's jobs too, a response of the store was read whole (up to 8 MiB for each of 48 connections), all pages of a partition were collected before the first was applied, and a job was copied four times on its way to the store.

Change: owners publish the memory of their jobs with the counts of queued ones, with the offset that these include, so that an entry counts what it has appended since exactly once. policy.Backlog admits a job if there is room; large jobs use half of the bound and one queue three quarters at most, and a lone job is always admitted. A refusal is queue_full (503, not_run) with Retry-After 5 s, before anything is written. An entry that does not own a partition holds summaries. Responses are applied in parts of 64 KiB, and large ones wait for a budget. Copies on the way to the store are counted, and two of them are gone. A job whose record the store cannot take is refused with 413 at once, instead of 504 after 2 s.

The stand-in of the store now follows the published page sizes and limits.

--- a/emulator/store.go
+++ b/emulator/store.go
@@ -175,10 +175,16 @@
 }
 
 // Newest implements ledger.Store.
-func (s *Store) Newest(ctx context.Context, partition int) ([]ledger.Record, uint64, error) {
+func (s *Store) Newest(ctx context.Context, partition int, handle func([]ledger.Record)) (uint64, error) {
 	if err := s.applyFaults(ctx); err != nil {
-		return nil, 0, err
+		return 0, err
 	}
+	records, next := s.newest(partition)
+	handle(records)
+	return next, nil
+}
+
+func (s *Store) newest(partition int) ([]ledger.Record, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partitions[partition]
@@ -195,13 +201,13 @@
 		out = append(out, r)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, uint64(len(p.records)), nil
+	return out, uint64(len(p.records))
 }
 
 // Read implements ledger.Store.
-func (s *Store) Read(ctx context.Context, partition int, from uint64, wait time.Duration) ([]ledger.Record, uint64, error) {
+func (s *Store) Read(ctx context.Context, partition int, from uint64, wait time.Duration, handle func(uint64, []ledger.Record)) error {
 	if err := s.applyFaults(ctx); err != nil {
-		return nil, 0, err
+		return err
 	}
 	deadline := time.Now().Add(wait)
 	for {
@@ -213,12 +219,13 @@
 		if uint64(len(p.records)) > from {
 			out := slices.Clone(p.records[from:])
 			s.mu.Unlock()
-			return out, from + uint64(len(out)), nil
+			handle(from, out)
+			return nil
 		}
 		s.mu.Unlock()
 		left := time.Until(deadline)
 		if left <= 0 {
-			return nil, from, nil
+			return nil
 		}
 		timer := time.NewTimer(left)
 		select {
@@ -226,7 +233,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return nil, 0, ctx.Err()
+			return ctx.Err()
 		}
 		timer.Stop()
 	}
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -188,8 +188,6 @@
 const (
 	objectBytes  = 640 // a step as decoded and as job.Step, in slices that grow
 	elementBytes = 24  // an element of a slice that grows
-	// TaskBytes is the memory of a task of an admitted job.
-	TaskBytes = 384
 )
 
 // DecodedCost returns an upper bound on the memory that decoding b as JSON needs.
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"oriolerelay/errkind"
+	"oriolerelay/job"
 )
 
 // newConn returns an admitted connection without a socket, on which no deadline can be set.
@@ -149,9 +150,9 @@
 	g := l.Group(0)
 	big, small := newConn(g, now), newConn(g, now)
 	charge := func(c *Conn, n int64) *errkind.Error { return Charge(ContextWithConn(context.Background(), c), n) }
-	qt.Check(t, charge(big, 65_536*TaskBytes) == nil, qt.IsTrue)
-	qt.Check(t, charge(newConn(g, now), 65_536*TaskBytes).Kind, qt.Equals, errkind.Overloaded)
-	qt.Check(t, charge(small, 150*TaskBytes) == nil, qt.IsTrue)
+	qt.Check(t, charge(big, 65_536*job.TaskBytes) == nil, qt.IsTrue)
+	qt.Check(t, charge(newConn(g, now), 65_536*job.TaskBytes).Kind, qt.Equals, errkind.Overloaded)
+	qt.Check(t, charge(small, 150*job.TaskBytes) == nil, qt.IsTrue)
 	TrackState(big, http.StateIdle)
 	TrackState(small, http.StateIdle)
 	qt.Check(t, l.decoded.used, qt.Equals, int64(0))
--- a/job/job.go
+++ b/job/job.go
@@ -57,21 +57,21 @@
 func (r *Returned) Error() string { return "entry " + r.To + " has free capacity" }
 
 // Step is a group of tasks with the same requirements. It is encoded under the Go names of its
-// fields.
+// fields, without empty ones: a body of the largest size can hold more than 20,000 steps.
 type Step struct {
 	Count    int
 	Size     wire.Resources
-	Estimate time.Duration // declared by the caller, often inaccurate
-	After    []int         // earlier steps that must be completed first
-	Label    string        // label that the endpoint must have
-	DataRack string        // rack in which the task runs faster
+	Estimate time.Duration `cbor:",omitempty"` // declared by the caller, often inaccurate
+	After    []int         `cbor:",omitempty"` // earlier steps that must be completed first
+	Label    string        `cbor:",omitempty"` // label that the endpoint must have
+	DataRack string        `cbor:",omitempty"` // rack in which the task runs faster
 	// MaxPerEndpoint bounds the tasks of the step on one endpoint; 0 means no bound.
-	MaxPerEndpoint int
+	MaxPerEndpoint int `cbor:",omitempty"`
 	// Together makes the tasks a gang: they work only while all of them are present.
-	Together bool
-	SameRack bool
+	Together bool `cbor:",omitempty"`
+	SameRack bool `cbor:",omitempty"`
 	// Filler makes the tasks backfill tasks, which use capacity that other tasks leave.
-	Filler bool
+	Filler bool `cbor:",omitempty"`
 }
 
 // Tasks returns the total number of tasks.
@@ -83,6 +83,24 @@
 	return n
 }
 
+// Upper estimates of the memory of a job that waits or runs.
+const (
+	jobBytes  = 1 << 10
+	stepBytes = 256
+	// TaskBytes is the memory of a task.
+	TaskBytes = 384
+)
+
+// MemoryBytes returns an upper estimate of the memory of the job while it waits or runs.
+func (s *Submission) MemoryBytes() int64 {
+	n := jobBytes + len(s.Payload)
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		n += stepBytes + 8*len(st.After) + len(st.Label) + len(st.DataRack)
+	}
+	return int64(n) + TaskBytes*int64(s.Tasks())
+}
+
 // LongestTask returns the longest declared run time of a task.
 func (s *Submission) LongestTask() (longest time.Duration) {
 	for i := range s.Steps {
--- a/ledger/counts.go
+++ b/ledger/counts.go
@@ -20,7 +20,7 @@
 		if p.owned && p.loaded {
 			n += l.countQueued(p)[queue]
 		} else {
-			n += p.publishedCounts[queue]
+			n += p.counts[queue]
 		}
 	}
 	return n
@@ -64,7 +64,8 @@
 	}
 }
 
-// changedCounts returns the counts of owned partitions that differ from the published ones.
+// changedCounts updates the counts of owned partitions and returns those that differ from the published
+// ones.
 func (l *Ledger) changedCounts() map[int]map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -73,7 +74,10 @@
 		if !p.owned || !p.loaded || !l.leaseValid() {
 			continue
 		}
-		if counts := l.countQueued(p); !maps.Equal(counts, p.publishedCounts) {
+		counts := l.countQueued(p)
+		p.addMemory(counts)
+		p.setCounts(counts)
+		if !maps.Equal(counts, p.published) {
 			changed[p.index] = counts
 		}
 	}
@@ -85,8 +89,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for index, c := range counts {
-		if index >= 0 && index < len(l.partitions) {
-			l.partitions[index].publishedCounts = c
+		if index < 0 || index >= len(l.partitions) {
+			continue
+		}
+		p := l.partitions[index]
+		p.published = c
+		if !p.owned || !p.loaded {
+			p.setCounts(c)
 		}
 	}
 }
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"oriolerelay/event"
@@ -54,7 +53,7 @@
 func (l *Ledger) unloadIfUnused(p *partition) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p.owned || p.writable || time.Since(p.lastRequested) < l.cfg.Timing.FollowPeriod {
+	if p.owned || p.writable || p.loading > 0 || time.Since(p.lastRequested) < l.cfg.Timing.FollowPeriod {
 		return false
 	}
 	p.loaded = false
@@ -101,57 +100,92 @@
 // catchUp reads and applies new records of p, or the newest records of all keys if loaded is
 // false. An owned partition is read with a wait for new records.
 func (l *Ledger) catchUp(ctx context.Context, p *partition, loaded bool, next uint64, owned bool) error {
-	var records []Record
-	var err error
 	if !loaded {
-		records, next, err = l.cfg.Store.Newest(ctx, p.index)
-	} else {
-		wait := time.Duration(0)
-		if owned {
-			wait = l.cfg.Timing.OwnedPollWait
-			if l.isEmpty(p) {
-				wait = l.cfg.Timing.IdlePollInterval
-			}
-		}
-		records, next, err = l.cfg.Store.Read(ctx, p.index, next, wait)
-		if errors.Is(err, ErrExpired) {
-			l.mu.Lock()
-			p.loaded = false
-			l.mu.Unlock()
-			return nil
-		}
+		return l.load(ctx, p)
 	}
-	if err != nil {
-		return err
+	wait := time.Duration(0)
+	if owned {
+		wait = l.cfg.Timing.OwnedPollWait
+		if l.isEmpty(p) {
+			wait = l.cfg.Timing.IdlePollInterval
+		}
 	}
+	_, err := l.read(ctx, p, next, wait)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if loaded {
-		next = max(next, p.nextOffset) // this process has appended records meanwhile
+	if errors.Is(err, ErrExpired) {
+		p.loaded = false
+		return nil
 	}
-	p.loaded, p.nextOffset = true, next
-	if !loaded { // Newest returns records in any order; an end is applied after its job
-		slices.SortStableFunc(records, func(a, b Record) int { return compareEndsLast(a.Key, b.Key) })
+	l.startLoadedJobs(p)
+	return err
+}
+
+// read reads and applies the records of p from an offset on. applied is false if the state of p was
+// discarded or replaced meanwhile, so that it may lack some of them.
+func (l *Ledger) read(ctx context.Context, p *partition, from uint64, wait time.Duration) (applied bool, err error) {
+	applied = true
+	err = l.cfg.Store.Read(ctx, p.index, from, wait, func(offset uint64, records []Record) {
+		applied = l.applyRead(p, records, offset) && applied
+	})
+	return applied, err
+}
+
+// applyRead applies the records that were read from an offset on, except those that have been applied
+// meanwhile. It returns false if records before them have not been applied.
+func (l *Ledger) applyRead(p *partition, records []Record, offset uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !p.loaded || p.nextOffset < offset {
+		return false
 	}
-	for _, r := range records {
-		l.apply(p, r, loaded)
+	if applied := p.nextOffset - offset; applied < uint64(len(records)) {
+		for _, r := range records[applied:] {
+			l.apply(p, r, true)
+		}
+		p.nextOffset = offset + uint64(len(records))
+		l.checkEpoch(p)
 	}
-	l.checkEpoch(p)
-	if p.runsJobs() {
+	return true
+}
+
+// startLoadedJobs passes the jobs of p to the runner, if this entry runs them. l.mu must be held.
+func (l *Ledger) startLoadedJobs(p *partition) {
+	if p.loaded && p.runsJobs() {
 		l.startJobs(p)
 	}
-	return nil
 }
 
-// compareEndsLast orders the keys of end records after all others.
-func compareEndsLast(a, b string) int {
-	rank := func(key string) int {
-		if kind, _, ok := splitKey(key); ok && kind == kindEnd {
-			return 1
+// load reads and applies the newest records of p.
+func (l *Ledger) load(ctx context.Context, p *partition) error {
+	l.mu.Lock()
+	p.loading++
+	l.mu.Unlock()
+	var ends []Record // the order of the records is not defined; an end is applied after its job
+	next, err := l.cfg.Store.Newest(ctx, p.index, func(records []Record) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, r := range records {
+			if kind, _, ok := splitKey(r.Key); ok && kind == kindEnd {
+				ends = append(ends, r)
+			} else {
+				l.apply(p, r, false)
+			}
 		}
-		return 0
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.loading--
+	if err != nil {
+		return err
 	}
-	return rank(a) - rank(b)
+	p.loaded, p.nextOffset = true, next
+	for _, r := range ends {
+		l.apply(p, r, false)
+	}
+	l.checkEpoch(p)
+	l.startLoadedJobs(p)
+	return nil
 }
 
 // apply applies one record. inOrder is false for records of Newest, whose order is undefined.
@@ -183,7 +217,7 @@
 	switch kind {
 	case kindAccepted:
 		first := e.submission == nil
-		if !l.applyAccepted(e, id, r.Value) {
+		if !l.applyAccepted(p, e, id, r.Value) {
 			return
 		}
 		if first && inOrder && p.owned && p.ownerRead {
@@ -218,19 +252,21 @@
 }
 
 // applyAccepted applies a record of kindAccepted. It reports whether the record is valid.
-func (l *Ledger) applyAccepted(e *storedJob, id string, value []byte) bool {
+func (l *Ledger) applyAccepted(p *partition, e *storedJob, id string, value []byte) bool {
 	if len(value) == 0 || e.progress.State != "" {
 		e.submission = nil
 		return true
 	}
+	if e.submission != nil && (!e.summary || !p.owned) {
+		return true
+	}
 	s, err := decodeSubmission(id, value)
 	if err != nil {
 		l.cfg.Log.Log(event.RecordIgnored, "key", recordKey(kindAccepted, id), "error", err)
 		return false
 	}
-	if e.submission == nil {
-		e.submission = s
-	}
+	e.bytes = s.MemoryBytes()
+	e.submission, e.summary = p.keep(s)
 	return true
 }
 
@@ -279,7 +315,7 @@
 		if _, ok := p.dirty[id]; !ok {
 			p.markDirty(id, job.Progress{State: job.Cancelled})
 		}
-	case !e.running:
+	case !e.running && !e.summary:
 		e.running = true
 		s := *e.submission
 		// The entry that accepted the job may know a newer configuration.
--- a/ledger/follow_test.go
+++ b/ledger/follow_test.go
@@ -35,22 +35,23 @@
 	return s.reads
 }
 
-func (s *countingStore) Newest(_ context.Context, partition int) ([]Record, uint64, error) {
+func (s *countingStore) Newest(_ context.Context, partition int, handle func([]Record)) (uint64, error) {
 	s.countRead()
 	if partition != partitionOf(s.job.ID, partitions) {
-		return nil, 0, nil
+		return 0, nil
 	}
 	value, err := encode(s.job)
-	return []Record{{Key: recordKey(kindAccepted, s.job.ID), Value: value}}, 1, err
+	handle([]Record{{Key: recordKey(kindAccepted, s.job.ID), Value: value}})
+	return 1, err
 }
 
-func (s *countingStore) Read(ctx context.Context, _ int, from uint64, wait time.Duration) ([]Record, uint64, error) {
+func (s *countingStore) Read(ctx context.Context, _ int, _ uint64, wait time.Duration, _ func(uint64, []Record)) error {
 	s.countRead()
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return nil, from, ctx.Err()
+	return ctx.Err()
 }
 
 func (*countingStore) Join(context.Context, string, uint64, time.Duration) (Membership, error) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -117,6 +117,11 @@
 	// Queue returns the queue with the given name of the current configuration, and the version of
 	// that configuration.
 	Queue func(name string) (q job.Queue, version uint64, ok bool)
+	// Admits reports whether a job that needs the given memory may be accepted beside all stored jobs and
+	// those of its queue. nil admits all.
+	Admits func(all, ofQueue Use, bytes int64) bool
+	// MaxRecordBytes is the size of the largest record that the store accepts; 0 for no bound.
+	MaxRecordBytes int
 }
 
 // Ledger gives one entry access to the stored jobs. It is safe for concurrent use.
@@ -155,8 +160,12 @@
 	dirty        map[string]job.Progress // progress to be recorded, by job
 	obsoleteEnds []string                // keys of end records to be deleted
 	recorderWake chan struct{}           // wakes runRecorder
-	// publishedCounts holds the number of queued jobs by queue that the owner last published.
-	publishedCounts map[string]int
+	// counts holds the number of queued jobs by queue, and the memory of the jobs (see backlog.go), as
+	// the owner last published it. The owner's own copy may be newer: published is the one that it has
+	// published.
+	counts, published map[string]int
+	appended          []*appendedJob // in no order
+	loading           int            // calls of load in progress
 }
 
 // runsJobs reports whether this owner runs jobs of p: all of them, or during a takeover only
@@ -179,6 +188,8 @@
 // storedJob is the state of one stored job.
 type storedJob struct {
 	submission *job.Submission // nil when the job has ended or its record was not read
+	summary    bool            // submission holds only the id and the name of the queue
+	bytes      int64           // memory of submission
 	progress   job.Progress
 	cancelled  bool
 	running    bool // passed to the runner
@@ -228,18 +239,27 @@
 func (l *Ledger) Accept(ctx context.Context, s job.Submission) *errkind.Error {
 	p := l.partitionFor(s.ID)
 	l.mu.Lock()
-	e := p.jobs[s.ID]
-	stored := e != nil && (e.submission != nil || e.progress.State != "")
-	l.mu.Unlock()
-	if stored {
+	if e := p.jobs[s.ID]; e != nil && (e.submission != nil || e.progress.State != "") {
+		l.mu.Unlock()
 		return nil // a repeated submission
 	}
+	reserved, failure := l.reserve(p, &s)
+	l.mu.Unlock()
+	if failure != nil {
+		return failure
+	}
+	record := Record{Key: recordKey(kindAccepted, s.ID)}
 	value, err := encode(s)
 	if err != nil {
-		return errkind.New(errkind.InvalidRequest, "%w", err)
+		failure = errkind.New(errkind.InvalidRequest, "%w", err)
+	} else if record.Value = value; l.cfg.MaxRecordBytes > 0 && record.size() > l.cfg.MaxRecordBytes {
+		failure = errkind.New(errkind.BodyTooLarge, "the job exceeds %d bytes in the store", l.cfg.MaxRecordBytes)
+	}
+	var offset uint64
+	if failure == nil {
+		offset, failure = l.append(ctx, p, record)
 	}
-	record := Record{Key: recordKey(kindAccepted, s.ID), Value: value}
-	offset, failure := l.append(ctx, p, record)
+	l.settle(p, reserved, offset, failure == nil)
 	if failure != nil {
 		return failure
 	}
--- a/ledger/ownership.go
+++ b/ledger/ownership.go
@@ -199,6 +199,9 @@
 			e.running = false
 			l.cfg.Runner.StopJob(id)
 		}
+		if e.submission != nil {
+			e.submission, e.summary = p.keep(e.submission)
+		}
 	}
 	if !p.writable {
 		p.dirty = make(map[string]job.Progress)
--- a/ledger/ownership_test.go
+++ b/ledger/ownership_test.go
@@ -80,7 +80,7 @@
 	})
 	l.leaseExpiry = time.Second
 	p := l.partitions[0]
-	p.owned, p.takenOver, p.writable, p.epoch, p.sequence = true, true, true, 16, 2
+	p.loaded, p.owned, p.takenOver, p.writable, p.epoch, p.sequence = true, true, true, true, 16, 2
 	p.jobs["j"] = &storedJob{submission: &job.Submission{ID: "j"}, running: true}
 	return l, p
 }
@@ -150,7 +150,7 @@
 	if len(store.keys) != 0 {
 		t.Errorf("wrote %v before the owner record was stored", store.keys)
 	}
-	l.applyRead(p, ownerRecords(p.epoch, l.cfg.Member), 0, 2)
+	l.applyRead(p, ownerRecords(p.epoch, l.cfg.Member), 0)
 	l.recordBatch(context.Background(), p)
 	if len(store.keys) == 0 {
 		t.Error("the end is not recorded")
@@ -233,7 +233,7 @@
 	l.cfg.Member = "entry-2"
 	p.takenOver, p.writable = false, false
 	epoch := p.epoch
-	l.applyRead(p, ownerRecords(epoch, "entry-1"), 0, 2)
+	l.applyRead(p, ownerRecords(epoch, "entry-1"), 0)
 	if p.owned || p.writable {
 		t.Errorf("owned %v, writable %v with the epoch of another owner", p.owned, p.writable)
 	}
@@ -241,7 +241,7 @@
 		t.Errorf("next epoch %d, want one above %d", next, epoch)
 	}
 	p.owned, p.epoch = true, epoch+1
-	l.applyRead(p, ownerRecords(p.epoch, "entry-2"), 2, 4)
+	l.applyRead(p, ownerRecords(p.epoch, "entry-2"), 2)
 	if !p.owned || !p.writable || !p.ownerRead {
 		t.Errorf("owned %v, writable %v, record read %v with an epoch of its own", p.owned, p.writable, p.ownerRead)
 	}
@@ -253,7 +253,7 @@
 	l, p := ownedPartition(&recordingStore{}, &reportOnStopRunner{onStop: func(string) {}})
 	p.takenOver, p.writable = false, false
 	epoch := p.epoch
-	l.applyRead(p, ownerRecords(epoch, "")[1:], 0, 1)
+	l.applyRead(p, ownerRecords(epoch, "")[1:], 0)
 	if p.owned || p.writable || p.nextEpoch(1) <= epoch {
 		t.Errorf("owned %v, writable %v, next epoch %d", p.owned, p.writable, p.nextEpoch(1))
 	}
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"oriolerelay/errkind"
@@ -22,20 +23,19 @@
 	if e != nil && l.hasEnded(e) {
 		return e, nil
 	}
-	if !loaded {
-		if err := l.catchUp(ctx, p, false, 0, false); err != nil {
+	if loaded {
+		// Another entry may have appended the job or its end since the last read.
+		applied, err := l.read(ctx, p, next, 0)
+		if applied && (err == nil || e != nil) {
+			return l.lookUp(p, id)
+		}
+		if err != nil && !errors.Is(err, ErrExpired) {
 			return nil, errkind.New(errkind.LogUnavailable, "the stored jobs cannot be read: %w", err)
 		}
-		return l.lookUp(p, id)
 	}
-	// Another entry may have appended the job or its end since the last read.
-	records, after, err := l.cfg.Store.Read(ctx, p.index, next, 0)
-	if err != nil && e == nil {
+	if err := l.load(ctx, p); err != nil {
 		return nil, errkind.New(errkind.LogUnavailable, "the stored jobs cannot be read: %w", err)
 	}
-	if err == nil {
-		l.applyRead(p, records, next, after)
-	}
 	return l.lookUp(p, id)
 }
 
@@ -144,25 +144,6 @@
 	l.mu.Lock()
 	next := p.nextOffset
 	l.mu.Unlock()
-	records, after, err := l.cfg.Store.Read(ctx, p.index, next, wait)
-	if err != nil {
-		return false
-	}
-	l.applyRead(p, records, next, after)
-	return true
-}
-
-// applyRead applies the records that were read from an offset on, unless other records have
-// been applied meanwhile.
-func (l *Ledger) applyRead(p *partition, records []Record, from, after uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p.nextOffset != from {
-		return
-	}
-	for _, r := range records {
-		l.apply(p, r, true)
-	}
-	l.checkEpoch(p)
-	p.nextOffset = after
+	_, err := l.read(ctx, p, next, wait)
+	return err == nil
 }
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -100,10 +100,11 @@
 	e.peers.conns.setSeeds(s.seedEntries())
 	e.callers = newCallersServer(platform.NewCallerHandler(e), p.log)
 	if s.StorePartitions > 0 {
+		e.store.LimitReplies(p.budgets.replies)
 		e.jobs = ledger.New(ledger.Config{
 			Member: p.incarnation.String(), Partitions: s.StorePartitions, Store: platform.NewJobStore(e.store), Runner: e.coordinator,
 			Timing: ledger.DefaultTiming(durationFromMS(s.MinMembershipMS), orphanTimeout, time.Duration(s.KeepStateS*float64(time.Second))),
-			Log:    p.log, Now: boottime, Queue: e.findQueue,
+			Log:    p.log, Now: boottime, Queue: e.findQueue, Admits: e.admitsStored, MaxRecordBytes: s.MaxRecordBytes,
 		})
 		e.coordinator.SetRecorder(e.jobs)
 	}
--- /dev/null
+++ b/relay/memory.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"oriolerelay/ledger"
+	"oriolerelay/policy"
+)
+
+// memoryBudgets bounds the memory for what clients can make a process hold beside their requests, which
+// package httplimit bounds to half of the limit of the process. A budget of 0 is no bound.
+type memoryBudgets struct {
+	backlog   int64 // stored jobs that this entry may have to run
+	forwarded int64 // jobs that other entries have forwarded
+	replies   int64 // responses of the store that are read at the same time
+	peers     int64 // connections of agents and other entries
+}
+
+const (
+	// baseMemory is the memory of a process without clients: program text, runtime, connections to the
+	// store, and garbage.
+	baseMemory = 28 << 20
+	// minBudget is the least size of a budget. A request of the largest size fits into it.
+	minBudget = 1 << 20
+)
+
+// newMemoryBudgets returns the budgets of a process with the given memory limit; 0 for no limit.
+func newMemoryBudgets(memoryMiB int) memoryBudgets {
+	if memoryMiB <= 0 {
+		return memoryBudgets{}
+	}
+	rest := int64(memoryMiB)<<20/2 - baseMemory
+	share := func(percent int64) int64 { return max(rest*percent/100, minBudget) }
+	return memoryBudgets{backlog: share(55), forwarded: share(20), replies: share(10), peers: share(15)}
+}
+
+// admitsStored reports whether a stored job that needs the given memory may be accepted. Each other entry may
+// accept as much as this one at the same time. Half of the entries may be lost; the others then own all jobs.
+func (e *entry) admitsStored(all, ofQueue ledger.Use, bytes int64) bool {
+	entries := max(1, e.peers.entries.Load())
+	estimate := func(u ledger.Use) int64 { return u.Counted + u.Uncounted + (entries-1)*(u.Recent+bytes) }
+	b := policy.Backlog{
+		Limit: e.process.budgets.backlog * max(1, entries/2), Used: estimate(all), Queue: estimate(ofQueue),
+	}
+	return b.Admits(bytes)
+}
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 
 	"oriolerelay/event"
 	"oriolerelay/ids"
@@ -24,7 +25,8 @@
 	process     *process
 	router      *router.Router
 	conns       *entryConns
-	selfAddress string // internal address of this entry
+	selfAddress string       // internal address of this entry
+	entries     atomic.Int64 // number of entries, with this one
 }
 
 func newPeerConns(p *process, r *router.Router) *peerConns {
@@ -39,6 +41,11 @@
 func (pc *peerConns) chooseEntries(entries []policy.Entry, down map[string]bool) (chosen []string) {
 	isSelf := func(entry policy.Entry) bool { return entry.Address == pc.selfAddress }
 	forwards := len(entries) > 1 || !slices.ContainsFunc(entries, isSelf)
+	n := len(entries)
+	if !slices.ContainsFunc(entries, isSelf) {
+		n++
+	}
+	pc.entries.Store(int64(n))
 	pc.router.SetSharedAgents(len(entries) <= policy.SmallDeploymentEntries)
 	pc.router.SetEnabled(forwards)
 	if !forwards {
--- a/relay/process.go
+++ b/relay/process.go
@@ -51,6 +51,7 @@
 	stats        *transport.Stats
 	tracer       trace.Tracer
 	limiter      *httplimit.Limiter
+	budgets      memoryBudgets
 	// shutdownTracing exports the spans that are still buffered.
 	shutdownTracing func()
 }
@@ -74,6 +75,7 @@
 	p.limiter = httplimit.New(httplimit.Config{
 		MemoryMiB: p.settings.MemoryMiB, MaxOpenFiles: p.settings.MaxOpenFiles, Log: p.log, Registerer: p.registry,
 	})
+	p.budgets = newMemoryBudgets(p.settings.MemoryMiB)
 	provider, shutdownTracing, err := tracing.Open(p.settings.Traces, "oriole-relay", p.incarnation.String())
 	if err != nil {
 		return nil, err
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -31,6 +31,8 @@
 	StoreAddress    string   `json:"store_address"`
 	// StorePartitions is the number of partitions of each topic of the store.
 	StorePartitions int `json:"store_partitions"`
+	// MaxRecordBytes is the size of the largest record that the store accepts; 0 if it is not known.
+	MaxRecordBytes int `json:"max_record_bytes"`
 	// MinMembershipMS is the minimum duration of a membership in a group of the store, in ms.
 	MinMembershipMS float64 `json:"min_membership_ms"`
 	// KeepStateS is how long the state of a job can be queried, in seconds.
@@ -117,6 +119,9 @@
 			p.Add(path, "is not between 0 and %d s", maxSeconds)
 		}
 	}
+	if s.MaxRecordBytes < 0 {
+		p.Add("max_record_bytes", "%d is negative", s.MaxRecordBytes)
+	}
 	if s.MaxOpenFiles < 0 {
 		p.Add("max_open_files", "%d is negative", s.MaxOpenFiles)
 	}
--- /dev/null
+++ b/tests/uncontrolled/press_test.go
@@ -0,0 +1,180 @@
+package uncontrolled
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oriolerelay/internal/crowd"
+	"oriolerelay/platform/standin"
+	"oriolerelay/relay"
+)
+
+// Crowds of clients that connect again as soon as they are cut off.
+const (
+	pressClients = 100
+	pressTime    = 12 * time.Second
+	largeSpec    = 200 << 10
+	settleTime   = 3 * time.Second // for what the crowd has left behind
+)
+
+// cluster is a store with entries, and with agents whose endpoints run one task at a time.
+type cluster struct {
+	c       *qt.C
+	store   *standin.Store
+	entries []*daemon
+	agents  []*daemon
+}
+
+// startCluster starts a number of entries that share a store.
+func startCluster(c *qt.C, entries int) *cluster {
+	k := &cluster{c: c, store: standin.NewStore(partitions)}
+	c.Assert(k.store.PutConfig(1, queueHost, queuePrefix, "service", true), qt.IsNil)
+	server := httptest.NewServer(k.store)
+	c.Cleanup(server.Close)
+	// Entries find each other by their addresses, which differ in the host only.
+	first, last := firstPort(c), lastPort(c)
+	for i := range entries {
+		host := fmt.Sprintf("127.0.0.%d", 1+i)
+		callers := strings.Replace(addresses(c, 1)[0], "127.0.0.1", host, 1)
+		d := start(c, "entry", func(s *relay.Settings) {
+			s.Node, s.Address, s.PortRange = fmt.Sprintf("entry-%d", 1+i), host, []int{first, last}
+			s.CallersAddress, s.ReadyAddress = callers, addresses(c, 1)[0]
+			s.StoreAddress = server.Listener.Addr().String()
+		})
+		d.address, d.request = callers, storedJob
+		k.entries = append(k.entries, d)
+	}
+	for _, d := range k.entries {
+		d.assertAnswers(0)
+	}
+	return k
+}
+
+// press lets clients behave against all entries in turn while it observes these, and then checks that each
+// entry lives, has stayed within its limits and answers an ordinary request. during is called meanwhile.
+func (k *cluster) press(clients int, behave crowd.Behaviour, during func()) {
+	k.c.Helper()
+	ctx, cancel := context.WithTimeout(k.c.Context(), pressTime)
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() {
+		crowd.Press(ctx, clients, func(client, n int) string { return k.entries[(client+n)%len(k.entries)].address }, behave)
+	})
+	if during != nil {
+		running.Go(during)
+	}
+	daemons := append(append([]*daemon(nil), k.entries...), k.agents...)
+	usages := make([]usage, len(daemons))
+	alive := true
+	for end := time.Now().Add(pressTime + settleTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i, d := range daemons {
+			alive = d.observe(&usages[i]) && alive
+		}
+	}
+	running.Wait()
+	for i, d := range daemons {
+		d.checkUsage(usages[i], alive)
+	}
+	for _, d := range k.entries {
+		d.assertAnswers(1)
+	}
+}
+
+// checkUsage checks that d lives and has stayed within its limits.
+func (d *daemon) checkUsage(u usage, alive bool) {
+	d.c.Helper()
+	total := u.residentKiB + u.unreadBytes>>10
+	d.c.Logf("%s: resident %d KiB, unread %d KiB, sum %d KiB of %d; %d descriptors of %d",
+		d.Name, u.residentKiB, u.unreadBytes>>10, total, d.settings.MemoryMiB<<10, u.descriptors, maxOpenFiles)
+	d.c.Check(alive && d.PID() != 0, qt.IsTrue, qt.Commentf("%s has ended", d.Name))
+	d.c.Check(total <= d.settings.MemoryMiB<<10, qt.IsTrue, qt.Commentf("memory of %s: %d KiB", d.Name, total))
+	d.c.Check(u.descriptors <= maxOpenFiles, qt.IsTrue, qt.Commentf("descriptors of %s: %d", d.Name, u.descriptors))
+}
+
+// storedJob returns a submission of the nth ordinary stored job.
+func storedJob(n int) []byte {
+	return crowd.Post(queueHost, fmt.Sprintf("%s%016x", queuePrefix, n), []byte(`{"spec":"p","steps":[{"count":1,"cpu":1000,"estimate_ms":50}]}`), true)
+}
+
+// jobs submits one complete job after another. Each job of a client has an id of its own.
+func jobs(body string) crowd.Behaviour {
+	return crowd.Repeat(func(client, n, k int) []byte {
+		id := fmt.Sprintf("%04x%04x%08x", client+1, n&0xffff, k)
+		return crowd.Post(queueHost, queuePrefix+id, []byte(body), true)
+	})
+}
+
+var largeStoredJob = `{"spec":"` + strings.Repeat("x", largeSpec) + `","steps":[{"count":1,"cpu":1000,"estimate_ms":50}]}`
+
+// Guards against complete bodies of stored jobs whose copies on the way to the store, or while the log is
+// read, exceed the memory of an entry.
+func TestEntryStoredJobs(t *testing.T) {
+	t.Run("no endpoint", func(t *testing.T) {
+		startCluster(qt.New(t), 1).press(pressClients, jobs(largeStoredJob), nil)
+	})
+	t.Run("busy endpoint", func(t *testing.T) { // the entry owns the jobs, which wait
+		k := startCluster(qt.New(t), 1)
+		k.startAgent()
+		k.press(pressClients, jobs(largeStoredJob), nil)
+	})
+	t.Run("slow store", func(t *testing.T) {
+		k := startCluster(qt.New(t), 1)
+		k.startAgent()
+		k.store.SetFaults(standin.StoreFaults{Delay: 200 * time.Millisecond})
+		defer k.store.SetFaults(standin.StoreFaults{})
+		k.press(pressClients, jobs(largeStoredJob), nil)
+	})
+	t.Run("store is down and returns", func(t *testing.T) {
+		k := startCluster(qt.New(t), 1)
+		k.startAgent()
+		k.press(pressClients, jobs(largeStoredJob), func() {
+			for range 3 {
+				time.Sleep(pressTime / 6)
+				k.store.SetFaults(standin.StoreFaults{Down: true})
+				time.Sleep(pressTime / 6)
+				k.store.SetFaults(standin.StoreFaults{})
+			}
+		})
+	})
+	t.Run("three entries", func(t *testing.T) {
+		k := startCluster(qt.New(t), 3)
+		k.startAgent()
+		k.press(pressClients, jobs(largeStoredJob), nil)
+	})
+	t.Run("many small jobs", func(t *testing.T) {
+		k := startCluster(qt.New(t), 1)
+		k.startAgent()
+		k.press(pressClients, jobs(`{"spec":"p","steps":[{"count":150,"cpu":1000,"estimate_ms":60000}]}`), nil)
+	})
+}
+
+// Guards against clients that ask for the states of jobs, for which each entry follows the log of all jobs.
+func TestEntriesFollowTheLogForClients(t *testing.T) {
+	k := startCluster(qt.New(t), 3)
+	k.startAgent()
+	states := crowd.Repeat(func(client, n, i int) []byte {
+		return fmt.Appendf(nil, "GET %s%04x%04x%08x HTTP/1.1\r\nHost: %s\r\n\r\n", queuePrefix, client, n&0xffff, i, queueHost)
+	})
+	submit := jobs(largeStoredJob)
+	k.press(pressClients, func(conn net.Conn, client, n int) {
+		if client%2 == 0 {
+			states(conn, client, n)
+		} else {
+			submit(conn, client, n)
+		}
+	}, nil)
+}
+
+// startAgent starts an agent whose endpoint runs one task, which never ends.
+func (k *cluster) startAgent() {
+	entry := k.entries[0]
+	k.agents = append(k.agents, startEndpoint(k.c, entry, func(s *relay.Settings) { s.StoreAddress = entry.settings.StoreAddress }))
+}
--- a/tests/uncontrolled/uncontrolled_test.go
+++ b/tests/uncontrolled/uncontrolled_test.go
@@ -416,7 +416,7 @@
 func TestEntryJobsOfManyTasks(t *testing.T) {
 	c := qt.New(t)
 	d := startEntry(c)
-	startEndpoint(c, d)
+	startEndpoint(c, d, func(*relay.Settings) {})
 	b := []byte(`{"best_effort":true,"spec":"p","steps":[{"count":65536,"cpu":1000,"estimate_ms":60000}]}`)
 	d.crowd(manyTaskClients, func(i int) [][]byte {
 		return [][]byte{append(fmt.Appendf(jobHeader(i+10), "Content-Length: %d\r\n\r\n", len(b)), b...)}
@@ -424,8 +424,8 @@
 }
 
 // startEndpoint starts an endpoint for one task with its agent, which connects to the entry, and
-// waits until an ephemeral job is completed.
-func startEndpoint(c *qt.C, entry *daemon) {
+// waits until an ephemeral job is completed. It returns the agent.
+func startEndpoint(c *qt.C, entry *daemon, change func(*relay.Settings)) *daemon {
 	e := emulator.NewEndpoint("endpoint-1", wire.Resources{MilliCores: 1000, MemoryMiB: 1000}, 1)
 	e.Work = func(_, payload string) (time.Duration, wire.Resources) {
 		if payload == "short" {
@@ -436,10 +436,12 @@
 	server := httptest.NewServer(standin.NewEndpointHandler(e))
 	c.Cleanup(server.Close)
 	a := addresses(c, 1)
-	start(c, "agent", func(s *relay.Settings) {
+	d := start(c, "agent", func(s *relay.Settings) {
 		s.AnnounceAddress, s.EndpointAddress = a[0], server.Listener.Addr().String()
 		s.PortRange[0], s.Seeds = entry.settings.PortRange[0], []string{entry.address}
+		change(s)
 	})
+	d.address = a[0]
 	ctx, cancel := context.WithTimeout(c.Context(), answerTimeout)
 	defer cancel()
 	caller := standin.Caller{HTTP: http.DefaultClient, Address: entry.address, Host: queueHost, Prefix: queuePrefix}
@@ -459,4 +461,5 @@
 		}
 		return err
 	}), qt.IsNil)
+	return d
 }
