wire, relay, coordinator: messages beyond a frame are sent in parts

Orders for six tasks with a spec of 200 KiB in one batch exceed it as well (read, not shown by a process test). A body of legal size with 21,000 steps was 2 MiB between entries, because each step names all its empty fields, and sending it closed the connection to the placement entry, at which all jobs forwarded to it failed with 502.

Change: the sender splits Orders, Stop, Confirm and Reports that exceed a frame. A Claim holds no payloads, which no agent uses, and one group for runs that are equal. What is still too large to be forwarded is refused with 413 before it is sent.

--- a/coordinator/agent.go
+++ b/coordinator/agent.go
@@ -62,6 +62,11 @@
 	m := &wire.Claim{}
 	add := func(t *task) {
 		group := t.orderGroup()
+		group.Payload, group.Trace = "", "" // the agent starts none of these runs
+		if last := len(m.Groups) - 1; last >= 0 && m.Groups[last].EqualExceptRuns(&group) {
+			m.Groups[last].Runs = append(m.Groups[last].Runs, t.runID())
+			return
+		}
 		group.Runs = []wire.Run{t.runID()}
 		m.Groups = append(m.Groups, group)
 	}
--- a/executor/claim.go
+++ b/executor/claim.go
@@ -38,7 +38,7 @@
 	if r != nil && r.id == id && (r.entry == e.incarnation || r.entry == "") {
 		if r.entry == "" {
 			x.used = x.used.Minus(r.size).Plus(g.Size) // the size was unknown until now
-			r.entry, r.size, r.payload, r.stored = e.incarnation, g.Size, g.Payload, g.Stored
+			r.entry, r.size, r.stored = e.incarnation, g.Size, g.Stored
 			r.queue = g.Queue
 			r.declaredRunTime = time.Duration(g.EstimateMillis) * time.Millisecond
 			x.cfg.Log.Log(event.RunAdopted, "task", id.Task, "run", id.Number, "entry", e.incarnation)
@@ -59,7 +59,7 @@
 	// An earlier process of this agent may have sent the start. The stop ends the run, or makes
 	// the endpoint reject a start that arrives later, before the loss is reported.
 	r = &run{
-		id: id, entry: e.incarnation, payload: g.Payload, queue: g.Queue, size: g.Size, orderedAt: now, state: runStopping, stored: g.Stored,
+		id: id, entry: e.incarnation, queue: g.Queue, size: g.Size, orderedAt: now, state: runStopping, stored: g.Stored,
 		declaredRunTime: time.Duration(g.EstimateMillis) * time.Millisecond,
 	}
 	x.runs[id.Task] = r
--- a/relay/entry_conns.go
+++ b/relay/entry_conns.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,15 +56,26 @@
 // errSendQueueFull is returned after a connection was closed because its peer does not read.
 var errSendQueueFull = errors.New("send queue is full: the peer does not read")
 
-// newSender returns a function that queues messages on c and never blocks.
+// newSender returns a function that queues messages on c and never blocks. A message that is too large for
+// a frame is sent in parts, since what callers submit decides how large orders are.
 func newSender(c *transport.Conn) func(m wire.Message) error {
-	return func(m wire.Message) error {
+	var send func(m wire.Message) error
+	send = func(m wire.Message) error {
 		if c.Unwritten() > maxUnsentMessages {
 			_ = c.Close()
 			return errSendQueueFull
 		}
-		return c.Send(context.Background(), m)
+		err := c.Send(context.Background(), m)
+		if !errors.Is(err, wire.ErrFrameTooLarge) {
+			return err
+		}
+		first, second, ok := wire.Split(m)
+		if !ok {
+			return err
+		}
+		return cmp.Or(send(first), send(second))
 	}
+	return send
 }
 
 // connOwner is the part of a process that uses its connections to entries.
--- a/router/submit.go
+++ b/router/submit.go
@@ -19,6 +19,9 @@
 // slack.
 const maxWaitFraction = 0.25
 
+// maxForwardedBytes is the size of the largest encoded job that fits into a frame.
+const maxForwardedBytes = wire.MaxFrameBytes - 1<<10
+
 // Submit runs a caller's job, here or at another entry, and returns its outcome.
 func (r *Router) Submit(ctx context.Context, s job.Submission) (job.State, *errkind.Error) {
 	arrived := time.Now()
@@ -175,6 +178,9 @@
 	if err != nil {
 		return outcome{err: errkind.New(errkind.Internal, "encode the job: %w", err)}, true
 	}
+	if len(encoded) > maxForwardedBytes {
+		return outcome{err: errkind.New(errkind.BodyTooLarge, "the job needs %d bytes between entries, of at most %d", len(encoded), maxForwardedBytes)}, true
+	}
 	f := &forwardedJob{done: make(chan outcome, 1), service: s.Queue.Service, milliCores: s.MilliCores()}
 	n, ok := r.forward(p, f, encoded)
 	if !ok {
--- a/tests/uncontrolled/press_test.go
+++ b/tests/uncontrolled/press_test.go
@@ -34,7 +34,7 @@
 }
 
 // startCluster starts a number of entries that share a store.
-func startCluster(c *qt.C, entries int) *cluster {
+func startCluster(c *qt.C, entries int, changes ...func(*relay.Settings)) *cluster {
 	k := &cluster{c: c, store: standin.NewStore(partitions)}
 	c.Assert(k.store.PutConfig(1, queueHost, queuePrefix, "service", true), qt.IsNil)
 	server := httptest.NewServer(k.store)
@@ -48,6 +48,9 @@
 			s.Node, s.Address, s.PortRange = fmt.Sprintf("entry-%d", 1+i), host, []int{first, last}
 			s.CallersAddress, s.ReadyAddress = callers, addresses(c, 1)[0]
 			s.StoreAddress = server.Listener.Addr().String()
+			for _, change := range changes {
+				change(s)
+			}
 		})
 		d.address, d.request = callers, storedJob
 		k.entries = append(k.entries, d)
--- a/wire/coordination.go
+++ b/wire/coordination.go
@@ -31,7 +31,7 @@
 
 // OrderGroup holds runs that belong to one step of a job.
 type OrderGroup struct {
-	Payload        string    `cbor:"1,keyasint"`
+	Payload        string    `cbor:"1,keyasint"` // not in a Claim
 	Size           Resources `cbor:"2,keyasint"`
 	EstimateMillis uint32    `cbor:"3,keyasint"`
 	Runs           []Run     `cbor:"4,keyasint"`
