router, httplimit: count forwarded jobs where they are placed

The tasks of a job were counted only at the entry that got it from its caller, not at the one that places it. Both now use one budget: an entry that has no room for a forwarded job answers overloaded (503, not_run).

What a large request used is now counted until it has been collected; the collection runs once for a request of at least half of the budget of large ones, which no ordinary job needs.

--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 
 	"oriolerelay/errkind"
@@ -220,3 +221,40 @@
 	c.decoded += n
 	return nil
 }
+
+// Reserve counts n bytes for a request that has arrived in another way, until release is called. It returns an
+// error of kind Overloaded if they are not available.
+func (l *Limiter) Reserve(n int64) (release func(), failure *errkind.Error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.decoded.limit == 0 || n <= freeCharge {
+		return func() {}, nil
+	}
+	n = min(n, l.decoded.largest())
+	if !l.decoded.allows(n, n <= smallCharge) {
+		l.counts[causeMemory]++
+		return nil, memoryError()
+	}
+	l.decoded.used += n
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.releaseDecoded(n)
+	}, nil
+}
+
+// releaseDecoded counts n bytes of the decoded requests as free. Those of a large request are garbage
+// first, and the next one would be allocated beside them; they are counted until they are collected.
+// l.mu is held.
+func (l *Limiter) releaseDecoded(n int64) {
+	if n < l.decoded.largest()/2 || n == 0 {
+		l.decoded.used -= n
+		return
+	}
+	go func() {
+		runtime.GC()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.decoded.used -= n
+	}()
+}
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -249,7 +249,7 @@
 func (c *Conn) release() {
 	l := c.group.l
 	l.bodies.used -= c.body
-	l.decoded.used -= c.decoded
+	l.releaseDecoded(c.decoded)
 	c.body, c.decoded = 0, 0
 }
 
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -94,7 +94,7 @@
 	e.republish = make(chan struct{}, 1)
 	e.router = router.New(router.Config{
 		Policy: s.policy(), Local: tracedCoordinator{e.coordinator, p.tracer}, Self: p.incarnation.String(), Region: s.Region, Log: p.log,
-		Metrics: router.NewMetrics(p.registry), Shares: shares, Now: boottime,
+		Metrics: router.NewMetrics(p.registry), Shares: shares, Reserve: p.limiter.Reserve, Now: boottime,
 	})
 	e.peers = newPeerConns(p, e.router)
 	e.peers.conns.setSeeds(s.seedEntries())
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -8,10 +8,9 @@
 // memoryBudgets bounds the memory for what clients can make a process hold beside their requests, which
 // package httplimit bounds to half of the limit of the process. A budget of 0 is no bound.
 type memoryBudgets struct {
-	backlog   int64 // stored jobs that this entry may have to run
-	forwarded int64 // jobs that other entries have forwarded
-	replies   int64 // responses of the store that are read at the same time
-	peers     int64 // connections of agents and other entries
+	backlog int64 // stored jobs that this entry may have to run
+	replies int64 // responses of the store that are read at the same time
+	peers   int64 // connections of agents and other entries
 }
 
 const (
@@ -29,7 +28,7 @@
 	}
 	rest := int64(memoryMiB)<<20/2 - baseMemory
 	share := func(percent int64) int64 { return max(rest*percent/100, minBudget) }
-	return memoryBudgets{backlog: share(55), forwarded: share(20), replies: share(10), peers: share(15)}
+	return memoryBudgets{backlog: share(65), replies: share(10), peers: share(25)}
 }
 
 // admitsStored reports whether a stored job that needs the given memory may be accepted. Each other entry may
--- a/router/forwarder.go
+++ b/router/forwarder.go
@@ -116,6 +116,11 @@
 		r.refuseStale(f, m.Number, &s)
 		return
 	}
+	release, failure := r.cfg.Reserve(s.MemoryBytes())
+	if failure != nil {
+		r.sendOutcome(f, m.Number, outcome{err: failure})
+		return
+	}
 	r.cfg.Metrics.received.Inc()
 	r.cfg.Log.Log(event.ForwardedJobAccepted, "job", s.ID, "entry", f.incarnation, "number", m.Number, "elapsed_ms", s.Elapsed.Milliseconds(),
 		"status_age_ms", r.echoAge(f).Milliseconds())
@@ -123,6 +128,7 @@
 	f.jobs[m.Number] = cancel
 	s.CallerDisconnected = func() bool { return r.isStale(f) }
 	go func() {
+		defer release()
 		defer cancel()
 		state, err := r.cfg.Local.Submit(ctx, s)
 		r.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -80,6 +80,8 @@
 	Metrics *Metrics
 	// Shares exchanges decisions with other placement entries; nil if fair shares are disabled.
 	Shares ShareExchange
+	// Reserve reserves the memory for a forwarded job until release is called; nil for no bound.
+	Reserve func(bytes int64) (release func(), failure *errkind.Error)
 	// Now returns a clock that also advances while the host is suspended; nil selects the
 	// process's own clock.
 	Now func() time.Duration
@@ -139,6 +141,9 @@
 
 // New returns a Router that forwards nothing until it is enabled.
 func New(cfg Config) *Router {
+	if cfg.Reserve == nil {
+		cfg.Reserve = func(int64) (func(), *errkind.Error) { return func() {}, nil }
+	}
 	if created := time.Now(); cfg.Now == nil {
 		cfg.Now = func() time.Duration { return time.Since(created) }
 	}
--- a/tests/uncontrolled/press_test.go
+++ b/tests/uncontrolled/press_test.go
@@ -181,3 +181,11 @@
 	entry := k.entries[0]
 	k.agents = append(k.agents, startEndpoint(k.c, entry, func(s *relay.Settings) { s.StoreAddress = entry.settings.StoreAddress }))
 }
+
+// Guards against jobs of many tasks that exceed the memory of the entry that places them, to which the other
+// entries forward them.
+func TestForwardedJobsOfManyTasks(t *testing.T) {
+	k := startCluster(qt.New(t), 3)
+	k.startAgent()
+	k.press(pressClients, jobs(`{"best_effort":true,"spec":"p","steps":[{"count":65536,"cpu":1000,"estimate_ms":60000}]}`), nil)
+}
