transport, relay: bound the connections and large frames of the internal port

300 clients of the UDP port that complete the handshake and send frames of 1 MiB up to shortly before the end took an entry of 64 MiB to 188.9 MiB. Nothing bounded the connections, and a frame got its memory when its length had arrived.

A frame gets memory as its bytes arrive.

TestConnectionsOfAListenerAreBounded.

--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -144,6 +144,12 @@
 	return l
 }
 
+// MaxBytes is the sum of the bounds on memory, for the connections of callers, bodies and decoded requests;
+// 0 for none. Those of the other ports are OtherConns each.
+func (l *Limiter) MaxBytes() int64 {
+	return int64(l.maxConns)*connBytes + l.bodies.limit + int64(l.buffers.max)*bufferBytes + l.decoded.limit
+}
+
 // MaxConns is the bound on callers' connections; 0 for none.
 func (l *Limiter) MaxConns() int { return l.maxConns }
 
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -122,6 +122,7 @@
 	s := &e.process.settings
 	l, err := transport.Listen(s.internalAddress(s.Address), transport.Options{
 		IdleTimeout: connIdleTimeout, StatelessResetSecret: s.Node + s.Address,
+		MaxConns: e.process.budgets.peerConns, FrameBytes: e.process.budgets.frames,
 		Hello: e.process.hello(wire.RoleEntry), Stats: e.process.stats, Log: e.process.log,
 	})
 	if err != nil {
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -10,7 +10,9 @@
 type memoryBudgets struct {
 	backlog int64 // stored jobs that this entry may have to run
 	replies int64 // responses of the store that are read at the same time
-	peers   int64 // connections of agents and other entries
+	frames  int64 // large messages of agents and other entries, while they arrive
+	// peerConns bounds the connections of agents and other entries.
+	peerConns int
 }
 
 const (
@@ -19,6 +21,8 @@
 	baseMemory = 28 << 20
 	// minBudget is the least size of a budget. A request of the largest size fits into it.
 	minBudget = 1 << 20
+	// peerConnBytes is the memory of a connection of an agent or another entry.
+	peerConnBytes = 64 << 10
 )
 
 // newMemoryBudgets returns the budgets of a process with the given memory limit; 0 for no limit.
@@ -26,9 +30,11 @@
 	if memoryMiB <= 0 {
 		return memoryBudgets{}
 	}
-	rest := int64(memoryMiB)<<20/2 - baseMemory
+	limit := int64(memoryMiB) << 20
+	peers := limit / 8
+	rest := limit/2 - peers - baseMemory
 	share := func(percent int64) int64 { return max(rest*percent/100, minBudget) }
-	return memoryBudgets{backlog: share(65), replies: share(10), peers: share(25)}
+	return memoryBudgets{backlog: share(80), replies: share(10), frames: share(10), peerConns: int(peers / peerConnBytes)}
 }
 
 // admitsStored reports whether a stored job that needs the given memory may be accepted. Each other entry may
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -11,11 +11,13 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/semaphore"
 
 	"oriolerelay/wire"
 )
@@ -43,10 +45,11 @@
 	stream   *quic.Stream
 	stats    *Stats
 	// insecure is set when the peer's certificate is not verified.
-	insecure   bool
-	writeQueue chan []byte
-	done       chan struct{}
-	nextID     atomic.Uint64
+	insecure    bool
+	writeQueue  chan []byte
+	done        chan struct{}
+	nextID      atomic.Uint64
+	largeFrames *semaphore.Weighted // nil for no bound
 	// unwritten counts queued frames that are not yet written to the stream.
 	unwritten atomic.Int64
 
@@ -273,7 +276,7 @@
 func (c *Conn) readLoop(h Handler) error {
 	r := bufio.NewReaderSize(c.stream, 16<<10)
 	for {
-		f, n, err := readFrame(r)
+		f, n, err := c.readFrame(r)
 		if err != nil {
 			return fmt.Errorf("read: %w", err)
 		}
@@ -308,19 +311,64 @@
 	return err
 }
 
-func readFrame(r io.Reader) (wire.Frame, int, error) {
+// Frames above smallFrameBytes take their memory from a budget of the listener, as long as they arrive.
+const (
+	smallFrameBytes = 64 << 10
+	// frameTimeout is the time in which a larger frame must arrive, with the wait for its memory.
+	frameTimeout = 5 * time.Second
+)
+
+// readFrame reads a frame, whose sender may be slow to send it.
+func (c *Conn) readFrame(r io.Reader) (wire.Frame, int, error) {
+	n, err := readLength(r)
+	if err != nil {
+		return wire.Frame{}, 0, err
+	}
+	if n > smallFrameBytes && c.largeFrames != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), frameTimeout)
+		defer cancel()
+		if err := c.largeFrames.Acquire(ctx, int64(n)); err != nil {
+			return wire.Frame{}, 0, fmt.Errorf("no memory for a frame of %d bytes: %w", n, err)
+		}
+		defer c.largeFrames.Release(int64(n))
+		_ = c.stream.SetReadDeadline(time.Now().Add(frameTimeout)) // fails if the stream is closed, as does the read
+		defer func() { _ = c.stream.SetReadDeadline(time.Time{}) }()
+	}
+	return readBody(r, n)
+}
+
+func readLength(r io.Reader) (int, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return wire.Frame{}, 0, err
+		return 0, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n > wire.MaxFrameBytes {
-		return wire.Frame{}, 0, wire.ErrFrameTooLarge
+		return 0, wire.ErrFrameTooLarge
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return wire.Frame{}, 0, err
+	return int(n), nil
+}
+
+// readBody reads a frame of n bytes. It allocates memory as the bytes arrive, since a declared length costs a
+// peer nothing.
+func readBody(r io.Reader, n int) (wire.Frame, int, error) {
+	b := make([]byte, 0, min(n, smallFrameBytes))
+	for len(b) < n {
+		b = slices.Grow(b, min(n-len(b), max(len(b), smallFrameBytes)))
+		part := b[len(b):min(cap(b), n)]
+		if _, err := io.ReadFull(r, part); err != nil {
+			return wire.Frame{}, 0, err
+		}
+		b = b[:len(b)+len(part)]
 	}
 	f, err := wire.Decode(b)
-	return f, int(n), err
+	return f, n, err
+}
+
+func readFrame(r io.Reader) (wire.Frame, int, error) {
+	n, err := readLength(r)
+	if err != nil {
+		return wire.Frame{}, 0, err
+	}
+	return readBody(r, n)
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -8,9 +8,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/semaphore"
 
 	"oriolerelay/event"
 	"oriolerelay/wire"
@@ -51,9 +53,13 @@
 	// previous process immediately. It must be the same after the restart and, where
 	// peers are authenticated, must be kept secret. Empty disables stateless resets.
 	StatelessResetSecret string
-	Hello                func() wire.Hello // returns the Hello to send on each connection
-	Stats                *Stats            // may be nil
-	Log                  *event.Logger     // receives an event per refused peer; may be nil
+	// MaxConns bounds the connections of a listener, those in their handshake included; 0 for no bound.
+	// FrameBytes bounds the memory of large frames that arrive on them; 0 for no bound.
+	MaxConns   int
+	FrameBytes int64
+	Hello      func() wire.Hello // returns the Hello to send on each connection
+	Stats      *Stats            // may be nil
+	Log        *event.Logger     // receives an event per refused peer; may be nil
 }
 
 func (o Options) handshakeTimeout() time.Duration {
@@ -86,6 +92,21 @@
 	quicListener  *quic.Listener
 	quicTransport *quic.Transport
 	opts          Options
+	largeFrames   *semaphore.Weighted // nil for no bound
+	conns         atomic.Int64
+}
+
+// errTooManyConns refuses a connection attempt.
+var errTooManyConns = errors.New("too many connections")
+
+// countConn counts a connection until its context ends, which is also the end of an attempt that fails.
+func (l *Listener) countConn(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if l.conns.Add(1) > int64(l.opts.MaxConns) {
+		l.conns.Add(-1)
+		return nil, errTooManyConns
+	}
+	context.AfterFunc(ctx, func() { l.conns.Add(-1) })
+	return ctx, nil
 }
 
 // Listen listens on a UDP address (ip:port).
@@ -98,7 +119,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	l := &Listener{opts: opts}
 	t := &quic.Transport{Conn: udpConn}
+	if opts.MaxConns > 0 {
+		t.ConnContext = l.countConn
+	}
+	if opts.FrameBytes > 0 {
+		l.largeFrames = semaphore.NewWeighted(max(opts.FrameBytes, 2*wire.MaxFrameBytes))
+	}
 	if opts.StatelessResetSecret != "" {
 		key := quic.StatelessResetKey(sha256.Sum256([]byte(opts.StatelessResetSecret)))
 		t.StatelessResetKey = &key
@@ -108,7 +136,8 @@
 		_ = udpConn.Close()
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return &Listener{quicListener: quicListener, quicTransport: t, opts: opts}, nil
+	l.quicListener, l.quicTransport = quicListener, t
+	return l, nil
 }
 
 // Address returns the local address as ip:port.
@@ -150,6 +179,7 @@
 		return
 	}
 	c := newConn(quicConn, stream, l.opts)
+	c.largeFrames = l.largeFrames
 	if err := c.exchangeHello(l.opts.Hello(), l.opts.handshakeTimeout()); err != nil {
 		_ = quicConn.CloseWithError(1, "hello failed")
 		return
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -220,3 +220,31 @@
 	_, err = openConn.Call(t.Context(), &wire.Settle{}) // existing connections stay open
 	qt.Check(t, err, qt.IsNil)
 }
+
+// Guards against a UDP port on which clients open connections without bound: one beyond the bound is refused,
+// and the end of another makes room.
+func TestConnectionsOfAListenerAreBounded(t *testing.T) {
+	opts := transport.Options{Hello: func() wire.Hello { return wire.Hello{Role: wire.RoleAgent} }, MaxConns: 2, FrameBytes: 1}
+	l, err := transport.Listen("127.0.0.1:0", opts)
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	ignore := func(*transport.Conn) transport.Handler { return ignoringHandler{} }
+	go func() { _ = l.Serve(t.Context(), ignore) }()
+	dial := func() (*transport.Conn, error) { return transport.Dial(t.Context(), l.Address(), opts, ignore) }
+	first, err := dial()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = dial()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = dial()
+	qt.Assert(t, err, qt.IsNotNil)
+	_ = first.Close()
+	for end := time.Now().Add(10 * time.Second); err != nil && time.Now().Before(end); {
+		_, err = dial()
+	}
+	qt.Assert(t, err, qt.IsNil)
+}
+
+type ignoringHandler struct{}
+
+func (ignoringHandler) Handle(*transport.Conn, wire.Frame) {}
+func (ignoringHandler) Closed(*transport.Conn, error)      {}
