entry, agent: limits of HTTP clients for oriole-entry and oriole-agent

1,500 clients that send bodies of legal size up to shortly before the end took oriole-entry to 3,567 MiB resident and 1,514 descriptors, and oriole-agent to 115 MiB and 3,012 descriptors (12 s each).

Change: both daemons have the settings memory_mib and max_open_files (0 for no bound) and use package httplimit as oriole-relay does, with its drain, a soft limit of the Go runtime and the bounds of the UDP port. A connection now counts 36 KiB in place of 24: the receive buffer of a client that is not read was missing in the sum. TestBoundsFollowSettings expects 1,024 connections for 144 MiB in place of 1,536, which is stricter.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -18,11 +19,20 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 	"oriolerelay/transport"
 	"oriolerelay/wire"
 )
 
+const (
+	// gcMemoryFraction is the fraction of the memory limit that is the soft limit of the Go runtime.
+	gcMemoryFraction = 0.6
+	// Timeouts of the port for announcements and metrics, which may be read once a minute.
+	announcementIdleTimeout  = 2 * time.Minute
+	announcementWriteTimeout = 30 * time.Second
+)
+
 // Config is the configuration of an agent. MaxRecords, MaxResultBytes and RecordAge
 // take the defaults of Settings when they are zero.
 type Config struct {
@@ -51,6 +61,8 @@
 	MaxRecords     int
 	MaxResultBytes int64
 	RecordAge      time.Duration
+	// MemoryMiB and MaxOpenFiles are the limits of the process; 0 for none.
+	MemoryMiB, MaxOpenFiles int
 }
 
 func (c *Config) setDefaults() {
@@ -70,6 +82,7 @@
 	cfg        Config
 	core       *core
 	listener   net.Listener
+	limiter    *httplimit.Limiter
 	entryConns *entryConns
 }
 
@@ -83,11 +96,15 @@
 	if cfg.TLS == nil {
 		return nil, errors.New("agent: TLS configuration is not set")
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
+	limiter := httplimit.New(httplimit.Config{MemoryMiB: cfg.MemoryMiB, MaxOpenFiles: cfg.MaxOpenFiles, Log: cfg.Log, Registerer: cfg.Metrics})
+	l, err := limiter.Group(httplimit.OtherConns).Listen(cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for announcements: %w", err)
 	}
-	a := &Agent{cfg: cfg, listener: l, core: newCore(cfg)}
+	if cfg.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(cfg.MemoryMiB) * (1 << 20)))
+	}
+	a := &Agent{cfg: cfg, listener: l, limiter: limiter, core: newCore(cfg)}
 	a.entryConns = newEntryConns(cfg, a.core)
 	return a, nil
 }
@@ -110,12 +127,16 @@
 func (a *Agent) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	srv := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 5 * time.Second}
+	srv := &http.Server{
+		Handler: httplimit.Handler(a.handler()), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: announcementIdleTimeout,
+		WriteTimeout: announcementWriteTimeout, ConnState: httplimit.TrackState, ConnContext: httplimit.ContextWithConn,
+	}
 	failed := make(chan error, 2)
 	var wg sync.WaitGroup
 	wg.Go(func() { a.entryConns.run(work) })
 	wg.Go(func() { a.core.sweepPeriodically(work) })
 	wg.Go(func() { a.watchKeyFiles(work) })
+	wg.Go(func() { a.limiter.Run(work) })
 	if a.cfg.Leases != nil {
 		wg.Go(func() { a.maintainLease(work, func() { failed <- ErrLeaseLost }) })
 		defer a.releaseLease()
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -11,6 +10,7 @@
 
 	"oriolerelay/errkind"
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 	"oriolerelay/settings"
 	"oriolerelay/wire"
@@ -75,9 +75,12 @@
 func (a *Agent) newRunner(m Announcement) runner { return newEndpointClient(m, a.cfg) }
 
 func (a *Agent) handleAnnouncement(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
-	if err != nil {
-		writeError(w, errkind.New(errkind.BodyTooLarge, "announcement: %v", err))
+	body, failure := httplimit.ReadBody(w, r, maxAnnounceBytes)
+	if failure == nil {
+		failure = httplimit.Charge(r.Context(), httplimit.DecodedCost(body))
+	}
+	if failure != nil {
+		writeError(w, failure)
 		return
 	}
 	var m Announcement
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -50,6 +50,10 @@
 	// worker's lease; empty when the worker has no lease.
 	PlatformURL string           `json:"platform_url"`
 	Traces      tracing.Settings `json:"traces"`
+	// MemoryMiB and MaxOpenFiles are the limits of the process, of which the limits of its clients are
+	// derived; 0 for none.
+	MemoryMiB    int `json:"memory_mib"`
+	MaxOpenFiles int `json:"max_open_files"`
 }
 
 // Check implements settings.Checker.
@@ -127,6 +131,6 @@
 		Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack, Worker: s.Worker,
 		Listen: s.Listen, Seeds: s.Seeds,
 		Buffer: *s.Buffer, MaxRecords: s.MaxRecords, MaxResultBytes: s.MaxResultBytes,
-		RecordAge: time.Duration(s.RecordAgeMS) * time.Millisecond,
+		RecordAge: time.Duration(s.RecordAgeMS) * time.Millisecond, MemoryMiB: s.MemoryMiB, MaxOpenFiles: s.MaxOpenFiles,
 	}
 }
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 )
 
@@ -28,6 +29,7 @@
 type drainer struct {
 	server     *Server
 	httpServer *http.Server
+	callers    *httplimit.Group // the connections of httpServer
 	leaver     Leaver
 	// drainJobs refuses new jobs and waits for the running ones.
 	drainJobs   func(context.Context) error
@@ -50,6 +52,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.timeout)
 	defer cancel()
 	drainErr := d.drainJobs(ctx)
+	shutdownCtx, endShutdown := context.WithCancel(ctx)
+	defer endShutdown()
+	go d.callers.Drain(shutdownCtx)
 	if err := d.httpServer.Shutdown(ctx); err != nil {
 		drainErr = err
 		_ = d.httpServer.Close()
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"oriolerelay/errkind"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 )
 
@@ -61,7 +62,7 @@
 	drainStarted := make(chan struct{})
 	drained := make(chan struct{})
 	d := &drainer{
-		server: s, httpServer: httpServer, leaver: leaver, gracePeriod: time.Millisecond, timeout: time.Minute,
+		server: s, httpServer: httpServer, callers: httplimit.New(httplimit.Config{}).Group(0), leaver: leaver, gracePeriod: time.Millisecond, timeout: time.Minute,
 		drainJobs: func(context.Context) error {
 			close(drainStarted)
 			<-disp.release
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"runtime/debug"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,7 @@
 
 	"oriolerelay/dispatch"
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 	"oriolerelay/logstore"
 	"oriolerelay/members"
@@ -28,6 +30,18 @@
 // readHeaderTimeout bounds the time in which a caller sends its headers.
 const readHeaderTimeout = 5 * time.Second
 
+const (
+	// gcMemoryFraction is the fraction of the memory limit that is the soft limit of the Go runtime; socket
+	// buffers and the rest of the process use what remains.
+	gcMemoryFraction = 0.6
+	// peerMemoryShare and frameMemoryShare are divisors of the memory limit: an eighth is for connections of
+	// agents and peers, at peerConnBytes each, and a 32nd for large messages that arrive on them.
+	peerMemoryShare, frameMemoryShare = 8, 32
+	peerConnBytes                     = 64 << 10
+	// callerWriteTimeout bounds a write of a response. A link may lose packets for seconds.
+	callerWriteTimeout = 30 * time.Second
+)
+
 // Daemon is an entry process with open listeners.
 type Daemon struct {
 	settings         Settings
@@ -38,6 +52,8 @@
 	members          *members.Follower
 	internalListener *transport.Listener
 	httpListener     net.Listener
+	limiter          *httplimit.Limiter
+	callers          *httplimit.Group
 	pprofListener    net.Listener // nil if no pprof address is set
 
 	closeTraces func()
@@ -82,7 +98,13 @@
 		Self: self, CurrentConfig: d.tickets.Load, EntryCount: d.entryCount, Logger: log, Registerer: reg,
 		Tracer: traces.Tracer("oriolerelay/dispatch"),
 	})
-	opts := transport.Options{TLS: tlsConf, Stats: transport.NewStats(reg)}
+	d.limiter = httplimit.New(httplimit.Config{MemoryMiB: s.MemoryMiB, MaxOpenFiles: s.MaxOpenFiles, Log: log, Registerer: reg})
+	d.callers = d.limiter.Group(d.limiter.MaxConns())
+	d.callers.WriteTimeout = callerWriteTimeout
+	opts := transport.Options{
+		TLS: tlsConf, Stats: transport.NewStats(reg),
+		MaxConns: s.MemoryMiB << 20 / peerMemoryShare / peerConnBytes, FrameBytes: int64(s.MemoryMiB) << 20 / frameMemoryShare,
+	}
 	opts.Hello = func() wire.Hello { return d.server.hello() }
 	d.server = New(Options{
 		Self: self, Region: s.Region, DataCentre: s.DataCentre, Rack: s.Rack,
@@ -104,8 +126,8 @@
 	if d.internalListener, err = transport.Listen(d.settings.InternalAddress, opts); err != nil {
 		return err
 	}
-	if d.httpListener, err = net.Listen("tcp", d.settings.HTTPAddress); err != nil {
-		return fmt.Errorf("listen on %s: %w", d.settings.HTTPAddress, err)
+	if d.httpListener, err = d.callers.Listen(d.settings.HTTPAddress); err != nil {
+		return err
 	}
 	if d.settings.PprofAddress != "" {
 		if d.pprofListener, err = net.Listen("tcp", d.settings.PprofAddress); err != nil {
@@ -145,10 +167,17 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serveCtx := errgroup.WithContext(serveCtx)
-	httpServer := &http.Server{Handler: d.server.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	if d.settings.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(d.settings.MemoryMiB) * (1 << 20)))
+	}
+	httpServer := &http.Server{
+		Handler: httplimit.Handler(d.server.Handler()), ReadHeaderTimeout: readHeaderTimeout,
+		ConnState: httplimit.TrackState, ConnContext: httplimit.ContextWithConn,
+	}
 	for _, component := range []func(context.Context) error{
 		d.dispatcher.Run, d.tickets.Run, d.members.Run, d.server.Run, d.join, d.servePprof,
 		func(ctx context.Context) error { return d.server.ServeInternal(ctx, d.internalListener) },
+		func(ctx context.Context) error { d.limiter.Run(ctx); return nil },
 	} {
 		g.Go(func() error { return ignoreCanceled(component(serveCtx)) })
 	}
@@ -170,7 +199,7 @@
 
 func (d *Daemon) drainer(httpServer *http.Server) *drainer {
 	return &drainer{
-		server: d.server, httpServer: httpServer, leaver: d.members, drainJobs: d.dispatcher.Drain, log: d.log,
+		server: d.server, httpServer: httpServer, callers: d.callers, leaver: d.members, drainJobs: d.dispatcher.Drain, log: d.log,
 		gracePeriod: milliseconds(d.settings.DrainGraceMS), timeout: milliseconds(d.settings.DrainTimeoutMS),
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -20,6 +20,7 @@
 
 	"oriolerelay/errkind"
 	"oriolerelay/event"
+	"oriolerelay/httplimit"
 	"oriolerelay/ids"
 	"oriolerelay/submission"
 	"oriolerelay/transport"
@@ -273,13 +274,12 @@
 // readBody reads a body of limited size. If reading fails, nothing has been
 // submitted yet, so the response states "not run".
 func readBody(r *http.Request) ([]byte, error) {
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errkind.New(errkind.BodyTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
+	b, failure := httplimit.ReadBody(nil, r, MaxBodyBytes)
+	if failure == nil {
+		failure = httplimit.Charge(r.Context(), httplimit.DecodedCost(b))
 	}
-	if err != nil {
-		return nil, invalid("read body: %w", err)
+	if failure != nil {
+		return nil, failure
 	}
 	return b, nil
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,10 @@
 	// InternalAddress; empty selects InternalAddress itself.
 	AdvertiseAddress string `json:"advertise_address"`
 	PprofAddress     string `json:"pprof_address"` // ip:port of pprof; empty disables it
+	// MemoryMiB and MaxOpenFiles are the limits of the process, of which the limits of its clients are
+	// derived; 0 for none.
+	MemoryMiB    int `json:"memory_mib"`
+	MaxOpenFiles int `json:"max_open_files"`
 	// LogRetentionMS is how long the platform's log keeps records. Zero disables the
 	// writing of snapshots by this entry.
 	LogRetentionMS int64 `json:"log_retention_ms"`
@@ -84,6 +88,12 @@
 	if s.LogRetentionMS < 0 {
 		p.Add("log_retention_ms", "is %d; it must not be negative", s.LogRetentionMS)
 	}
+	if s.MemoryMiB < 0 {
+		p.Add("memory_mib", "is %d; it must not be negative", s.MemoryMiB)
+	}
+	if s.MaxOpenFiles < 0 {
+		p.Add("max_open_files", "is %d; it must not be negative", s.MaxOpenFiles)
+	}
 	if s.MaxRecords < 0 {
 		p.Add("record_entries", "is %d; it must not be negative", s.MaxRecords)
 	}
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -13,8 +13,8 @@
 )
 
 // ReadBody reads the body of a request, which may have at most limit bytes. It returns an error of kind
-// BodyTooLarge, InvalidRequest, Overloaded or BodyTimeout. The memory of the body is counted until the
-// response has been written.
+// BodyTooLarge, InvalidRequest, Overloaded, BodyTimeout or Draining. The memory of the body is counted until
+// the response has been written. w may be nil; otherwise the connection of a body that is too large is closed.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *errkind.Error) {
 	c := connOf(r.Context())
 	if c == nil {
@@ -91,7 +91,9 @@
 
 // tooLarge also closes the connection after the response.
 func tooLarge(w http.ResponseWriter, limit int64) *errkind.Error {
-	w.Header().Set("Connection", "close")
+	if w != nil {
+		w.Header().Set("Connection", "close")
+	}
 	return errkind.New(errkind.BodyTooLarge, "request body exceeds %d bytes", limit)
 }
 
--- a/httplimit/limiter.go
+++ b/httplimit/limiter.go
@@ -20,9 +20,9 @@
 	bodyShare   = 8 // 1/8 for bodies that arrive or are processed, and for free buffers
 	freeShare   = 8 // 1/8 of that for free buffers
 	decodeShare = 8 // 1/8 for decoded requests
-	// connBytes is the memory of an open connection: a goroutine with its stack, two buffers of 4 KiB
-	// and the socket.
-	connBytes = 24 << 10
+	// connBytes is the memory of an open connection: a goroutine with its stack, two buffers of 4 KiB,
+	// the socket, and a receive buffer with bytes that are not read.
+	connBytes = 36 << 10
 )
 
 const (
--- a/httplimit/limiter_test.go
+++ b/httplimit/limiter_test.go
@@ -47,7 +47,7 @@
 // Guards against bounds on connections that ignore one of the two limits of the process.
 func TestBoundsFollowSettings(t *testing.T) {
 	for _, tc := range []struct{ memoryMiB, files, conns int }{
-		{0, 0, 0}, {144, 0, 1536}, {144, 3075, 1536}, {536, 3075, 2747}, {0, 1000, 672}, {0, 100, minConns}, {144, 100, minConns},
+		{0, 0, 0}, {144, 0, 1024}, {144, 3075, 1024}, {536, 3075, 2747}, {0, 1000, 672}, {0, 100, minConns}, {144, 100, minConns},
 	} {
 		l := New(Config{MemoryMiB: tc.memoryMiB, MaxOpenFiles: tc.files})
 		qt.Check(t, l.MaxConns(), qt.Equals, tc.conns, qt.Commentf("%+v", tc))
