soak: clients that do not behave press on all ports while processes fail

They keep their connections until these are closed or the process is gone. Checked beside the guarantees of every soak run: the resident memory of each daemon.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,9 @@
 	// ChangingConfig changes the configuration in series, and injects only faults that affect how
 	// entries learn of it.
 	ChangingConfig bool
+	// Crowd is the number of clients that do not behave. They press on all daemons while faults are injected;
+	// the configuration changes meanwhile, and each daemon has to stay within its memory.
+	Crowd int
 }
 
 // partitions returns the number of partitions of the store. Each owned one has a connection of its own,
@@ -171,8 +174,15 @@
 			running.Go(func() { w.probeConfig(loadCtx, i) })
 		}
 	}
+	var watching sync.WaitGroup
+	watching.Go(func() { w.watchMemory(faultCtx) })
+	w.press(faultCtx, &running)
+	if w.Crowd > 0 {
+		running.Go(func() { w.changeConfig(faultCtx) })
+	}
 	w.injectFaults(ctx)
 	stopFaults()
+	watching.Wait()
 	w.clearFaults()
 	time.Sleep(recoveryDelay)
 	from := time.Now()
@@ -252,8 +262,15 @@
 	return relay.Settings{
 		Node: node, Address: ip, Region: "region", DataCentre: "centre", PortRange: []int{firstPort, firstPort + 1},
 		StoreAddress: hostPort(ip, storeProxyPort), StorePartitions: w.partitions(), MinMembershipMS: 1000, KeepStateS: 120,
-		MemoryMiB: 256, MaxLeaseMS: 1000, StopGraceS: stopGrace.Seconds(), FarFactor: 1.5,
+		MemoryMiB: w.memoryMiB(), MaxLeaseMS: 1000, StopGraceS: stopGrace.Seconds(), FarFactor: 1.5,
+	}
+}
+
+func (w *soakRun) memoryMiB() int {
+	if w.Crowd > 0 {
+		return crowdMemoryMiB
 	}
+	return 256
 }
 
 func (w *soakRun) startDaemon(ctx context.Context, running *sync.WaitGroup, role string, s relay.Settings, store string) (*process, error) {
@@ -373,7 +390,7 @@
 	if submitted > 0 {
 		r.CompletedShare = float64(completed) / float64(submitted)
 	}
-	for _, p := range append(append([]*process(nil), w.entries...), w.agents...) {
+	for _, p := range w.daemons() {
 		r.Starts += p.starts
 	}
 	return r
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,15 +12,16 @@
 )
 
 var (
-	seeds   = flag.Int("soak.seeds", 1, "number of soak runs")
-	first   = flag.Uint64("soak.first", 1, "seed of the first soak run")
-	all     = flag.Bool("soak.all", false, "inject all kinds of faults and submit stored jobs; for manual runs on an idle machine")
-	entries = flag.Int("soak.entries", 2, "number of entries; with more than three, only some are placement entries")
-	agents  = flag.Int("soak.agents", 3, "number of agents")
-	prompt  = flag.Bool("soak.prompt", false, "prompt callers resubmit ephemeral jobs at once too, which the platform's callers don't")
-	crashes = flag.Int("soak.crash", 0, "one in so many jobs crashes the endpoints that run its first task; none if zero")
-	changes = flag.Bool("soak.capacity", false, "let the capacities of the endpoints, which do not enforce them, change during the faults")
-	length  = flag.Duration("soak.length", 4*time.Second, "time during which faults are injected")
+	seeds    = flag.Int("soak.seeds", 1, "number of soak runs")
+	first    = flag.Uint64("soak.first", 1, "seed of the first soak run")
+	all      = flag.Bool("soak.all", false, "inject all kinds of faults and submit stored jobs; for manual runs on an idle machine")
+	entries  = flag.Int("soak.entries", 2, "number of entries; with more than three, only some are placement entries")
+	agents   = flag.Int("soak.agents", 3, "number of agents")
+	prompt   = flag.Bool("soak.prompt", false, "prompt callers resubmit ephemeral jobs at once too, which the platform's callers don't")
+	crashes  = flag.Int("soak.crash", 0, "one in so many jobs crashes the endpoints that run its first task; none if zero")
+	changes  = flag.Bool("soak.capacity", false, "let the capacities of the endpoints, which do not enforce them, change during the faults")
+	pressing = flag.Int("soak.crowd", 80, "number of clients that do not behave in TestSoakUnderCrowd")
+	length   = flag.Duration("soak.length", 4*time.Second, "time during which faults are injected")
 )
 
 // minCompletedShare is the share of jobs that must be completed after the faults.
@@ -83,6 +84,17 @@
 	}
 }
 
+// Guards the same guarantees, and the memory of each daemon, while clients that do not behave press on all
+// ports: they keep their connections while processes are stopped, paused, reloaded and restarted.
+func TestSoakUnderCrowd(t *testing.T) {
+	for i := range *seeds {
+		seed := 4000 + *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runSoakWith(t, Options{Seed: seed, Entries: max(*entries, 3), Agents: *agents, AllFaults: true, Crowd: *pressing})
+		})
+	}
+}
+
 // minConfigProbes is the number of judged probes below which a run shows nothing. After the faults each
 // entry is calm for 9 s.
 const minConfigProbes = 50
