--- a/tests/uncontrolled/press_test.go
+++ b/tests/uncontrolled/press_test.go
@@ -185,6 +185,21 @@
 	k.agents = append(k.agents, startEndpoint(k.c, entry, func(s *relay.Settings) { s.StoreAddress = entry.settings.StoreAddress }))
 }
 
+// Guards against crowds of several kinds at once, whose budgets are exhausted together.
+func TestMixedCrowd(t *testing.T) {
+	k := startCluster(qt.New(t), 1)
+	k.startAgent()
+	incomplete := crowd.Post(queueHost, queuePrefix+"00000000000000ff", body(maxBody), false)
+	chunked := inChunks(jobHeader(2), body(maxBody), 1, "")[0]
+	behaviours := []crowd.Behaviour{
+		jobs(largeStoredJob),
+		jobs(`{"best_effort":true,"spec":"p","steps":[{"count":65536,"cpu":1000,"estimate_ms":60000}]}`),
+		crowd.Hold(func(int, int) []byte { return incomplete }),
+		crowd.Hold(func(int, int) []byte { return chunked }),
+	}
+	k.press(2*pressClients, func(conn net.Conn, client, n int) { behaviours[client%len(behaviours)](conn, client, n) }, nil)
+}
+
 // Guards against jobs of many tasks that exceed the memory of the entry that places them, to which the other
 // entries forward them.
 func TestForwardedJobsOfManyTasks(t *testing.T) {
