policy, ledger: crowds of stored jobs of ordinary size leave room for small ones

In a trial with 144 MiB the ordinary request was refused (queue_full) after 100 clients had filled the share of its queue with jobs of 150 tasks; with 64 MiB it fits by chance of the sizes. Jobs above 16 KiB now leave a part of the share to smaller ones.

Empty counts of a partition now also count what was appended before: a job whose partition became empty before it was counted would have counted as not yet counted for good.

Evidence: TestBacklogLeavesRoomForOthers and TestUseOfStoredJobs with the new cases.

--- a/ledger/backlog.go
+++ b/ledger/backlog.go
@@ -10,6 +10,8 @@
 	"oriolerelay/job"
 )
 
+// Memory of the stored jobs.
+//
 // A stored job outlives the request that submits it. Until it has ended, the owner of its partition holds it
 // in memory, and then a summary for as long as its state can be queried. Owners publish this memory with
 // the counts of their queued jobs. An entry accepts a job if there is room beside what is published and what
@@ -40,9 +42,10 @@
 	counted bool
 }
 
-// countLag is the longest time, in intervals, until a count has reached all entries.
-const countLag = 3
+// countLag is the longest time until a count has reached all entries.
+func (l *Ledger) countLag() time.Duration { return 3 * l.cfg.Timing.CountInterval }
 
+// beingAppended is the offset of a job whose append has no response yet.
 const beingAppended = math.MaxUint64
 
 // memoryOf returns the memory in the counts of a partition by queue, and the offset up to which they
@@ -75,12 +78,14 @@
 	}
 }
 
-// setCounts sets the counts of p, which include what was appended before. l.mu must be held.
-func (p *partition) setCounts(counts map[string]int) {
+// setCounts sets the counts of p, which include what was appended before. Empty ones say that there are no
+// jobs, and include what was appended longer ago than lag. l.mu must be held.
+func (p *partition) setCounts(counts map[string]int, lag time.Duration) {
 	p.counts = counts
 	_, next := memoryOf(counts)
 	for _, a := range p.appended {
-		a.counted = a.counted || a.offset < next
+		ended := len(counts) == 0 && a.offset != beingAppended && time.Since(a.at) > lag
+		a.counted = a.counted || ended || a.offset < next
 	}
 }
 
@@ -108,7 +113,7 @@
 				ofQueue.Counted += bytes
 			}
 		}
-		p.forgetCounted(countLag * l.cfg.Timing.CountInterval)
+		p.forgetCounted(l.countLag())
 		for _, a := range p.appended {
 			all.add(a)
 			if a.queue == queue {
--- a/ledger/backlog_test.go
+++ b/ledger/backlog_test.go
@@ -72,6 +72,13 @@
 	}
 	l.cfg.Timing.CountInterval = time.Nanosecond
 	check("known to all entries", Use{40 << 10, 0, 0})
+	store.during = nil
+	if err := l.Accept(context.Background(), job.Submission{ID: "n", Steps: []job.Step{{Count: 1}}}); err != nil {
+		t.Fatal(err)
+	}
+	l.applyCounts(map[int]map[string]int{0: nil})
+	check("no jobs left", Use{})
+	l.applyCounts(map[int]map[string]int{0: {kibNamePrefix + "q": 40, countedName: 8}})
 	admits = false
 	if err := l.Accept(context.Background(), job.Submission{ID: "l"}); err == nil || err.Kind != errkind.QueueFull || use.Counted == 0 {
 		t.Errorf("%v with %+v", err, use)
--- a/ledger/counts.go
+++ b/ledger/counts.go
@@ -76,7 +76,7 @@
 		}
 		counts := l.countQueued(p)
 		p.addMemory(counts)
-		p.setCounts(counts)
+		p.setCounts(counts, l.countLag())
 		if !maps.Equal(counts, p.published) {
 			changed[p.index] = counts
 		}
@@ -95,7 +95,7 @@
 		p := l.partitions[index]
 		p.published = c
 		if !p.owned || !p.loaded {
-			p.setCounts(c)
+			p.setCounts(c, l.countLag())
 		}
 	}
 }
--- a/policy/backlog.go
+++ b/policy/backlog.go
@@ -16,8 +16,10 @@
 	// counts as, so that a single one is accepted however large it is.
 	largeShare, loneJobShare = 0.5, 0.25
 	// queueFactor bounds the jobs of a queue to this multiple of the memory that is free. One queue can
-	// use three quarters of the bound, two that are both full three sevenths each.
-	queueFactor = 3
+	// use three quarters of the bound, two that are both full three sevenths each. For jobs above
+	// smallStoredJob it is lower, so that many of them leave room for small ones: one queue can use two thirds.
+	queueFactor, largerQueueFactor = 3, 2
+	smallStoredJob                 = 16 << 10
 )
 
 // Admits reports whether a stored job that needs the given memory may be accepted. What a queue may use
@@ -32,5 +34,9 @@
 		return false
 	}
 	bytes = min(bytes, share(loneJobShare))
-	return b.Queue+bytes <= queueFactor*(b.Limit-b.Used-bytes)+bytes
+	factor := int64(queueFactor)
+	if bytes > smallStoredJob {
+		factor = largerQueueFactor
+	}
+	return b.Queue <= factor*(b.Limit-b.Used-bytes)
 }
--- a/policy/backlog_test.go
+++ b/policy/backlog_test.go
@@ -16,6 +16,11 @@
 	if large.Used > 8*mib || !large.Admits(4<<10) {
 		t.Errorf("large jobs use %d of %d bytes, an ordinary one is admitted: %v", large.Used, large.Limit, large.Admits(4<<10))
 	}
+	if medium := fill(Backlog{Limit: 16 * mib}, 60<<10); medium.Used > 11*mib {
+		t.Errorf("jobs of 150 tasks use %d of %d bytes", medium.Used, medium.Limit)
+	} else if small := fill(medium, 4<<10); small.Used-medium.Used < mib {
+		t.Errorf("small jobs get %d bytes beside those of 150 tasks", small.Used-medium.Used)
+	}
 	full := fill(Backlog{Limit: 16 * mib}, 4<<10)
 	if full.Used > 12*mib+4<<10 || full.Used < 11*mib {
 		t.Errorf("one queue uses %d of %d bytes", full.Used, full.Limit)
