--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -160,11 +160,10 @@
 	dirty        map[string]job.Progress // progress to be recorded, by job
 	obsoleteEnds []string                // keys of end records to be deleted
 	recorderWake chan struct{}           // wakes runRecorder
-	// counts holds the number of queued jobs by queue, and the memory of the jobs (see backlog.go), as
-	// the owner last published it. The owner's own copy may be newer: published is the one that it has
-	// published.
-	counts, published map[string]int
-	appended          []*appendedJob // in no order
+	// published holds the number of queued jobs by queue, and the memory of the jobs (see backlog.go), as
+	// the owner last published it. counts is the same, or newer at the owner.
+	published, counts map[string]int
+	appended          []*appendedJob // of this entry, in no order
 	loading           int            // calls of load in progress
 }
 
