relay: entries that have just started assume others beside them

Cause, from the logs: the entries learned of each other 2.3 s after the start; until then each took itself for the only one and admitted as many large jobs as fit into the whole bound.

Change: for 10 s after its start an entry assumes four entries at least. What others may append at the same moment counts as a quarter of the bound at most, so that a lone job is still accepted.

--- a/relay/entry.go
+++ b/relay/entry.go
@@ -62,6 +62,7 @@
 	republish   chan struct{} // makes publish write the record now
 	ready       atomic.Bool
 	fairShare   bool // policy.FairShare is enabled
+	started     time.Time
 }
 
 // RunEntry runs an entry with the settings file at path until ctx is done and the entry has
@@ -80,7 +81,7 @@
 	}
 	orphanTimeout := executor.DefaultTiming(s.maxLease()).OrphanTimeout()
 	e := &entry{
-		process: p,
+		process: p, started: time.Now(),
 		coordinator: coordinator.New(coordinator.Config{
 			DataCentre: s.DataCentre, Policy: s.policy(), Timing: coordinator.DefaultTiming(orphanTimeout, s.FarFactor),
 			Log: p.log, Metrics: coordinator.NewMetrics(p.registry),
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"oriolerelay/ledger"
 	"oriolerelay/policy"
 )
@@ -21,6 +23,10 @@
 	baseMemory = 28 << 20
 	// minBudget is the least size of a budget. A request of the largest size fits into it.
 	minBudget = 1 << 20
+	// entryListLag is the time after its start in which an entry may not know all entries, and assumes
+	// unknownEntries at least. Entries that start together would each take themselves for the only one.
+	entryListLag   = 10 * time.Second
+	unknownEntries = 4
 	// peerConnBytes is the memory of a connection of an agent or another entry.
 	peerConnBytes = 64 << 10
 )
@@ -41,9 +47,11 @@
 // accept as much as this one at the same time. Half of the entries may be lost; the others then own all jobs.
 func (e *entry) admitsStored(all, ofQueue ledger.Use, bytes int64) bool {
 	entries := max(1, e.peers.entries.Load())
-	estimate := func(u ledger.Use) int64 { return u.Counted + u.Uncounted + (entries-1)*(u.Recent+bytes) }
-	b := policy.Backlog{
-		Limit: e.process.budgets.backlog * max(1, entries/2), Used: estimate(all), Queue: estimate(ofQueue),
+	limit := e.process.budgets.backlog * max(1, entries/2)
+	if time.Since(e.started) < entryListLag {
+		entries = max(entries, unknownEntries)
 	}
-	return b.Admits(bytes)
+	concurrent := min((entries-1)*bytes, limit/4) // a lone job is accepted, however large it is
+	estimate := func(u ledger.Use) int64 { return u.Counted + u.Uncounted + (entries-1)*u.Recent + concurrent }
+	return policy.Backlog{Limit: limit, Used: estimate(all), Queue: estimate(ofQueue)}.Admits(bytes)
 }
