ledger: a stored job of unknown outcome counts as stored

An entry had read its own record 6 s late, so the store was slow.

Cause, by reading: a write without a response within 2 s is answered with 504, and the memory reserved for the job was given back at once, although the store may carry it out later. Clients that come back at once fill the store that way.

Change: such a job counts for 10 s more; by then the owner counts it if it is stored.

Evidence: TestJobOfUnknownOutcomeCounts fails without the change (it does not count).

--- a/ledger/backlog.go
+++ b/ledger/backlog.go
@@ -22,6 +22,9 @@
 	summaryBytes = 512
 	// backlogRetryAfter is when a caller may submit a job again that there was no room for.
 	backlogRetryAfter = 5 * time.Second
+	// unknownOutcomeTime is the time after which a write without a response is in the counts, if it was
+	// carried out. The store may do so seconds later.
+	unknownOutcomeTime = 10 * time.Second
 )
 
 // Names in the published counts of a partition that are not names of queues: the offset up to which they
@@ -40,6 +43,8 @@
 	at     time.Time
 	// counted is set once the counts of its partition include it.
 	counted bool
+	// unknownUntil is set if it is not known whether the job is stored, and until when it counts.
+	unknownUntil time.Time
 }
 
 // countLag is the longest time until a count has reached all entries.
@@ -91,7 +96,10 @@
 
 // forgetCounted removes the jobs that p has appended whose count has reached all entries.
 func (p *partition) forgetCounted(lag time.Duration) {
-	p.appended = slices.DeleteFunc(p.appended, func(a *appendedJob) bool { return a.counted && time.Since(a.at) > lag })
+	now := time.Now()
+	p.appended = slices.DeleteFunc(p.appended, func(a *appendedJob) bool {
+		return a.counted && now.Sub(a.at) > lag || !a.unknownUntil.IsZero() && now.After(a.unknownUntil)
+	})
 }
 
 // Use is the memory of stored jobs, as one entry knows it.
@@ -147,13 +155,18 @@
 	return a, nil
 }
 
-// settle records that the job of a was appended at an offset, or that it was not if ok is false.
-func (l *Ledger) settle(p *partition, a *appendedJob, offset uint64, ok bool) {
+// settle records the outcome of appending the job of a: its offset, or the failure. If the outcome is not known,
+// the job may be stored, and counts until owners must have counted it.
+func (l *Ledger) settle(p *partition, a *appendedJob, offset uint64, failure *errkind.Error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, next := memoryOf(p.counts)
-	a.offset, a.counted = offset, offset < next
-	if !ok {
+	switch {
+	case failure == nil:
+		_, next := memoryOf(p.counts)
+		a.offset, a.counted = offset, offset < next
+	case failure.Kind == errkind.TicketUnknown:
+		a.unknownUntil = time.Now().Add(unknownOutcomeTime)
+	default:
 		p.appended = slices.DeleteFunc(p.appended, func(other *appendedJob) bool { return other == a })
 	}
 }
--- a/ledger/backlog_test.go
+++ b/ledger/backlog_test.go
@@ -104,3 +104,22 @@
 		t.Error("a read beyond a gap was applied")
 	}
 }
+
+// Guards against stored jobs beyond the memory of their owner while the store is slow: a job that was
+// answered with 504, since its write had no response, may be stored.
+func TestJobOfUnknownOutcomeCounts(t *testing.T) {
+	l, p := ownedPartition(unresponsiveStore{}, &reportOnStopRunner{})
+	p.owned, l.cfg.Timing.AcceptTimeout, l.cfg.Timing.ResponseTimeout = false, time.Millisecond, time.Millisecond
+	l.cfg.Admits = func(_, _ Use, _ int64) bool { return true }
+	err := l.Accept(context.Background(), job.Submission{ID: "k", Steps: []job.Step{{Count: 1}}})
+	if err == nil || err.Kind != errkind.TicketUnknown {
+		t.Fatal(err)
+	}
+	if use, _ := l.use("q"); use.Uncounted == 0 {
+		t.Error("the job does not count")
+	}
+	p.appended[0].unknownUntil = time.Now().Add(-time.Second)
+	if use, _ := l.use("q"); use != (Use{}) {
+		t.Errorf("%+v after the time in which owners count it", use)
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -258,7 +258,7 @@
 	if failure == nil {
 		offset, failure = l.append(ctx, p, record)
 	}
-	l.settle(p, reserved, offset, failure == nil)
+	l.settle(p, reserved, offset, failure)
 	if failure != nil {
 		return failure
 	}
