tests/uncontrolled: name what stood twice

The loops that observe a daemon, the mixed crowds and the cases of stored jobs stood up to five times; they are observeUntil, mixed and a table now. Crowds, bounds and checks are the same.

--- a/tests/uncontrolled/daemons_test.go
+++ b/tests/uncontrolled/daemons_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -49,12 +48,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), pressTime)
 			defer cancel()
 			go crowd.Press(ctx, idleClients, func(int, int) string { return d.address }, crowd.Hold(func(int, int) []byte { return incomplete }))
-			var u usage
-			alive := true
-			for ctx.Err() == nil && alive {
-				alive = d.observe(&u)
-				time.Sleep(50 * time.Millisecond)
-			}
+			u, alive := d.observeUntil(ctx)
 			d.checkUsage(u, alive)
 			d.assertAnswers(1)
 		})
--- a/tests/uncontrolled/internal_port_test.go
+++ b/tests/uncontrolled/internal_port_test.go
@@ -40,12 +40,7 @@
 			}
 		})
 	}
-	var u usage
-	alive := true
-	for ctx.Err() == nil && alive {
-		alive = d.observe(&u)
-		time.Sleep(50 * time.Millisecond)
-	}
+	u, alive := d.observeUntil(ctx)
 	running.Wait()
 	d.checkUsage(u, alive)
 	d.assertAnswers(1)
--- a/tests/uncontrolled/press_test.go
+++ b/tests/uncontrolled/press_test.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// observeUntil observes d until ctx ends. alive is false if d has ended.
+func (d *daemon) observeUntil(ctx context.Context) (u usage, alive bool) {
+	for alive = true; ctx.Err() == nil && alive; time.Sleep(50 * time.Millisecond) {
+		alive = d.observe(&u)
+	}
+	return u, alive
+}
+
 // checkUsage checks that d lives and has stayed within its limits.
 func (d *daemon) checkUsage(u usage, alive bool) {
 	d.c.Helper()
@@ -118,6 +126,11 @@
 	})
 }
 
+// mixed lets the clients behave in different ways, in turn.
+func mixed(behaviours ...crowd.Behaviour) crowd.Behaviour {
+	return func(conn net.Conn, client, n int) { behaviours[client%len(behaviours)](conn, client, n) }
+}
+
 var largeStoredJob = `{"spec":"` + strings.Repeat("x", largeSpec) + `","steps":[{"count":1,"cpu":1000,"estimate_ms":50}]}`
 
 // Guards against complete bodies of stored jobs whose copies on the way to the store, or while the log is
@@ -126,40 +139,37 @@
 	t.Run("no endpoint", func(t *testing.T) {
 		startCluster(qt.New(t), 1).press(pressClients, jobs(largeStoredJob), nil)
 	})
-	t.Run("busy endpoint", func(t *testing.T) { // the entry owns the jobs, which wait
-		k := startCluster(qt.New(t), 1)
-		k.startAgent()
-		k.press(pressClients, jobs(largeStoredJob), nil)
-	})
-	t.Run("slow store", func(t *testing.T) {
-		k := startCluster(qt.New(t), 1)
-		k.startAgent()
-		k.store.SetFaults(standin.StoreFaults{Delay: 200 * time.Millisecond})
-		defer k.store.SetFaults(standin.StoreFaults{})
-		k.press(pressClients, jobs(largeStoredJob), nil)
-	})
-	t.Run("store is down and returns", func(t *testing.T) {
-		k := startCluster(qt.New(t), 1)
-		k.startAgent()
-		k.press(pressClients, jobs(largeStoredJob), func() {
+	for _, tc := range []struct {
+		name    string
+		entries int
+		job     string
+		faults  func(*standin.Store) // from the start of the press on; may be nil
+	}{
+		{"busy endpoint", 1, largeStoredJob, nil}, // the entry owns the jobs, which wait
+		{"slow store", 1, largeStoredJob, func(s *standin.Store) {
+			s.SetFaults(standin.StoreFaults{Delay: 200 * time.Millisecond})
+		}},
+		{"store is down and returns", 1, largeStoredJob, func(s *standin.Store) {
 			for range 3 {
 				time.Sleep(pressTime / 6)
-				k.store.SetFaults(standin.StoreFaults{Down: true})
+				s.SetFaults(standin.StoreFaults{Down: true})
 				time.Sleep(pressTime / 6)
-				k.store.SetFaults(standin.StoreFaults{})
+				s.SetFaults(standin.StoreFaults{})
 			}
+		}},
+		{"three entries", 3, largeStoredJob, nil},
+		{"many small jobs", 1, `{"spec":"p","steps":[{"count":150,"cpu":1000,"estimate_ms":60000}]}`, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k := startCluster(qt.New(t), tc.entries)
+			k.startAgent()
+			k.press(pressClients, jobs(tc.job), func() {
+				if tc.faults != nil {
+					tc.faults(k.store)
+				}
+			})
 		})
-	})
-	t.Run("three entries", func(t *testing.T) {
-		k := startCluster(qt.New(t), 3)
-		k.startAgent()
-		k.press(pressClients, jobs(largeStoredJob), nil)
-	})
-	t.Run("many small jobs", func(t *testing.T) {
-		k := startCluster(qt.New(t), 1)
-		k.startAgent()
-		k.press(pressClients, jobs(`{"spec":"p","steps":[{"count":150,"cpu":1000,"estimate_ms":60000}]}`), nil)
-	})
+	}
 }
 
 // Guards against clients that ask for the states of jobs, for which each entry follows the log of all jobs.
@@ -169,14 +179,7 @@
 	states := crowd.Repeat(func(client, n, i int) []byte {
 		return fmt.Appendf(nil, "GET %s%04x%04x%08x HTTP/1.1\r\nHost: %s\r\n\r\n", queuePrefix, client, n&0xffff, i, queueHost)
 	})
-	submit := jobs(largeStoredJob)
-	k.press(pressClients, func(conn net.Conn, client, n int) {
-		if client%2 == 0 {
-			states(conn, client, n)
-		} else {
-			submit(conn, client, n)
-		}
-	}, nil)
+	k.press(pressClients, mixed(states, jobs(largeStoredJob)), nil)
 }
 
 // startAgent starts an agent whose endpoint runs one task, which never ends.
@@ -189,15 +192,12 @@
 func TestMixedCrowd(t *testing.T) {
 	k := startCluster(qt.New(t), 1)
 	k.startAgent()
-	incomplete := crowd.Post(queueHost, queuePrefix+"00000000000000ff", body(maxBody), false)
-	chunked := inChunks(jobHeader(2), body(maxBody), 1, "")[0]
-	behaviours := []crowd.Behaviour{
+	k.press(2*pressClients, mixed(
 		jobs(largeStoredJob),
 		jobs(`{"best_effort":true,"spec":"p","steps":[{"count":65536,"cpu":1000,"estimate_ms":60000}]}`),
-		crowd.Hold(func(int, int) []byte { return incomplete }),
-		crowd.Hold(func(int, int) []byte { return chunked }),
-	}
-	k.press(2*pressClients, func(conn net.Conn, client, n int) { behaviours[client%len(behaviours)](conn, client, n) }, nil)
+		crowd.Hold(func(int, int) []byte { return crowd.Post(queueHost, queuePrefix+"00000000000000ff", body(maxBody), false) }),
+		crowd.Hold(func(int, int) []byte { return inChunks(jobHeader(2), body(maxBody), 1, "")[0] }),
+	), nil)
 }
 
 // Guards against jobs of many tasks that exceed the memory of the entry that places them, to which the other
@@ -219,7 +219,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	behaviours := []crowd.Behaviour{
+	behave := mixed(
 		crowd.Hold(func(int, int) []byte { return nil }),
 		crowd.Hold(func(client, _ int) []byte {
 			return crowd.Post(queueHost, fmt.Sprintf("%s%016x", queuePrefix, client), []byte(largeStoredJob), false)
@@ -227,12 +227,8 @@
 		crowd.Trickle(func(client, _ int) []byte {
 			return crowd.Post(queueHost, fmt.Sprintf("%s%016x", queuePrefix, client), []byte(largeStoredJob), false)
 		}, 10*time.Millisecond),
-	}
-	running.Go(func() {
-		crowd.Press(ctx, 300, func(int, int) string { return d.address }, func(conn net.Conn, client, n int) {
-			behaviours[client%len(behaviours)](conn, client, n)
-		})
-	})
+	)
+	running.Go(func() { crowd.Press(ctx, 300, func(int, int) string { return d.address }, behave) })
 	time.Sleep(time.Second)
 	stopCtx, stop := context.WithTimeout(ctx, 2*grace)
 	defer stop()
