--- a/tests/uncontrolled/press_test.go
+++ b/tests/uncontrolled/press_test.go
@@ -195,7 +195,9 @@
 	k.press(2*pressClients, mixed(
 		jobs(largeStoredJob),
 		jobs(`{"best_effort":true,"spec":"p","steps":[{"count":65536,"cpu":1000,"estimate_ms":60000}]}`),
-		crowd.Hold(func(int, int) []byte { return crowd.Post(queueHost, queuePrefix+"00000000000000ff", body(maxBody), false) }),
+		crowd.Hold(func(int, int) []byte {
+			return crowd.Post(queueHost, queuePrefix+"00000000000000ff", body(maxBody), false)
+		}),
 		crowd.Hold(func(int, int) []byte { return inChunks(jobHeader(2), body(maxBody), 1, "")[0] }),
 	), nil)
 }
