--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -61,7 +61,7 @@
 	req.GetBody = nil
 	req.Host = queueHost
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("X-Oriolerelay-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	req.Header.Set(names.DeadlineHeader, strconv.FormatInt(patience.Milliseconds(), 10))
 	resp, err := clientHTTP.Do(req)
 	if err != nil {
 		return answer{err: err}
--- a/review/bed/cluster.go
+++ b/review/bed/cluster.go
@@ -39,7 +39,7 @@
 	relayPath   = "target/oriole-relay"
 )
 
-// cluster is a small deployment: a store, entries, and agents with their minions.
+// cluster is a small deployment: a store, entries, and agents with their workers.
 type cluster struct {
 	rec     *record
 	net     string // first three octets of the addresses
@@ -48,7 +48,7 @@
 	links   map[[2]int]*link // by agent and entry
 	entries []*daemon
 	agents  []*daemon
-	minions []*minion
+	workers []*worker
 	servers []*http.Server
 }
 
@@ -89,7 +89,7 @@
 }
 
 // startCluster starts a deployment and waits until its entries are ready.
-func startCluster(rec *record, entries, agents, minionCPU, minionMem int) (*cluster, error) {
+func startCluster(rec *record, entries, agents, workerCPU, workerMem int) (*cluster, error) {
 	network, err := freeNetwork()
 	if err != nil {
 		return nil, err
@@ -115,12 +115,12 @@
 		c.entries = append(c.entries, d)
 	}
 	for i := range agents {
-		m := newMinion(rec, fmt.Sprintf("i-%08x", 0x7f3a9100+i), c.address(100+i, appPort), c.address(100+i, controlPort), serviceName,
-			[]string{"a", fmt.Sprintf("r%d", 1+i/3)}, minionCPU, minionMem)
+		m := newWorker(rec, fmt.Sprintf("i-%08x", 0x7f3a9100+i), c.address(100+i, appPort), c.address(100+i, controlPort), serviceName,
+			[]string{"a", fmt.Sprintf("r%d", 1+i/3)}, workerCPU, workerMem)
 		if err := m.start(); err != nil {
 			return c, err
 		}
-		c.minions = append(c.minions, m)
+		c.workers = append(c.workers, m)
 		if err := c.openDoor(100+i, entryPort(i)); err != nil {
 			return c, err
 		}
@@ -250,7 +250,7 @@
 	defer d.log.Close()
 	for first := true; ; first = false {
 		cmd := exec.Command(relayPath, d.role)
-		cmd.Env = []string{"ORIOLERELAY_CONFIG=" + d.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+		cmd.Env = []string{names.SettingsVariable + "=" + d.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 		cmd.Stdout, cmd.Stderr = d.log, d.log
 		d.mu.Lock()
 		if d.closing {
@@ -310,7 +310,7 @@
 		wg.Go(d.close)
 	}
 	wg.Wait()
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		m.close()
 	}
 	for _, l := range c.links {
--- a/review/bed/lost.go
+++ b/review/bed/lost.go
@@ -18,10 +18,10 @@
 	sampleEvery = 50 * time.Millisecond
 )
 
-// The room of a minion of the site.
+// The room of a worker of the site.
 const (
-	minionCPU = 32000
-	minionMem = 131072
+	workerCPU = 32000
+	workerMem = 131072
 )
 
 // ordinary is the traffic of clients that behave: small jobs that have to be kept.
@@ -73,16 +73,16 @@
 	busiest := 0.0
 	for rec.now() < from+idleTime {
 		used := 0
-		for _, m := range o.c.minions {
+		for _, m := range o.c.workers {
 			m.mu.Lock()
 			used += m.usedCPU
 			m.mu.Unlock()
 		}
-		busiest = max(busiest, float64(used)/float64(minionCPU*len(o.c.minions)))
+		busiest = max(busiest, float64(used)/float64(workerCPU*len(o.c.workers)))
 		time.Sleep(sampleEvery)
 	}
 	lastRun := make(map[string]time.Duration) // by job
-	for _, m := range o.c.minions {
+	for _, m := range o.c.workers {
 		for _, r := range m.runs() {
 			id, _, _ := strings.Cut(r.task, ".")
 			ended := r.ended
@@ -144,9 +144,9 @@
 	return "no answer"
 }
 
-// unacknowledged returns how many minions have no acknowledgement of a heartbeat since the given time.
+// unacknowledged returns how many workers have no acknowledgement of a heartbeat since the given time.
 func (c *cluster) unacknowledged(since time.Duration) (n int) {
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		m.mu.Lock()
 		if m.beatAckedAt < since {
 			n++
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -1,5 +1,5 @@
 // Command bed plays the cases of a review: it starts the programs of a small deployment as processes, with
-// stand-ins for the store, the minions and the clients, and checks a rule by what these see.
+// stand-ins for the store, the workers and the clients, and checks a rule by what these see.
 package main
 
 import (
--- a/review/bed/roam.go
+++ b/review/bed/roam.go
@@ -268,20 +268,20 @@
 		case "termagent":
 			c.agents[a].signal(syscall.SIGTERM, 300*time.Millisecond)
 		case "crash":
-			c.minions[a].crash(false, d)
+			c.workers[a].crash(false, d)
 		case "crashsame":
-			c.minions[a].crash(true, d)
+			c.workers[a].crash(true, d)
 		case "leave":
-			c.minions[a].leave(d)
+			c.workers[a].leave(d)
 		case "hang":
-			c.minions[a].set(true, 0)
-			after(func() { c.minions[a].set(false, 0) })
+			c.workers[a].set(true, 0)
+			after(func() { c.workers[a].set(false, 0) })
 		case "laterun":
-			for _, m := range c.minions {
+			for _, m := range c.workers {
 				m.set(false, 0.06)
 			}
 			after(func() {
-				for _, m := range c.minions {
+				for _, m := range c.workers {
 					m.set(false, 0)
 				}
 			})
@@ -298,11 +298,11 @@
 	}
 }
 
-// judge checks the rules by what clients and minions have seen.
+// judge checks the rules by what clients and workers have seen.
 func (l *load) judge(end time.Duration) {
 	c, rec := l.c, l.c.rec
 	byTask := make(map[string][]run)
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		for _, r := range m.runs() {
 			byTask[r.task] = append(byTask[r.task], r)
 		}
@@ -340,12 +340,12 @@
 				if o.how == "" {
 					over = rec.now()
 				}
-				if r.started < over && !(o.minion == r.minion && o.number == r.number) {
-					l.violate("TWICE: %s runs at %s (run %d, %.3f to %.3f %s) and %s (run %d, %.3f to %.3f %s)", task, o.minion, o.number, o.started.Seconds(), over.Seconds(), o.how,
-						r.minion, r.number, r.started.Seconds(), r.ended.Seconds(), r.how)
+				if r.started < over && !(o.worker == r.worker && o.number == r.number) {
+					l.violate("TWICE: %s runs at %s (run %d, %.3f to %.3f %s) and %s (run %d, %.3f to %.3f %s)", task, o.worker, o.number, o.started.Seconds(), over.Seconds(), o.how,
+						r.worker, r.number, r.started.Seconds(), r.ended.Seconds(), r.how)
 				}
 				if o.how == "done" && o.noted && !j.body.BestEffort {
-					l.violate("TWICE: %s starts at %s at %.3f after it was done at %s at %.3f, noted", task, r.minion, r.started.Seconds(), o.minion, o.ended.Seconds())
+					l.violate("TWICE: %s starts at %s at %.3f after it was done at %s at %.3f, noted", task, r.worker, r.started.Seconds(), o.worker, o.ended.Seconds())
 				}
 			}
 			if r.how == "failed" && r.noted {
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -162,10 +162,10 @@
 		_ = json.NewEncoder(w).Encode(v)
 	}
 	switch r.Method + " " + r.URL.Path {
-	case "POST /log-append":
+	case "POST " + names.Append:
 		status, v := s.append(q.Get("topic"), part, body, q.Has("producer"), number("epoch"), number("sequence"))
 		reply(status, v)
-	case "GET /log-read":
+	case "GET " + names.Read:
 		if w != nil {
 			s.read(w, r, q.Get("topic"), part, number("from"), number("max_fetch"), time.Duration(number("wait_ms"))*time.Millisecond, rewrite)
 		}
@@ -452,7 +452,7 @@
 // putConfig writes a configuration as the operator does.
 func (s *store) putConfig(version int, routes []map[string]any) {
 	b, _ := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": []map[string]any{{"name": serviceName, "admission_control": true}},
+		"version": version, "routes": routes, "services": []map[string]any{{"name": serviceName, names.Guards: true}},
 		"limits": map[string]any{"max_body_bytes": 262144},
 	})
 	record := append(append([]byte{byte(len("config"))}, "config"...), b...)
--- a/review/bed/uncontrolled.go
+++ b/review/bed/uncontrolled.go
@@ -29,9 +29,9 @@
 }
 
 // playUncontrolled plays ordinary traffic, with the jobs of an uncontrolled client 2 s after its start, and checks LOST,
-// and that no process hangs or ends: each agent acknowledges heartbeats of its minion, which are 1.5 s apart, after the traffic.
+// and that no process hangs or ends: each agent acknowledges heartbeats of its worker, which are 1.5 s apart, after the traffic.
 func playUncontrolled(rec *record, trouble bool, racks int, every time.Duration, jobs []jobBody) (bool, error) {
-	c, err := startCluster(rec, 3, 11, minionCPU, minionMem)
+	c, err := startCluster(rec, 3, 11, workerCPU, workerMem)
 	if c != nil {
 		defer c.close()
 	}
@@ -54,15 +54,15 @@
 		d.mu.Unlock()
 	}
 	hung := c.unacknowledged(end)
-	rec.logf("%d of %d minions had no heartbeat acknowledged since the end of the traffic; %d processes ended by themselves", hung, len(c.minions), ended)
-	fmt.Printf("%d of %d agents acknowledged no heartbeat for %v; %d processes ended by themselves\n", hung, len(c.minions), (rec.now() - end).Round(time.Second), ended)
+	rec.logf("%d of %d workers had no heartbeat acknowledged since the end of the traffic; %d processes ended by themselves", hung, len(c.workers), ended)
+	fmt.Printf("%d of %d agents acknowledged no heartbeat for %v; %d processes ended by themselves\n", hung, len(c.workers), (rec.now() - end).Round(time.Second), ended)
 	if os.Getenv("DUMP") != "" {
 		for _, d := range c.agents {
 			d.signal(3, 0)
 		}
 		time.Sleep(time.Second)
 	}
-	for _, m := range c.minions {
+	for _, m := range c.workers {
 		m.writeHistory()
 	}
 	return lost == 0 && hung == 0 && ended == 0, nil
--- a/review/bed/minion.go
+++ b/review/bed/worker.go
@@ -17,15 +17,17 @@
 	heartbeatEvery = 1500 * time.Millisecond
 	maxEnds        = 500
 	stopTime       = 5 * time.Millisecond
+	crashTime      = 8 * time.Second // a worker that a task has crashed is back after it
 )
 
-// work is what the spec of a job tells a minion: how long a task works, what it needs, and whether it fails.
+// work is what the spec of a job tells a worker: how long a task works, what it needs, and whether it fails.
 type work struct {
 	MS     int  `json:"ms"`
 	Spread int  `json:"spread,omitempty"` // up to so many ms more, which depends on the task
 	CPU    int  `json:"cpu"`
 	Mem    int  `json:"mem"`
 	Fails  bool `json:"fails"`
+	Crash  int  `json:"crash,omitempty"` // so many ms after its start the task crashes the worker
 }
 
 // lengthOf returns how long a task works.
@@ -39,7 +41,7 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// run is one run of a task at a minion.
+// run is one run of a task at a worker.
 type run struct {
 	task    string
 	number  uint32
@@ -54,12 +56,12 @@
 	timer   *time.Timer
 	length  time.Duration
 	spec    string
-	minion  string
+	worker  string
 	life    int
 }
 
-// minion is a stand-in of a worker. It guards its room.
-type minion struct {
+// worker is a stand-in of a worker. It guards its room.
+type worker struct {
 	rec     *record
 	id      string
 	app     string // address of its interface
@@ -73,7 +75,7 @@
 	born        time.Time
 	sequence    uint64
 	token       uint64
-	due         time.Duration // on the minion's clock, which starts with born
+	due         time.Duration // on the worker's clock, which starts with born
 	running     map[string]*run
 	highest     map[string]uint32 // number of the highest run of a task that was stopped or has ended
 	ends        []*run            // that are not forgotten
@@ -88,6 +90,7 @@
 	life        int
 	name        string // of the machine; the id of a life follows from it
 	draining    bool
+	onCrash     func(r *run)  // called when a task is about to crash the worker; nil for none
 	acked       chan struct{} // closed when a draining heartbeat was acknowledged
 	hanging     bool          // calls get no answer and have no effect
 	late        float64       // share of the starts that get no answer and are carried out later
@@ -95,15 +98,15 @@
 	mute        chan struct{} // closed when this life's heartbeats are to end
 }
 
-func newMinion(rec *record, id, app, control, service string, labels []string, cpu, mem int) *minion {
-	return &minion{
+func newWorker(rec *record, id, app, control, service string, labels []string, cpu, mem int) *worker {
+	return &worker{
 		rec: rec, id: id, app: app, control: control, service: service, labels: labels, cpu: cpu, mem: mem,
 		running: make(map[string]*run), highest: make(map[string]uint32), changed: make(chan struct{}), stopped: make(chan struct{}),
 	}
 }
 
 // start serves the interface and sends heartbeats until close is called.
-func (m *minion) start() error {
+func (m *worker) start() error {
 	l, err := net.Listen("tcp", m.app)
 	if err != nil {
 		return err
@@ -117,7 +120,7 @@
 	return nil
 }
 
-func (m *minion) serveOn(l net.Listener) {
+func (m *worker) serveOn(l net.Listener) {
 	s := &http.Server{Handler: http.HandlerFunc(m.serve), ReadHeaderTimeout: time.Minute}
 	m.mu.Lock()
 	m.server = s
@@ -126,7 +129,7 @@
 }
 
 // crash ends this life, and all that runs, and begins another one after the given time, under the same id or a new one.
-func (m *minion) crash(sameID bool, down time.Duration) {
+func (m *worker) crash(sameID bool, down time.Duration) {
 	m.mu.Lock()
 	select {
 	case <-m.mute:
@@ -142,7 +145,7 @@
 	time.AfterFunc(down, func() { m.live(sameID) })
 }
 
-func (m *minion) dieLocked() {
+func (m *worker) dieLocked() {
 	for _, r := range m.running {
 		r.timer.Stop()
 		r.how, r.ended = "crashed", m.rec.now()
@@ -153,7 +156,7 @@
 	m.life++
 }
 
-func (m *minion) live(sameID bool) {
+func (m *worker) live(sameID bool) {
 	select {
 	case <-m.stopped:
 		return
@@ -175,8 +178,8 @@
 	go m.heartbeats()
 }
 
-// leave drains the minion, which serves for 2 s and extra after the acknowledgement, and deregisters. Another one comes 1 s later.
-func (m *minion) leave(extra time.Duration) {
+// leave drains the worker, which serves for 2 s and extra after the acknowledgement, and deregisters. Another one comes 1 s later.
+func (m *worker) leave(extra time.Duration) {
 	m.mu.Lock()
 	if m.draining {
 		m.mu.Unlock()
@@ -213,13 +216,13 @@
 	}()
 }
 
-func (m *minion) set(hanging bool, late float64) {
+func (m *worker) set(hanging bool, late float64) {
 	m.mu.Lock()
 	m.hanging, m.late = hanging, late
 	m.mu.Unlock()
 }
 
-func (m *minion) close() {
+func (m *worker) close() {
 	close(m.stopped)
 	m.mu.Lock()
 	server := m.server
@@ -227,9 +230,9 @@
 	_ = server.Close()
 }
 
-func (m *minion) clock() time.Duration { return time.Since(m.born) }
+func (m *worker) clock() time.Duration { return time.Since(m.born) }
 
-func (m *minion) heartbeats() {
+func (m *worker) heartbeats() {
 	c := &http.Client{Timeout: time.Second}
 	m.mu.Lock()
 	mute := m.mute
@@ -282,7 +285,7 @@
 	}
 }
 
-func (m *minion) watchLease() {
+func (m *worker) watchLease() {
 	for {
 		select {
 		case <-time.After(5 * time.Millisecond):
@@ -302,7 +305,7 @@
 	}
 }
 
-func (m *minion) endLocked(r *run, how string) {
+func (m *worker) endLocked(r *run, how string) {
 	if r.how != "" {
 		return
 	}
@@ -318,23 +321,42 @@
 	m.changed = make(chan struct{})
 }
 
+// order is the body of a call to a worker.
 type order struct {
-	Task  string `json:"task"`
-	Run   uint32 `json:"run"`
-	Spec  string `json:"spec"`
-	Due   int64  `json:"due_ms"`
-	Token uint64 `json:"fencing_token"`
-	Ack   uint64 `json:"ack_offset"`
-	Wait  int64  `json:"wait_ms"`
+	Task  string
+	Run   uint32
+	Spec  string
+	Due   int64 // ms
+	Token uint64
+	Ack   uint64
+	Wait  int64 // ms
 }
 
-func (m *minion) serve(w http.ResponseWriter, r *http.Request) {
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *order) UnmarshalJSON(b []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return err
+	}
+	for name, target := range map[string]any{
+		"task": &o.Task, "run": &o.Run, "spec": &o.Spec, names.Due: &o.Due, names.Token: &o.Token, "ack_offset": &o.Ack, "wait_ms": &o.Wait,
+	} {
+		if raw, ok := fields[name]; ok {
+			if err := json.Unmarshal(raw, target); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (m *worker) serve(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
 	known, hanging, lateShare := m.id, m.hanging, m.late
 	m.mu.Unlock()
-	id := r.Header.Get("X-Oriolerelay-Expected-Instance")
+	id := r.Header.Get(names.ExpectedHeader)
 	if id != "" && id != known {
-		w.Header().Set("X-Oriolerelay-Instance-Id", known)
+		w.Header().Set(names.InstanceHeader, known)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -347,7 +369,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if r.URL.Path == "/run-start" && rand.Float64() < lateShare {
+	if r.URL.Path == names.Start && rand.Float64() < lateShare {
 		time.AfterFunc(2*time.Second+time.Duration(rand.Int64N(int64(4*time.Second))), func() {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -376,9 +398,9 @@
 	}
 	m.mu.Unlock()
 	switch r.URL.Path {
-	case "/run-start":
+	case names.Start:
 		m.serveStart(w, &o, late)
-	case "/run-stop":
+	case names.Stop:
 		m.mu.Lock()
 		if r := m.running[o.Task]; r != nil && r.number <= o.Run {
 			life := m.life
@@ -400,7 +422,7 @@
 	}
 }
 
-func (m *minion) serveStart(w http.ResponseWriter, o *order, late bool) {
+func (m *worker) serveStart(w http.ResponseWriter, o *order, late bool) {
 	m.mu.Lock()
 	status, reason := m.startLocked(o, late)
 	m.mu.Unlock()
@@ -411,7 +433,7 @@
 	m.answer(w, status, fields)
 }
 
-func (m *minion) startLocked(o *order, late bool) (status int, reason string) {
+func (m *worker) startLocked(o *order, late bool) (status int, reason string) {
 	var k work
 	if err := json.Unmarshal([]byte(o.Spec), &k); err != nil {
 		return http.StatusBadRequest, ""
@@ -427,11 +449,25 @@
 	case m.usedCPU+k.CPU > m.cpu || m.usedMem+k.Mem > m.mem:
 		return http.StatusConflict, "room"
 	}
-	r := &run{task: o.Task, number: o.Run, cpu: k.CPU, mem: k.Mem, started: m.rec.now(), length: k.lengthOf(o.Task), spec: o.Spec, minion: m.id, life: m.life}
+	r := &run{task: o.Task, number: o.Run, cpu: k.CPU, mem: k.Mem, started: m.rec.now(), length: k.lengthOf(o.Task), spec: o.Spec, worker: m.id, life: m.life}
 	m.running[o.Task] = r
 	m.usedCPU += k.CPU
 	m.usedMem += k.Mem
 	m.history = append(m.history, r)
+	if k.Crash > 0 {
+		time.AfterFunc(time.Duration(k.Crash)*time.Millisecond, func() {
+			m.mu.Lock()
+			runs, onCrash := m.running[o.Task] == r, m.onCrash
+			m.mu.Unlock()
+			if !runs {
+				return
+			}
+			if onCrash != nil {
+				onCrash(r)
+			}
+			m.crash(false, crashTime)
+		})
+	}
 	how := "done"
 	if k.Fails {
 		how = "failed"
@@ -446,7 +482,7 @@
 	return http.StatusOK, ""
 }
 
-func (m *minion) serveHold(w http.ResponseWriter, r *http.Request, o *order) {
+func (m *worker) serveHold(w http.ResponseWriter, r *http.Request, o *order) {
 	m.mu.Lock()
 	kept := m.ends[:0]
 	for _, e := range m.ends {
@@ -480,7 +516,7 @@
 	m.answer(w, http.StatusOK, map[string]any{"running": running, "ended": ended, "born": m.born.UnixMilli()})
 }
 
-func (m *minion) answer(w http.ResponseWriter, status int, fields map[string]any) {
+func (m *worker) answer(w http.ResponseWriter, status int, fields map[string]any) {
 	if fields == nil {
 		fields = map[string]any{}
 	}
@@ -491,7 +527,7 @@
 }
 
 // runs returns a copy of the runs so far.
-func (m *minion) runs() []run {
+func (m *worker) runs() []run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]run, 0, len(m.history))
@@ -502,9 +538,9 @@
 }
 
 // writeHistory adds the runs to the record.
-func (m *minion) writeHistory() {
+func (m *worker) writeHistory() {
 	for _, r := range m.runs() {
-		m.rec.logf("%s ran %s run %d from %.3f to %.3f: %s, noted %v", r.minion, r.task, r.number, r.started.Seconds(), r.ended.Seconds(),
+		m.rec.logf("%s ran %s run %d from %.3f to %.3f: %s, noted %v", r.worker, r.task, r.number, r.started.Seconds(), r.ended.Seconds(),
 			fmt.Sprintf("%q", r.how), r.noted)
 	}
 }
