--- a/review/bed/uncontrolled.go
+++ b/review/bed/uncontrolled.go
@@ -12,6 +12,7 @@
 	cases["agents-hang"] = agentsHang
 	cases["entry-hangs"] = entryHangs
 	cases["records-stop"] = recordsStop
+	cases["placing-hangs"] = placingHangs
 }
 
 // uncontrolled hands jobs in at the entries in turn, one after each pause, waits for the answers at most the given time, and leaves.
@@ -95,3 +96,12 @@
 	j := jobBody{Spec: spec(work{MS: 2000, CPU: 1, Fails: true}), Steps: []step{{Count: 4600, CPU: 1, Estimate: 2000}}}
 	return playUncontrolled(rec, trouble, 0, 2500*time.Millisecond, []jobBody{j, j, j, j, j})
 }
+
+// placingHangs: jobs of many tasks, of which a bounded number may run on one worker.
+func placingHangs(rec *record, trouble bool) (bool, error) {
+	j := jobBody{
+		Spec:  spec(work{MS: 20, CPU: 1}),
+		Steps: []step{{Count: 42000, CPU: 1, Estimate: 20, AntiAffinity: 4200}},
+	}
+	return playUncontrolled(rec, trouble, 0, time.Second, []jobBody{j, j, j})
+}
