--- a/review/bed/cluster.go
+++ b/review/bed/cluster.go
@@ -240,6 +240,7 @@
 		return nil, err
 	}
 	started := make(chan error, 1)
+	startedDaemons.Store(d, nil)
 	go d.run(started)
 	return d, <-started
 }
@@ -293,6 +294,16 @@
 	_ = d.cmd.Process.Signal(s)
 }
 
+// startedDaemons holds all daemons, which end with this process also if it is interrupted.
+var startedDaemons sync.Map
+
+func closeStarted() {
+	startedDaemons.Range(func(d, _ any) bool {
+		d.(*daemon).close()
+		return true
+	})
+}
+
 func (d *daemon) close() {
 	d.mu.Lock()
 	d.closing, d.dark = true, 0
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -28,6 +30,13 @@
 		fmt.Fprintln(os.Stderr, "unknown case", flag.Arg(0))
 		os.Exit(exitNotRun)
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-interrupted
+		closeStarted()
+		os.Exit(exitNotRun)
+	}()
 	rec, err := newRecord(*out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
