--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -24,6 +24,7 @@
 
 func main() {
 	out := flag.String("record", "record.txt", "file for the record")
+	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	play := cases[flag.Arg(0)]
 	if play == nil {
@@ -42,7 +43,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	held, err := play(rec, os.Getenv("TROUBLE") != "0")
+	held, err := play(rec, *trouble)
 	switch {
 	case err != nil:
 		rec.logf("the case could not run: %v", err)
